--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,53 @@
+// Package event is the catalogue of the numbered log events and writes them
+// by log/slog. docs/EVENTS.md lists the same events.
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// Event is one kind of log event.
+type Event struct {
+	Number int    // stable; never reused
+	Name   string // lower case with dashes
+	Level  slog.Level
+	Text   string // message of the log line
+	Help   string // what it means and what to do, for docs/EVENTS.md
+}
+
+// catalogue holds all events by number.
+var catalogue = map[int]Event{}
+
+// define adds an event to the catalogue. It panics if the number is taken,
+// which is a mistake in this package.
+func define(number int, name string, level slog.Level, text, help string) Event {
+	if _, ok := catalogue[number]; ok {
+		panic("event number defined twice: " + name)
+	}
+	e := Event{Number: number, Name: name, Level: level, Text: text, Help: help}
+	catalogue[number] = e
+	return e
+}
+
+// Catalogue returns all events in no particular order.
+func Catalogue() []Event {
+	all := make([]Event, 0, len(catalogue))
+	for _, e := range catalogue {
+		all = append(all, e)
+	}
+	return all
+}
+
+// Log writes the event with its number and name. A nil logger writes nothing.
+func Log(l *slog.Logger, e Event, attrs ...slog.Attr) {
+	if l == nil {
+		return
+	}
+	ctx := context.Background()
+	if !l.Enabled(ctx, e.Level) {
+		return
+	}
+	all := append([]slog.Attr{slog.Int("event", e.Number), slog.String("name", e.Name)}, attrs...)
+	l.LogAttrs(ctx, e.Level, e.Text, all...)
+}
--- /dev/null
+++ b/state/resources.go
@@ -0,0 +1,34 @@
+package state
+
+// Resources are amounts of what an instance holds, in integer units so that
+// sums are exact.
+type Resources struct {
+	MilliCPU     int64 `cbor:"1,keyasint,omitempty"` // thousandths of a core
+	MemoryMiB    int64 `cbor:"2,keyasint,omitempty"`
+	Accelerators int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Add returns r + o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.MilliCPU + o.MilliCPU, r.MemoryMiB + o.MemoryMiB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r - o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMiB - o.MemoryMiB, r.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether r is at most o in every dimension.
+func (r Resources) Fits(o Resources) bool {
+	return r.MilliCPU <= o.MilliCPU && r.MemoryMiB <= o.MemoryMiB && r.Accelerators <= o.Accelerators
+}
+
+// Valid reports whether no amount is negative.
+func (r Resources) Valid() bool {
+	return r.MilliCPU >= 0 && r.MemoryMiB >= 0 && r.Accelerators >= 0
+}
+
+// IsZero reports whether all amounts are zero.
+func (r Resources) IsZero() bool {
+	return r == Resources{}
+}
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,49 @@
+// Package state holds the replicated state: its aggregates, the typed
+// commands that change them, and the deterministic application of a command.
+// A State is immutable, so a reader may keep one for as long as it likes.
+package state
+
+// State is the value of all replicated state at one log index.
+type State struct {
+	Index uint64 // log index of the last applied command
+	Time  int64  // time of the last applied command, Unix milliseconds
+
+	Zones       Table[*ZoneRecord]
+	Services    Table[*Service]
+	Jobs        Table[*Job]
+	Tasks       Table[*Task]
+	Workers     Table[*Worker]
+	Endpoints   Table[*Endpoint]
+	Assignments Table[*Assignment] // by AssignmentKey
+	Instances   Table[*Instance]
+	Teams       Table[*Team]
+	Buckets     Table[*LedgerBucket] // by BucketKey
+	Requests    Table[*RequestResult]
+	Audit       Table[*AuditRecord] // by AuditKey, oldest first
+
+	// NextAudit is the sequence number of the next audit record.
+	NextAudit uint64
+
+	tasksByWorker Table[struct{}] // WORKER/TASK of tasks that hold a reservation
+	tasksByOwner  Table[struct{}] // KIND/OWNER/TASK of all tasks
+	pending       Table[struct{}] // TASK of pending tasks
+	requestAges   Table[string]   // age order of Requests
+}
+
+// AssignmentKey returns the key of an assignment.
+func AssignmentKey(kind AssignmentKind, id string) string {
+	return string(kind) + "/" + id
+}
+
+// Assignment returns the assignment of an endpoint or worker, or nil.
+func (s *State) Assignment(kind AssignmentKind, id string) *Assignment {
+	a, _ := s.Assignments.Get(AssignmentKey(kind, id))
+	return a
+}
+
+// ZoneOut reports whether operators have taken the availability zone out. An
+// unknown zone is in.
+func (s *State) ZoneOut(name string) bool {
+	z, ok := s.Zones.Get(name)
+	return ok && z.Out
+}
--- /dev/null
+++ b/state/table.go
@@ -0,0 +1,70 @@
+package state
+
+import (
+	"iter"
+
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+)
+
+// Table is an immutable ordered map from id to value. Its zero value is empty.
+// Values must not be changed after they were put.
+type Table[T any] struct {
+	tree *iradix.Tree[T]
+}
+
+// Len returns the number of entries.
+func (t Table[T]) Len() int {
+	if t.tree == nil {
+		return 0
+	}
+	return t.tree.Len()
+}
+
+// Get returns the value of id and whether it exists.
+func (t Table[T]) Get(id string) (T, bool) {
+	if t.tree == nil {
+		var zero T
+		return zero, false
+	}
+	return t.tree.Get([]byte(id))
+}
+
+// Put returns a table in which id has the value v.
+func (t Table[T]) Put(id string, v T) Table[T] {
+	tree := t.tree
+	if tree == nil {
+		tree = iradix.New[T]()
+	}
+	next, _, _ := tree.Insert([]byte(id), v)
+	return Table[T]{next}
+}
+
+// Delete returns a table without id.
+func (t Table[T]) Delete(id string) Table[T] {
+	if t.tree == nil {
+		return t
+	}
+	next, _, _ := t.tree.Delete([]byte(id))
+	return Table[T]{next}
+}
+
+// All yields the entries in the order of their ids.
+func (t Table[T]) All() iter.Seq2[string, T] {
+	return t.WithPrefix("")
+}
+
+// WithPrefix yields the entries whose ids start with prefix, in order.
+func (t Table[T]) WithPrefix(prefix string) iter.Seq2[string, T] {
+	return func(yield func(string, T) bool) {
+		if t.tree == nil {
+			return
+		}
+		it := t.tree.Root().Iterator()
+		it.SeekPrefix([]byte(prefix))
+		for k, v, ok := it.Next(); ok; k, v, ok = it.Next() {
+			if !yield(string(k), v) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/state/types.go
@@ -0,0 +1,265 @@
+package state
+
+// ZoneRecord is an availability zone as operators set it.
+type ZoneRecord struct {
+	Name    string `cbor:"1,keyasint"`
+	Out     bool   `cbor:"2,keyasint,omitempty"`
+	Version uint64 `cbor:"3,keyasint"`
+	// ChangedAt is when Out last changed, in Unix milliseconds.
+	ChangedAt int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// ServiceSpec is what an operator asks for a service.
+type ServiceSpec struct {
+	Name            string    `cbor:"1,keyasint"`
+	Host            string    `cbor:"2,keyasint,omitempty"`
+	PathPrefix      string    `cbor:"3,keyasint,omitempty"`
+	Replicas        int64     `cbor:"4,keyasint"`
+	Resources       Resources `cbor:"5,keyasint"`
+	Slots           int64     `cbor:"6,keyasint"`
+	ConnectionLimit int64     `cbor:"7,keyasint"`
+	Team            string    `cbor:"8,keyasint,omitempty"`
+}
+
+// Service is a service with its version.
+type Service struct {
+	Spec    ServiceSpec `cbor:"1,keyasint"`
+	Version uint64      `cbor:"2,keyasint"`
+}
+
+// Priority is the priority class of a job.
+type Priority string
+
+// Priority classes, most urgent first.
+const (
+	PriorityUrgent Priority = "urgent"
+	PriorityNormal Priority = "normal"
+	PriorityLow    Priority = "low"
+)
+
+// JobSpec is what an operator asks for a batch job.
+type JobSpec struct {
+	ID              string    `cbor:"1,keyasint"`
+	Team            string    `cbor:"2,keyasint,omitempty"`
+	Class           string    `cbor:"3,keyasint"`
+	Priority        Priority  `cbor:"4,keyasint"`
+	Tasks           int64     `cbor:"5,keyasint"`
+	Resources       Resources `cbor:"6,keyasint"`
+	ExpectedSeconds int64     `cbor:"7,keyasint,omitempty"`
+}
+
+// JobPhase is the phase of a job.
+type JobPhase string
+
+// Phases of a job. The last three are final.
+const (
+	JobActive    JobPhase = "active"
+	JobCompleted JobPhase = "completed"
+	JobFailed    JobPhase = "failed"
+	JobCancelled JobPhase = "cancelled"
+)
+
+// Job is a batch job with its phase.
+type Job struct {
+	Spec        JobSpec  `cbor:"1,keyasint"`
+	Version     uint64   `cbor:"2,keyasint"`
+	Phase       JobPhase `cbor:"3,keyasint"`
+	Reason      string   `cbor:"4,keyasint,omitempty"`
+	SubmittedAt int64    `cbor:"5,keyasint"` // Unix milliseconds
+	Completed   int64    `cbor:"6,keyasint,omitempty"`
+	Failed      int64    `cbor:"7,keyasint,omitempty"`
+	Cancelled   int64    `cbor:"8,keyasint,omitempty"`
+}
+
+// TaskKind separates replicas of services from tasks of jobs.
+type TaskKind string
+
+// Kinds of tasks.
+const (
+	KindLatencyCritical TaskKind = "latency-critical"
+	KindBatch           TaskKind = "batch"
+)
+
+// TaskPhase is the phase of a task.
+type TaskPhase string
+
+// Phases of a task. A task holds its reservation in PhaseStarting,
+// PhaseRunning and PhaseStopping. The last three phases are final.
+const (
+	PhasePending   TaskPhase = "pending"
+	PhaseStarting  TaskPhase = "starting"
+	PhaseRunning   TaskPhase = "running"
+	PhaseStopping  TaskPhase = "stopping"
+	PhaseCompleted TaskPhase = "completed"
+	PhaseFailed    TaskPhase = "failed"
+	PhaseCancelled TaskPhase = "cancelled"
+)
+
+// StopReason says why a task is being stopped and so what follows the stop.
+type StopReason string
+
+// Reasons to stop a task. StopEvict and StopReplace requeue it; StopCancel
+// and StopRemove end it.
+const (
+	StopEvict   StopReason = "evict"
+	StopReplace StopReason = "replace"
+	StopCancel  StopReason = "cancel"
+	StopRemove  StopReason = "remove"
+)
+
+// Failure is one failed run of a task.
+type Failure struct {
+	Worker      string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	At          int64  `cbor:"3,keyasint"` // Unix milliseconds
+	Reason      string `cbor:"4,keyasint,omitempty"`
+}
+
+// Task is one replica of a service or one task of a job.
+type Task struct {
+	ID          string     `cbor:"1,keyasint"`
+	Kind        TaskKind   `cbor:"2,keyasint"`
+	Owner       string     `cbor:"3,keyasint"` // service name or job id
+	Class       string     `cbor:"4,keyasint,omitempty"`
+	Team        string     `cbor:"5,keyasint,omitempty"`
+	Priority    Priority   `cbor:"6,keyasint,omitempty"`
+	Resources   Resources  `cbor:"7,keyasint"`
+	Phase       TaskPhase  `cbor:"8,keyasint"`
+	Incarnation uint64     `cbor:"9,keyasint"`
+	Worker      string     `cbor:"10,keyasint,omitempty"`
+	Checkpoint  string     `cbor:"11,keyasint,omitempty"`
+	Throttle    int64      `cbor:"12,keyasint,omitempty"` // percent of its processors taken away
+	StopReason  StopReason `cbor:"13,keyasint,omitempty"`
+	Reason      string     `cbor:"14,keyasint,omitempty"` // why the task is in its phase
+	Failures    []Failure  `cbor:"15,keyasint,omitempty"`
+	QueuedAt    int64      `cbor:"16,keyasint"`           // Unix milliseconds
+	StartedAt   int64      `cbor:"17,keyasint,omitempty"` // Unix milliseconds
+	Evictions   int64      `cbor:"18,keyasint,omitempty"`
+	// ExpectedSeconds is the declared run time; 0 if unknown.
+	ExpectedSeconds int64 `cbor:"19,keyasint,omitempty"`
+	// Replaces is the task that is stopped once this one runs.
+	Replaces string `cbor:"20,keyasint,omitempty"`
+}
+
+// Holds reports whether the task holds a reservation on its worker.
+func (t *Task) Holds() bool {
+	return t.Phase == PhaseStarting || t.Phase == PhaseRunning || t.Phase == PhaseStopping
+}
+
+// Ended reports whether the task is in a final phase.
+func (t *Task) Ended() bool {
+	return t.Phase == PhaseCompleted || t.Phase == PhaseFailed || t.Phase == PhaseCancelled
+}
+
+// WorkerCondition is the condition of a worker.
+type WorkerCondition string
+
+// Conditions of a worker. Only a ready or a quarantined worker takes tasks, a
+// quarantined one at most one task at a time.
+const (
+	WorkerReady       WorkerCondition = "ready"
+	WorkerLost        WorkerCondition = "lost"
+	WorkerQuarantined WorkerCondition = "quarantined"
+)
+
+// Worker is an instance of the platform that runs tasks.
+type Worker struct {
+	ID        string          `cbor:"1,keyasint"`
+	Zone      string          `cbor:"2,keyasint"`
+	Rack      string          `cbor:"3,keyasint"`
+	Address   string          `cbor:"4,keyasint"`
+	Capacity  Resources       `cbor:"5,keyasint"`
+	Condition WorkerCondition `cbor:"6,keyasint"`
+	Version   uint64          `cbor:"7,keyasint"`
+	// Reserved is the sum of what the tasks that hold a reservation declare.
+	Reserved Resources `cbor:"8,keyasint"`
+	// LostFence is the fence under which the worker was reported lost.
+	LostFence uint64 `cbor:"9,keyasint,omitempty"`
+	// FailedOwners are the jobs whose tasks failed here since the last success.
+	FailedOwners []string `cbor:"10,keyasint,omitempty"`
+	// QuarantinedAt is when the worker was quarantined, in Unix milliseconds.
+	QuarantinedAt int64 `cbor:"11,keyasint,omitempty"`
+}
+
+// Endpoint is a process that serves requests of one service.
+type Endpoint struct {
+	ID              string `cbor:"1,keyasint"`
+	Service         string `cbor:"2,keyasint"`
+	Address         string `cbor:"3,keyasint"`
+	Zone            string `cbor:"4,keyasint"`
+	Slots           int64  `cbor:"5,keyasint"`
+	ConnectionLimit int64  `cbor:"6,keyasint"`
+	Incarnation     uint64 `cbor:"7,keyasint"`
+	Draining        bool   `cbor:"8,keyasint,omitempty"`
+}
+
+// AssignmentKind separates assignments of endpoints from those of workers.
+type AssignmentKind string
+
+// Kinds of assignments.
+const (
+	AssignEndpoint AssignmentKind = "endpoint"
+	AssignWorker   AssignmentKind = "worker"
+)
+
+// Assignment gives one endpoint or worker to one entry instance.
+type Assignment struct {
+	Kind  AssignmentKind `cbor:"1,keyasint"`
+	ID    string         `cbor:"2,keyasint"`
+	Owner string         `cbor:"3,keyasint"` // entry instance
+	// Fence is the log index of the assignment. It grows with every change of
+	// owner, so that a worker can refuse an earlier owner.
+	Fence uint64 `cbor:"4,keyasint"`
+}
+
+// Instance is an entry instance of the system.
+type Instance struct {
+	ID             string `cbor:"1,keyasint"`
+	PeerAddress    string `cbor:"2,keyasint"`
+	Zone           string `cbor:"3,keyasint"`
+	ReplicaID      uint64 `cbor:"4,keyasint,omitempty"` // 0 if it has no disk
+	Leaving        bool   `cbor:"5,keyasint,omitempty"` // hands its assignments over
+	RegisteredAt   int64  `cbor:"6,keyasint"`           // Unix milliseconds
+	InstanceStart  uint64 `cbor:"7,keyasint"`           // random number of this start of the process
+	EntryAddress   string `cbor:"8,keyasint,omitempty"`
+	OperatorServer string `cbor:"9,keyasint,omitempty"`
+}
+
+// Team is a group of users with a share and a quota.
+type Team struct {
+	Name    string    `cbor:"1,keyasint"`
+	Weight  int64     `cbor:"2,keyasint"`
+	Quota   Resources `cbor:"3,keyasint"` // 0 in a dimension is no limit
+	Version uint64    `cbor:"4,keyasint"`
+}
+
+// LedgerBucket says which instances keep one bucket of the request ledger.
+type LedgerBucket struct {
+	Number  int    `cbor:"1,keyasint"`
+	Primary string `cbor:"2,keyasint"`
+	Backup  string `cbor:"3,keyasint,omitempty"`
+	Epoch   uint64 `cbor:"4,keyasint"` // log index of the last change
+	// LostAt is when both copies were lost last, in Unix milliseconds; 0 if never.
+	LostAt int64 `cbor:"5,keyasint,omitempty"`
+}
+
+// RequestResult is the first result of an operator's request.
+type RequestResult struct {
+	RequestID string `cbor:"1,keyasint"`
+	Digest    uint64 `cbor:"2,keyasint"` // xxhash of kind and body
+	Result    Result `cbor:"3,keyasint"`
+	At        int64  `cbor:"4,keyasint"` // Unix milliseconds
+}
+
+// AuditRecord is one entry of the audit trail.
+type AuditRecord struct {
+	Sequence   uint64 `cbor:"1,keyasint"`
+	Time       int64  `cbor:"2,keyasint"` // Unix milliseconds
+	Actor      string `cbor:"3,keyasint,omitempty"`
+	RequestID  string `cbor:"4,keyasint,omitempty"`
+	Action     string `cbor:"5,keyasint"`
+	Object     string `cbor:"6,keyasint"` // KIND/ID
+	OldVersion uint64 `cbor:"7,keyasint,omitempty"`
+	NewVersion uint64 `cbor:"8,keyasint,omitempty"`
+	Outcome    string `cbor:"9,keyasint"`
+}
