standin/worker: add a stand-in worker that records what ran

The stand-in ends each run at its exact time on a clock of its own and keeps records on a clock shared by all stand-ins.

--- /dev/null
+++ b/standin/worker/usage.go
@@ -0,0 +1,134 @@
+package workerstandin
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"apricotrouter/state"
+	"apricotrouter/worker"
+)
+
+// Usage implements worker.API. The samples are UsageLag old.
+func (w *Worker) Usage(_ context.Context, q worker.UsageRequest) (worker.UsageResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now, err := w.enter(q.Fence)
+	if err != nil {
+		return worker.UsageResponse{}, err
+	}
+	at := now.Add(-w.o.UsageLag)
+	w.recent = slices.DeleteFunc(w.recent, func(r *run) bool { return r.ended() && r.Finish.Before(at) })
+	res := worker.UsageResponse{NowMs: w.reading(now)}
+	for _, r := range w.recent {
+		if r.runningAt(at) && r.BootID == w.bootID() {
+			res.Tasks = append(res.Tasks, w.sample(r, at))
+		}
+	}
+	return res, nil
+}
+
+func (w *Worker) sample(r *run, at time.Time) worker.TaskUsage {
+	share := 1 - float64(r.history.at(at))/100
+	u := worker.TaskUsage{
+		TaskKey:   r.TaskKey,
+		SampledMs: w.reading(at),
+		Used: state.Resources{
+			MilliCPU:     int64(float64(r.Resources.MilliCPU) * share * w.noise()),
+			MemoryMiB:    int64(float64(r.Resources.MemoryMiB) * w.noise()),
+			Accelerators: r.Resources.Accelerators,
+		},
+	}
+	if r.Kind == state.KindLatencyCritical {
+		u.LatencyRatio = w.latency(r, at) * w.noise()
+	}
+	return u
+}
+
+// latency returns the latency ratio of r next to what else ran at the time.
+func (w *Worker) latency(r *run, at time.Time) float64 {
+	if w.o.Latency == nil {
+		return 1
+	}
+	var others []Record
+	for _, o := range w.recent {
+		if o != r && o.runningAt(at) {
+			rec := o.Record
+			rec.Throttle = o.history.at(at)
+			others = append(others, rec)
+		}
+	}
+	return w.o.Latency(r.Record, others)
+}
+
+// noise returns a factor around 1.
+func (w *Worker) noise() float64 {
+	return 1 + w.o.UsageNoise*(2*w.random.Float64()-1)
+}
+
+// Records returns all runs in the order of their starts.
+func (w *Worker) Records() []Record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settle(w.o.Clock.Now())
+	out := make([]Record, len(w.runs))
+	for i, r := range w.runs {
+		out[i] = r.Record
+		out[i].Throttle = r.percent
+		if !r.ended() {
+			out[i].To = r.progress(w.o.Clock.Now())
+		}
+	}
+	return out
+}
+
+// Peak returns the highest concurrent use in each dimension.
+func (w *Worker) Peak() state.Resources {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.peak
+}
+
+// OverCapacity reports whether more ran at once than the worker can hold.
+func (w *Worker) OverCapacity() bool {
+	return !w.Peak().Fits(w.o.Capacity)
+}
+
+// LeaseEnd returns when the lease ends, on the shared clock.
+func (w *Worker) LeaseEnd() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaseEnd
+}
+
+// Reboot ends everything and starts the worker's clock anew.
+func (w *Worker) Reboot() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := w.o.Clock.Now()
+	w.settle(now)
+	for _, r := range w.tasks {
+		if !r.ended() {
+			r.end(now, EndReboot)
+		}
+	}
+	clear(w.tasks)
+	w.boots++
+	w.bootTime = now
+	w.leaseEnd = time.Time{}
+}
+
+// FailAll lets every task that starts from now on fail with the reason; empty
+// ends that.
+func (w *Worker) FailAll(reason string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failAll = reason
+}
+
+// FailCheckpoints lets checkpoints fail or succeed again.
+func (w *Worker) FailCheckpoints(fail bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.noSave = fail
+}
--- a/worker/api.go
+++ b/worker/api.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
+	"strings"
 
 	"apricotrouter/state"
 )
@@ -52,6 +54,19 @@
 	return k.Task + "@" + strconv.FormatUint(k.Incarnation, 10)
 }
 
+// ParseTaskKey parses TASK@INCARNATION.
+func ParseTaskKey(s string) (TaskKey, error) {
+	at := strings.LastIndexByte(s, '@')
+	if at < 0 {
+		return TaskKey{}, fmt.Errorf("task key %q has no incarnation", s)
+	}
+	n, err := strconv.ParseUint(s[at+1:], 10, 64)
+	if err != nil {
+		return TaskKey{}, fmt.Errorf("task key %q: %w", s, err)
+	}
+	return TaskKey{Task: s[:at], Incarnation: n}, nil
+}
+
 // ListRequest asks for the tasks of a worker.
 type ListRequest struct {
 	Fence uint64
