--- /dev/null
+++ b/state/apply_task.go
@@ -0,0 +1,344 @@
+package state
+
+import (
+	"fmt"
+	"strings"
+)
+
+const (
+	// maxFailedWorkers is the number of different workers on which a batch
+	// task may fail before it fails for good.
+	maxFailedWorkers = 3
+	// maxFailures bounds the failure history of a replica, which is requeued
+	// without limit.
+	maxFailures = 16
+)
+
+// putTask stores t in place of old, which is nil for a new task, and keeps the
+// indexes, reservations and team usage in step.
+func (tx *txn) putTask(old, t *Task) {
+	if old == nil {
+		tx.tasksByOwner.put(key(string(t.Kind), t.Owner, t.ID), struct{}{})
+	}
+	if old != nil && old.Phase == PhasePending && t.Phase != PhasePending {
+		tx.pending.delete(t.ID)
+	}
+	if t.Phase == PhasePending && (old == nil || old.Phase != PhasePending) {
+		tx.pending.put(t.ID, struct{}{})
+	}
+	if old != nil && old.Holds() && !t.Holds() {
+		tx.tasksByWorker.delete(key(old.Worker, old.ID))
+		tx.reserve(old, Resources{}.Sub(old.Resources))
+	}
+	if t.Holds() && (old == nil || !old.Holds()) {
+		tx.tasksByWorker.put(key(t.Worker, t.ID), struct{}{})
+		tx.reserve(t, t.Resources)
+	}
+	tx.tasks.put(t.ID, t)
+}
+
+// reserve adds size to what the task's worker and team hold.
+func (tx *txn) reserve(t *Task, size Resources) {
+	if old, ok := tx.workers.get(t.Worker); ok {
+		w := *old
+		w.Reserved = w.Reserved.Add(size)
+		tx.workers.put(w.ID, &w)
+	}
+	if t.Kind != KindBatch || t.Team == "" {
+		return
+	}
+	used, _ := tx.teamUsed.get(t.Team)
+	used = used.Add(size)
+	if used.IsZero() {
+		tx.teamUsed.delete(t.Team)
+		return
+	}
+	tx.teamUsed.put(t.Team, used)
+}
+
+func (tx *txn) removeTask(t *Task) {
+	gone := *t
+	gone.Phase = PhaseCancelled
+	tx.putTask(t, &gone)
+	tx.tasks.delete(t.ID)
+	tx.tasksByOwner.delete(key(string(t.Kind), t.Owner, t.ID))
+}
+
+func (tx *txn) placeTasks(b *PlaceTasks) Result {
+	refused, reason := 0, ""
+	for _, p := range b.Placements {
+		if msg := tx.place(p); msg != "" {
+			refused++
+			reason = msg
+		}
+	}
+	if refused == 0 {
+		return Result{Code: CodeOK}
+	}
+	r := tx.refuse(CodeOK, "", "%d of %d placements refused; the last one: %s", refused, len(b.Placements), reason)
+	if refused == len(b.Placements) {
+		r.Code = CodeStale
+	}
+	return r
+}
+
+// place reserves the worker for the task, or returns why it can't.
+func (tx *txn) place(p Placement) string {
+	old, ok := tx.tasks.get(p.Task)
+	if !ok || old.Phase != PhasePending || p.Incarnation != old.Incarnation+1 {
+		return fmt.Sprintf("task %s is not pending with incarnation %d", p.Task, p.Incarnation-1)
+	}
+	w, ok := tx.workers.get(p.Worker)
+	if !ok {
+		return fmt.Sprintf("worker %s does not exist", p.Worker)
+	}
+	if msg := tx.workerRefuses(w, old.Resources); msg != "" {
+		return msg
+	}
+	if team, ok := tx.Teams.Get(old.Team); ok && old.Kind == KindBatch {
+		used, _ := tx.teamUsed.get(old.Team)
+		if !withinQuota(used.Add(old.Resources), team.Quota) {
+			return fmt.Sprintf("quota of team %s is used up", old.Team)
+		}
+	}
+	t := *old
+	t.Phase, t.Worker, t.Incarnation = PhaseStarting, w.ID, p.Incarnation
+	t.StopReason, t.Reason, t.StartedAt, t.Throttle = "", "", 0, 0
+	tx.putTask(old, &t)
+	return ""
+}
+
+func (tx *txn) workerRefuses(w *Worker, size Resources) string {
+	switch {
+	case tx.ZoneOut(w.Zone):
+		return fmt.Sprintf("availability zone %s is out", w.Zone)
+	case w.Condition == WorkerLost:
+		return fmt.Sprintf("worker %s is lost", w.ID)
+	case w.Condition == WorkerQuarantined && tx.holdsTasks(w.ID):
+		return fmt.Sprintf("worker %s is quarantined and holds a task", w.ID)
+	case !w.Reserved.Add(size).Fits(w.Capacity):
+		return fmt.Sprintf("worker %s has not enough left", w.ID)
+	}
+	return ""
+}
+
+func (tx *txn) holdsTasks(worker string) bool {
+	return len(tx.tasksByWorker.keys(key(worker, ""))) > 0
+}
+
+func (tx *txn) stopTasks(b *StopTasks) Result {
+	stale := 0
+	for _, s := range b.Stops {
+		t, ok := tx.tasks.get(s.Task)
+		if !ok || t.Incarnation != s.Incarnation || t.Ended() {
+			stale++
+			continue
+		}
+		tx.endTaskOrStop(t, s.StopReason, s.Reason)
+	}
+	if stale > 0 && stale == len(b.Stops) {
+		return tx.refuse(CodeStale, "", "no task is in the named incarnation")
+	}
+	return Result{Code: CodeOK}
+}
+
+func (tx *txn) endTaskOrStop(t *Task, why StopReason, reason string) {
+	if t.Holds() {
+		tx.stop(t, why, reason)
+		return
+	}
+	if why == StopCancel || why == StopRemove {
+		tx.endTask(t.ID, why, reason)
+	}
+}
+
+// stop moves a task that holds a reservation to PhaseStopping. A stop that
+// ends the task takes precedence over one that requeues it.
+func (tx *txn) stop(old *Task, why StopReason, reason string) {
+	if old.Phase == PhaseStopping && (ends(old.StopReason) || !ends(why)) {
+		return
+	}
+	t := *old
+	t.Phase, t.StopReason, t.Reason = PhaseStopping, why, reason
+	tx.putTask(old, &t)
+}
+
+func ends(why StopReason) bool { return why == StopCancel || why == StopRemove }
+
+// endTask ends a task for good: at once if it is pending, or by a stop.
+func (tx *txn) endTask(id string, why StopReason, reason string) {
+	t, ok := tx.tasks.get(id)
+	if !ok || t.Ended() {
+		return
+	}
+	if t.Holds() {
+		tx.stop(t, why, reason)
+		return
+	}
+	tx.finish(t, PhaseCancelled, reason)
+}
+
+// finish puts a task into a final phase. Replicas are forgotten at once; tasks
+// of a job are kept with the job.
+func (tx *txn) finish(old *Task, phase TaskPhase, reason string) {
+	if old.Kind == KindLatencyCritical {
+		tx.removeTask(old)
+		return
+	}
+	t := *old
+	t.Phase, t.Reason, t.Throttle = phase, reason, 0
+	tx.putTask(old, &t)
+	tx.countEnd(t.Owner, phase)
+}
+
+// countEnd counts the end of one task of a job.
+func (tx *txn) countEnd(job string, phase TaskPhase) {
+	old, ok := tx.jobs.get(job)
+	if !ok {
+		return
+	}
+	j := *old
+	switch phase {
+	case PhaseCompleted:
+		j.Completed++
+	case PhaseFailed:
+		j.Failed++
+	default:
+		j.Cancelled++
+	}
+	if j.Completed == j.Spec.Tasks && j.Phase == JobActive {
+		j.Phase, j.Version = JobCompleted, tx.index
+	}
+	if j.Completed+j.Failed+j.Cancelled == j.Spec.Tasks {
+		j.EndedAt = tx.now
+		tx.endedJobs = tx.endedJobs.Put(endedJobKey(&j), job)
+	}
+	tx.jobs.put(job, &j)
+}
+
+// requeue makes a task pending again. The incarnation changes at its next
+// placement.
+func (tx *txn) requeue(old *Task, checkpoint, reason string) {
+	t := *old
+	if old.Phase == PhaseStopping && old.StopReason == StopEvict {
+		t.Evictions++
+	}
+	if checkpoint != "" {
+		t.Checkpoint = checkpoint
+	}
+	t.Phase, t.Worker, t.Reason = PhasePending, "", reason
+	t.StopReason, t.Throttle, t.StartedAt = "", 0, 0
+	t.QueuedAt = tx.now
+	tx.putTask(old, &t)
+}
+
+// ended follows the confirmed end of a run: it ends a task whose stop was
+// final and requeues any other.
+func (tx *txn) ended(t *Task, checkpoint, reason string) {
+	if t.Phase == PhaseStopping && ends(t.StopReason) {
+		tx.finish(t, PhaseCancelled, t.Reason)
+		return
+	}
+	if reason == "" {
+		reason = t.Reason
+	}
+	tx.requeue(t, checkpoint, reason)
+}
+
+func (tx *txn) throttleTask(b *ThrottleTask) Result {
+	object := "task/" + b.Task
+	old, ok := tx.tasks.get(b.Task)
+	if b.Percent < 0 || b.Percent > 100 {
+		return tx.refuse(CodeInvalid, object, "percent must be from 0 to 100")
+	}
+	if !ok || old.Incarnation != b.Incarnation || !old.Holds() {
+		return tx.refuse(CodeStale, object, "task is not on a worker in incarnation %d", b.Incarnation)
+	}
+	t := *old
+	t.Throttle = b.Percent
+	tx.putTask(old, &t)
+	return Result{Code: CodeOK, Object: object}
+}
+
+func (tx *txn) addReplicas(b *AddReplicas) Result {
+	object := "service/" + b.Service
+	svc, ok := tx.Services.Get(b.Service)
+	if !ok {
+		return tx.refuse(CodeNotFound, object, "%s does not exist", object)
+	}
+	if b.Replaces != "" {
+		return tx.addReplacement(svc, b.Replaces)
+	}
+	missing := svc.Spec.Replicas - tx.countReplicas(b.Service)
+	for i := range missing {
+		tx.addReplica(svc, i, "")
+	}
+	return Result{Code: CodeOK, Object: object}
+}
+
+// countReplicas returns the number of replicas that stay, not counting those
+// that replace another one that is still there.
+func (tx *txn) countReplicas(service string) int64 {
+	tx.tasks.commit()
+	tx.tasksByOwner.commit()
+	var n int64
+	for t := range tx.TasksOf(KindLatencyCritical, service) {
+		if t.Staying() && !tx.staysTask(t.Replaces) {
+			n++
+		}
+	}
+	return n
+}
+
+func (tx *txn) staysTask(id string) bool {
+	if id == "" {
+		return false
+	}
+	t, ok := tx.tasks.get(id)
+	return ok && t.Staying()
+}
+
+func (tx *txn) addReplacement(svc *Service, replaced string) Result {
+	object := "task/" + replaced
+	if t, ok := tx.tasks.get(replaced); !ok || !t.Staying() || t.Kind != KindLatencyCritical || t.Owner != svc.Spec.Name {
+		return tx.refuse(CodeStale, object, "no replica of the service to replace")
+	}
+	for t := range tx.TasksOf(KindLatencyCritical, svc.Spec.Name) {
+		if t.Replaces == replaced && t.Staying() {
+			return Result{Code: CodeOK, Object: object}
+		}
+	}
+	tx.addReplica(svc, 0, replaced)
+	return Result{Code: CodeOK, Object: object}
+}
+
+func (tx *txn) addReplica(svc *Service, n int64, replaces string) {
+	tx.putTask(nil, &Task{
+		ID:        fmt.Sprintf("%s:%d.%d", svc.Spec.Name, tx.index, n),
+		Kind:      KindLatencyCritical,
+		Owner:     svc.Spec.Name,
+		Team:      svc.Spec.Team,
+		Priority:  PriorityUrgent,
+		Resources: svc.Spec.Resources,
+		Phase:     PhasePending,
+		QueuedAt:  tx.now,
+		Replaces:  replaces,
+	})
+}
+
+// failureHistory describes the failures of a task in one line.
+func failureHistory(t *Task) string {
+	parts := make([]string, len(t.Failures))
+	for i, f := range t.Failures {
+		parts[i] = fmt.Sprintf("incarnation %d on %s: %s", f.Incarnation, f.Worker, f.Reason)
+	}
+	return fmt.Sprintf("task %s failed on %d workers (%s)", t.ID, failedWorkers(t), strings.Join(parts, "; "))
+}
+
+func failedWorkers(t *Task) int {
+	seen := make(map[string]bool, len(t.Failures))
+	for _, f := range t.Failures {
+		seen[f.Worker] = true
+	}
+	return len(seen)
+}
--- a/state/command.go
+++ b/state/command.go
@@ -214,7 +214,9 @@
 	Reports []TaskReport `cbor:"3,keyasint"`
 }
 
-// MarkWorkerLost says that the owner no longer renews the worker's lease.
+// MarkWorkerLost says that the owner no longer renews the worker's lease. The
+// owner renews it again only once MarkWorkerReturned is applied: the worker's
+// tasks are requeued a lease after this command.
 type MarkWorkerLost struct {
 	Worker string `cbor:"1,keyasint"`
 	Fence  uint64 `cbor:"2,keyasint"`
--- a/state/resources.go
+++ b/state/resources.go
@@ -1,5 +1,7 @@
 package state
 
+import "fmt"
+
 // Resources are amounts of what an instance holds, in integer units so that
 // sums are exact.
 type Resources struct {
@@ -32,3 +34,8 @@
 func (r Resources) IsZero() bool {
 	return r == Resources{}
 }
+
+// String returns the amounts with their units.
+func (r Resources) String() string {
+	return fmt.Sprintf("%d mCPU, %d MiB, %d accelerators", r.MilliCPU, r.MemoryMiB, r.Accelerators)
+}
--- a/state/state.go
+++ b/state/state.go
@@ -24,10 +24,20 @@
 	// NextAudit is the sequence number of the next audit record.
 	NextAudit uint64
 
-	tasksByWorker Table[struct{}] // WORKER/TASK of tasks that hold a reservation
-	tasksByOwner  Table[struct{}] // KIND/OWNER/TASK of all tasks
-	pending       Table[struct{}] // TASK of pending tasks
-	requestAges   Table[string]   // age order of Requests
+	// Secondary indexes, rebuilt from the tables above when a snapshot is
+	// decoded. The parts of a key are separated by keySeparator.
+	tasksByWorker Table[struct{}]  // WORKER, TASK of tasks that hold a reservation
+	tasksByOwner  Table[struct{}]  // KIND, OWNER, TASK of all tasks
+	pending       Table[struct{}]  // TASK of pending tasks
+	byOwner       Table[struct{}]  // INSTANCE, KIND/ID of assignments
+	requestAges   Table[string]    // age order of Requests
+	endedJobs     Table[string]    // age order of jobs whose tasks have all ended
+	teamUsed      Table[Resources] // what the batch tasks of a team hold
+}
+
+// New returns the empty state before the first command.
+func New() *State {
+	return &State{NextAudit: 1}
 }
 
 // AssignmentKey returns the key of an assignment.
--- a/state/table.go
+++ b/state/table.go
@@ -68,3 +68,59 @@
 		}
 	}
 }
+
+// edit collects changes to one table, so that a command with many changes
+// copies each inner node of the tree once.
+type edit[T any] struct {
+	table *Table[T]
+	txn   *iradix.Txn[T]
+}
+
+func (e *edit[T]) get(id string) (T, bool) {
+	if e.txn == nil {
+		return e.table.Get(id)
+	}
+	return e.txn.Get([]byte(id))
+}
+
+func (e *edit[T]) put(id string, v T) {
+	e.open()
+	e.txn.Insert([]byte(id), v)
+}
+
+func (e *edit[T]) delete(id string) {
+	e.open()
+	e.txn.Delete([]byte(id))
+}
+
+func (e *edit[T]) open() {
+	if e.txn != nil {
+		return
+	}
+	tree := e.table.tree
+	if tree == nil {
+		tree = iradix.New[T]()
+	}
+	e.txn = tree.Txn()
+}
+
+// keys returns the ids that start with prefix, in order.
+func (e *edit[T]) keys(prefix string) []string {
+	if e.txn != nil {
+		e.commit()
+	}
+	var ids []string
+	for id := range e.table.WithPrefix(prefix) {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// commit writes the changes into the table.
+func (e *edit[T]) commit() {
+	if e.txn == nil {
+		return
+	}
+	*e.table = Table[T]{e.txn.Commit()}
+	e.txn = nil
+}
--- a/state/types.go
+++ b/state/types.go
@@ -69,6 +69,8 @@
 	Completed   int64    `cbor:"6,keyasint,omitempty"`
 	Failed      int64    `cbor:"7,keyasint,omitempty"`
 	Cancelled   int64    `cbor:"8,keyasint,omitempty"`
+	// EndedAt is when the last of its tasks ended, in Unix milliseconds.
+	EndedAt int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // TaskKind separates replicas of services from tasks of jobs.
@@ -151,6 +153,11 @@
 	return t.Phase == PhaseCompleted || t.Phase == PhaseFailed || t.Phase == PhaseCancelled
 }
 
+// Staying reports whether the task has not ended and is not being ended.
+func (t *Task) Staying() bool {
+	return !t.Ended() && !(t.Phase == PhaseStopping && ends(t.StopReason))
+}
+
 // WorkerCondition is the condition of a worker.
 type WorkerCondition string
 
