Add operator service and its gRPC server

Cause: operators change zones, services, teams, jobs and workers by typed, idempotent requests and read the state they lead to. Change: package operator turns changes into commands of the log, maps results to typed errors, answers reads only from a confirmed state, refuses unknown zones, explains objects, and serves it all with optional client certificates, whose name goes into the audit trail. WorkerInfo has the version that a change of a worker needs; gen is regenerated for it. config.Decode reads other YAML files with the same checks as settings. Observed: with one mechanism switched off at a time on a scratch copy (check of freshness for reads and for changes, check of the zone, client certificates, name of the certificate, graceful stop, current version in a conflict, unknown outcome) the test named after it fails; with all on, the tests pass with the race detector.

--- /dev/null
+++ b/cli/output.go
@@ -0,0 +1,165 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"text/tabwriter"
+	"unicode"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Output formats.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+	outputYAML  = "yaml"
+)
+
+func checkOutput(format string) error {
+	switch format {
+	case outputTable, outputJSON, outputYAML:
+		return nil
+	}
+	return usageError("--output %q is not known; use table, json or yaml", format)
+}
+
+// table is the form of a result for people. Rows have one cell per column.
+type table struct {
+	columns []string
+	rows    [][]string
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, c := range cells {
+		row[i] = cell(c)
+	}
+	t.rows = append(t.rows, row)
+}
+
+// cell formats a value; an absent one is a dash.
+func cell(v any) string {
+	rv := reflect.ValueOf(v)
+	if rv.Kind() == reflect.Pointer {
+		if rv.IsNil() {
+			return "-"
+		}
+		rv = rv.Elem()
+	}
+	if s := fmt.Sprint(rv.Interface()); s != "" {
+		return s
+	}
+	return "-"
+}
+
+func (t *table) write(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, strings.ToUpper(strings.Join(t.columns, "\t")))
+	for _, row := range t.rows {
+		fmt.Fprintln(tw, strings.Join(row, "\t"))
+	}
+	return tw.Flush()
+}
+
+// print writes a result in the chosen format. For a table it calls build.
+func (o *options) print(w io.Writer, result any, build func() *table) error {
+	switch o.output {
+	case outputJSON:
+		data, err := json.MarshalIndent(encode(reflect.ValueOf(result)), "", "  ")
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(w, "%s\n", data)
+		return err
+	case outputYAML:
+		data, err := yaml.Marshal(encode(reflect.ValueOf(result)))
+		if err != nil {
+			return err
+		}
+		_, err = w.Write(data)
+		return err
+	}
+	return build().write(w)
+}
+
+// object is a struct as a sequence of fields, which keeps their order.
+type object []field
+
+type field struct {
+	name  string
+	value any
+}
+
+// MarshalJSON implements json.Marshaler.
+func (o object) MarshalJSON() ([]byte, error) {
+	var b bytes.Buffer
+	b.WriteByte('{')
+	for i, f := range o {
+		value, err := json.Marshal(f.value)
+		if err != nil {
+			return nil, err
+		}
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%q:%s", f.name, value)
+	}
+	b.WriteByte('}')
+	return b.Bytes(), nil
+}
+
+// MarshalYAML implements yaml.InterfaceMarshaler.
+func (o object) MarshalYAML() (any, error) {
+	m := make(yaml.MapSlice, len(o))
+	for i, f := range o {
+		m[i] = yaml.MapItem{Key: f.name, Value: f.value}
+	}
+	return m, nil
+}
+
+// encode converts a generated result type to objects with the field names of
+// the schema. Absent optional fields are left out.
+func encode(v reflect.Value) any {
+	switch v.Kind() {
+	case reflect.Pointer:
+		return encode(v.Elem())
+	case reflect.Struct:
+		o := object{}
+		for i := range v.NumField() {
+			if f := v.Field(i); f.Kind() != reflect.Pointer || !f.IsNil() {
+				o = append(o, field{snake(v.Type().Field(i).Name), encode(f)})
+			}
+		}
+		return o
+	case reflect.Slice:
+		list := make([]any, v.Len())
+		for i := range list {
+			list[i] = encode(v.Index(i))
+		}
+		return list
+	}
+	return v.Interface()
+}
+
+// snake converts a Go field name such as GroupID or TimeMs to snake case. A
+// run of upper-case letters is one word.
+func snake(name string) string {
+	var b strings.Builder
+	runes := []rune(name)
+	for i, r := range runes {
+		if unicode.IsUpper(r) && i > 0 {
+			endsWord := unicode.IsLower(runes[i-1])
+			startsWord := i+1 < len(runes) && unicode.IsLower(runes[i+1])
+			if endsWord || startsWord {
+				b.WriteByte('_')
+			}
+		}
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -51,7 +51,7 @@
 	for name, c := range map[string]struct{ data, want string }{
 		"malformed":             {valid + "log: {format: json\n", "a.yaml:14: malformed YAML"},
 		"duplicate key":         {valid + "log: {level: info, level: warn}\n", "a.yaml:14: malformed YAML"},
-		"empty":                 {"# nothing\n", "the file has no settings; accepted: a mapping"},
+		"empty":                 {"# nothing\n", "a.yaml:1: the file is empty; accepted: a mapping with instance, listen, peers"},
 		"two documents":         {valid + "---\nlog: {level: warn}\n", "a second document starts here; accepted: one document"},
 		"unknown key":           {valid + "dispatch:\n  queue_lenght: 5\n", "a.yaml:15: dispatch.queue_lenght: unknown key; accepted: queue_length, default_timeout, max_body_bytes, shutdown_grace"},
 		"unknown key in list":   {replace("initial_voter: true}", "voter: true}"), "a.yaml:11: peers[0].voter: unknown key; accepted: id, availability_zone, address, initial_voter"},
--- a/config/errors.go
+++ b/config/errors.go
@@ -8,7 +8,7 @@
 // Error is one setting that was refused.
 type Error struct {
 	File     string
-	Line     int    // 1 for the first line; 0 if the file is empty
+	Line     int    // 1 for the first line
 	Key      string // path such as peers[2].address; empty for a syntax error
 	Problem  string
 	Accepted string // accepted range; empty if the problem says it
--- a/config/parse.go
+++ b/config/parse.go
@@ -24,23 +24,39 @@
 // error is of type Errors.
 func Parse(name string, data []byte) (*Config, error) {
 	p := &reader{file: name, lines: map[string]int{}}
-	root, err := p.root(data)
-	if err != nil {
+	c := Default()
+	if err := p.decode(data, c); err != nil {
 		return nil, err
 	}
-	c := Default()
-	p.checkShape(root, reflect.TypeFor[Config](), "")
+	p.validate(c)
 	if len(p.errs) > 0 {
 		return nil, p.errs
 	}
-	if err := yaml.NodeToValue(root, c, yaml.Strict()); err != nil {
-		return nil, p.syntaxError(err)
+	return c, nil
+}
+
+// Decode reads one YAML document into a struct whose fields have yaml tags.
+// It refuses what Parse refuses of the form of settings: unknown keys and
+// values of a wrong type. Keys that are absent leave their fields unchanged.
+func Decode(name string, data []byte, into any) error {
+	p := &reader{file: name, lines: map[string]int{}}
+	return p.decode(data, into)
+}
+
+func (p *reader) decode(data []byte, into any) error {
+	t := reflect.TypeOf(into).Elem()
+	root, err := p.root(data, t)
+	if err != nil {
+		return err
 	}
-	p.validate(c)
+	p.checkShape(root, t, "")
 	if len(p.errs) > 0 {
-		return nil, p.errs
+		return p.errs
 	}
-	return c, nil
+	if err := yaml.NodeToValue(root, into, yaml.Strict()); err != nil {
+		return p.syntaxError(err)
+	}
+	return nil
 }
 
 // reader collects the errors of one file.
@@ -51,7 +67,7 @@
 }
 
 // root parses data and returns its single document.
-func (p *reader) root(data []byte) (ast.Node, error) {
+func (p *reader) root(data []byte, t reflect.Type) (ast.Node, error) {
 	f, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		return nil, p.syntaxError(err)
@@ -64,7 +80,7 @@
 	}
 	switch len(bodies) {
 	case 0:
-		return nil, Errors{{File: p.file, Problem: "the file has no settings", Accepted: "a mapping with instance, listen and peers"}}
+		return nil, Errors{{File: p.file, Line: 1, Problem: "the file is empty", Accepted: "a mapping with " + keysOf(t)}}
 	case 1:
 		return bodies[0], nil
 	}
--- a/design/design.go
+++ b/design/design.go
@@ -164,7 +164,8 @@
 	Field(7, "reserved", resources)
 	Field(8, "owner", String, "Entry instance that holds the session")
 	Field(9, "tasks", ArrayOf(taskInfo))
-	Required("id", "zone", "rack", "address", "condition", "capacity", "reserved", "owner")
+	Field(10, "version", UInt64)
+	Required("id", "zone", "rack", "address", "condition", "capacity", "reserved", "owner", "version")
 })
 
 var endpointInfo = Type("EndpointInfo", func() {
--- a/gen/grpc/operator/client/types.go
+++ b/gen/grpc/operator/client/types.go
@@ -506,6 +506,7 @@
 				Address:   val.Address,
 				Condition: val.Condition,
 				Owner:     val.Owner,
+				Version:   val.Version,
 			}
 			if val.Capacity != nil {
 				result.Workers[i].Capacity = protobufOperatorpbResourcesToOperatorResources(val.Capacity)
@@ -553,6 +554,7 @@
 		Address:   message.Address,
 		Condition: message.Condition,
 		Owner:     message.Owner,
+		Version:   message.Version,
 	}
 	if message.Capacity != nil {
 		result.Capacity = protobufOperatorpbResourcesToOperatorResources(message.Capacity)
--- a/gen/grpc/operator/server/types.go
+++ b/gen/grpc/operator/server/types.go
@@ -478,6 +478,7 @@
 				Address:   val.Address,
 				Condition: val.Condition,
 				Owner:     val.Owner,
+				Version:   val.Version,
 			}
 			if val.Capacity != nil {
 				message.Workers[i].Capacity = svcOperatorResourcesToOperatorpbResources(val.Capacity)
@@ -525,6 +526,7 @@
 		Address:   result.Address,
 		Condition: result.Condition,
 		Owner:     result.Owner,
+		Version:   result.Version,
 	}
 	if result.Capacity != nil {
 		message.Capacity = svcOperatorResourcesToOperatorpbResources(result.Capacity)
--- a/gen/operator/service.go
+++ b/gen/operator/service.go
@@ -434,8 +434,9 @@
 	Capacity  *Resources
 	Reserved  *Resources
 	// Entry instance that holds the session
-	Owner string
-	Tasks []*TaskInfo
+	Owner   string
+	Tasks   []*TaskInfo
+	Version uint64
 }
 
 type ZoneInfo struct {
--- /dev/null
+++ b/operator/change.go
@@ -0,0 +1,161 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+
+	"apricotrouter/event"
+	gen "apricotrouter/gen/operator"
+	"apricotrouter/state"
+)
+
+// Init implements the generated interface.
+func (s *Service) Init(ctx context.Context, _ *gen.InitPayload) (*gen.InitResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, ProposeTimeout)
+	defer cancel()
+	id, voters, err := s.group.Init(ctx)
+	if err != nil {
+		event.Log(s.logger, event.OperatorUnavailable, slog.String("method", "init"), slog.String("error", err.Error()))
+		return nil, unavailable(fmt.Errorf("the control group is not confirmed: check that all initial voters run, then repeat `apricotrouter init`: %w", err))
+	}
+	event.Log(s.logger, event.OperatorGroupFormed, slog.String("group", id))
+	return &gen.InitResult{GroupID: id, Voters: voters}, nil
+}
+
+// SetZone implements the generated interface.
+func (s *Service) SetZone(ctx context.Context, p *gen.SetZonePayload) (*gen.ChangeResult, error) {
+	if err := s.checkZone(p.Name); err != nil {
+		return nil, err
+	}
+	return s.change(ctx, p.RequestID, p.Actor, state.SetZone{
+		Name:            p.Name,
+		ExpectedVersion: value(p.ExpectedVersion),
+		Out:             p.Out,
+	})
+}
+
+// checkZone refuses an availability zone that nothing is in. A misspelt name
+// would otherwise be accepted and leave the intended zone as it is.
+func (s *Service) checkZone(name string) error {
+	st, err := s.read()
+	if err != nil {
+		return err
+	}
+	zones := zoneNames(st, s.group.Status())
+	for _, z := range zones {
+		if z == name {
+			return nil
+		}
+	}
+	return gen.MakeNotFound(fmt.Errorf("availability zone %q is not known; known are %s", name, strings.Join(zones, ", ")))
+}
+
+// ApplyService implements the generated interface.
+func (s *Service) ApplyService(ctx context.Context, p *gen.ApplyServicePayload) (*gen.ChangeResult, error) {
+	return s.change(ctx, p.RequestID, p.Actor, state.ApplyService{
+		ExpectedVersion: value(p.ExpectedVersion),
+		Spec: state.ServiceSpec{
+			Name:            p.Spec.Name,
+			Host:            value(p.Spec.Host),
+			PathPrefix:      value(p.Spec.PathPrefix),
+			Replicas:        p.Spec.Replicas,
+			Resources:       toResources(p.Spec.Resources),
+			Slots:           p.Spec.Slots,
+			ConnectionLimit: p.Spec.ConnectionLimit,
+			Team:            value(p.Spec.Team),
+		},
+	})
+}
+
+// DeleteService implements the generated interface.
+func (s *Service) DeleteService(ctx context.Context, p *gen.DeleteServicePayload) (*gen.ChangeResult, error) {
+	return s.change(ctx, p.RequestID, p.Actor, state.DeleteService{
+		Name:            p.Name,
+		ExpectedVersion: value(p.ExpectedVersion),
+	})
+}
+
+// ApplyTeam implements the generated interface.
+func (s *Service) ApplyTeam(ctx context.Context, p *gen.ApplyTeamPayload) (*gen.ChangeResult, error) {
+	return s.change(ctx, p.RequestID, p.Actor, state.ApplyTeam{
+		Name:            p.Name,
+		ExpectedVersion: value(p.ExpectedVersion),
+		Weight:          p.Weight,
+		Quota:           toResources(p.Quota),
+	})
+}
+
+// SubmitJob implements the generated interface.
+func (s *Service) SubmitJob(ctx context.Context, p *gen.SubmitJobPayload) (*gen.ChangeResult, error) {
+	return s.change(ctx, p.RequestID, p.Actor, state.SubmitJob{Spec: state.JobSpec{
+		ID:              p.Spec.ID,
+		Team:            value(p.Spec.Team),
+		Class:           p.Spec.Class,
+		Priority:        state.Priority(p.Spec.Priority),
+		Tasks:           p.Spec.Tasks,
+		Resources:       toResources(p.Spec.Resources),
+		ExpectedSeconds: value(p.Spec.ExpectedSeconds),
+	}})
+}
+
+// CancelJobs implements the generated interface.
+func (s *Service) CancelJobs(ctx context.Context, p *gen.CancelJobsPayload) (*gen.ChangeResult, error) {
+	if len(p.Ids) == 0 {
+		return nil, gen.MakeInvalid(errors.New("no job is named"))
+	}
+	return s.change(ctx, p.RequestID, p.Actor, state.CancelJobs{IDs: p.Ids})
+}
+
+// EvictTask implements the generated interface.
+func (s *Service) EvictTask(ctx context.Context, p *gen.EvictTaskPayload) (*gen.ChangeResult, error) {
+	return s.change(ctx, p.RequestID, p.Actor, state.EvictTask{
+		Task:        p.Task,
+		Incarnation: value(p.Incarnation),
+		Reason:      "evicted by operator",
+	})
+}
+
+// RegisterWorker implements the generated interface.
+func (s *Service) RegisterWorker(ctx context.Context, p *gen.RegisterWorkerPayload) (*gen.ChangeResult, error) {
+	if err := checkAddress(p.Address); err != nil {
+		return nil, gen.MakeInvalid(err)
+	}
+	return s.change(ctx, p.RequestID, p.Actor, state.RegisterWorker{
+		ID:              p.ID,
+		ExpectedVersion: value(p.ExpectedVersion),
+		Zone:            p.Zone,
+		Rack:            p.Rack,
+		Address:         p.Address,
+		Capacity:        toResources(p.Capacity),
+	})
+}
+
+// change proposes the command and converts its result.
+func (s *Service) change(ctx context.Context, requestID string, actor *string, body state.Body) (*gen.ChangeResult, error) {
+	if !s.log.Fresh() {
+		return nil, s.notFresh("change something")
+	}
+	who := actorOf(ctx, value(actor))
+	attrs := []slog.Attr{
+		slog.String("request_id", requestID),
+		slog.String("actor", who),
+		slog.String("action", fmt.Sprintf("%T", body)),
+	}
+	ctx, cancel := context.WithTimeout(ctx, ProposeTimeout)
+	defer cancel()
+	r, err := s.log.Propose(ctx, state.NewRequest(requestID, who, body))
+	if err != nil {
+		event.Log(s.logger, event.OperatorUnavailable, append(attrs, slog.String("error", err.Error()))...)
+		return nil, outcomeUnknown(requestID, err)
+	}
+	attrs = append(attrs, slog.String("object", r.Object), slog.Uint64("index", r.Index))
+	if err := resultError(r); err != nil {
+		event.Log(s.logger, event.OperatorRefused, append(attrs, slog.String("code", string(r.Code)), slog.String("reason", r.Message))...)
+		return nil, err
+	}
+	event.Log(s.logger, event.OperatorChanged, append(attrs, slog.Uint64("version", r.Version))...)
+	return &gen.ChangeResult{Version: r.Version, Index: r.Index}, nil
+}
