--- a/replica/apply.go
+++ b/replica/apply.go
@@ -1,19 +1,48 @@
 package replica
 
-import "apricotrouter/state"
+import (
+	"fmt"
 
-// applier is implemented by *state.State.
-type applier interface {
-	Apply(index uint64, c state.Command) (*state.State, state.Result)
+	"github.com/fxamacker/cbor/v2"
+
+	"apricotrouter/raft"
+	"apricotrouter/state"
+)
+
+// applied is the result of one entry.
+type applied struct {
+	entry  raft.Entry
+	result state.Result
+}
+
+// applyEntries applies entries in order and returns the last state. Entries
+// that the state already has are left out.
+func applyEntries(s *state.State, entries []raft.Entry) (*state.State, []applied, error) {
+	results := make([]applied, 0, len(entries))
+	for _, e := range entries {
+		if e.Index <= s.Index {
+			continue
+		}
+		c, err := commandOf(e)
+		if err != nil {
+			return nil, nil, err
+		}
+		next, result := s.Apply(e.Index, c)
+		s = next
+		results = append(results, applied{entry: e, result: result})
+	}
+	return s, results, nil
 }
 
-// apply returns the state after the command at index.
-func apply(s *state.State, index uint64, c state.Command) (*state.State, state.Result) {
-	if a, ok := any(s).(applier); ok {
-		return a.Apply(index, c)
+// commandOf decodes the command of an entry. Entries of the group itself are
+// applied as commands that change nothing, so that State.Index follows the log.
+func commandOf(e raft.Entry) (state.Command, error) {
+	if e.Type != raft.EntryCommand {
+		return state.NewCommand(state.Noop{}), nil
+	}
+	var c state.Command
+	if err := cbor.Unmarshal(e.Data, &c); err != nil {
+		return c, fmt.Errorf("decode command at index %d: %w", e.Index, err)
 	}
-	next := *s
-	next.Index = index
-	next.Time = c.Time
-	return &next, state.Result{Code: state.CodeOK, Index: index}
+	return c, nil
 }
--- /dev/null
+++ b/replica/formation.go
@@ -0,0 +1,267 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"apricotrouter/raft"
+	"apricotrouter/state"
+	"apricotrouter/steperr"
+	"apricotrouter/transport"
+)
+
+// firstPosition is the place in the log at which every group begins.
+const firstPosition = 1
+
+// formationStep is what a formation request asks for.
+type formationStep uint8
+
+const (
+	formationInit formationStep = iota + 1 // form the group; for the lowest initial voter
+	formationAsk                           // who are you
+	formationJoin                          // this is the initial membership
+)
+
+type formationRequest struct {
+	Step    formationStep   `cbor:"1,keyasint"`
+	Group   string          `cbor:"2,keyasint,omitempty"`
+	Members raft.Membership `cbor:"3,keyasint,omitempty"`
+}
+
+type formationResponse struct {
+	Replica raft.ID  `cbor:"1,keyasint"`
+	Disk    bool     `cbor:"2,keyasint,omitempty"`
+	Zone    string   `cbor:"3,keyasint,omitempty"`
+	Group   string   `cbor:"4,keyasint,omitempty"`
+	Voters  []string `cbor:"5,keyasint,omitempty"`
+}
+
+// Init forms the control group, or returns the group that exists already. It
+// may be called on any instance, again and at the same time.
+func (r *Replica) Init(ctx context.Context) (groupID string, voters []string, err error) {
+	own, err := r.introduce(ctx)
+	if err != nil {
+		return "", nil, err
+	}
+	if len(own.Voters) > 0 {
+		return own.Group, own.Voters, nil
+	}
+	if len(r.opts.InitialVoters) == 0 {
+		return "", nil, errors.New("settings name no initial voters")
+	}
+	resp := own
+	if lowest := slices.Min(r.opts.InitialVoters); lowest == r.opts.Self {
+		resp, err = r.form(ctx)
+	} else {
+		resp = new(formationResponse)
+		err = r.opts.Peers.Call(ctx, lowest, transport.KindFormation, formationRequest{Step: formationInit}, resp)
+		err = steperr.Wrap(err, "forward init", lowest)
+	}
+	if err != nil {
+		return "", nil, err
+	}
+	return resp.Group, resp.Voters, nil
+}
+
+func (r *Replica) onFormation(ctx context.Context, from string, req *formationRequest) (*formationResponse, error) {
+	switch req.Step {
+	case formationInit:
+		if len(r.opts.InitialVoters) == 0 || slices.Min(r.opts.InitialVoters) != r.opts.Self {
+			return nil, fmt.Errorf("instance %s is not the lowest initial voter", r.opts.Self)
+		}
+		return r.form(ctx)
+	case formationAsk:
+		return r.introduce(ctx)
+	case formationJoin:
+		if err := r.join(ctx, req.Group, req.Members); err != nil {
+			return nil, err
+		}
+		return r.introduce(ctx)
+	}
+	return nil, fmt.Errorf("unknown step %d of formation from %s", req.Step, from)
+}
+
+// introduce returns this replica's id and group.
+func (r *Replica) introduce(ctx context.Context) (*formationResponse, error) {
+	resp := new(formationResponse)
+	err := r.do(ctx, func() {
+		resp.Replica, resp.Disk, resp.Zone, resp.Group = r.id.Replica, r.store != nil, r.opts.Zone, r.id.Group
+		for _, v := range r.core.Status().Members.Voters {
+			resp.Voters = append(resp.Voters, v.Instance)
+		}
+	})
+	return resp, err
+}
+
+// form forms the group on the lowest initial voter. The group id is persisted
+// before anyone else learns it, so that a repeated attempt uses the same.
+func (r *Replica) form(ctx context.Context) (*formationResponse, error) {
+	r.formation.Lock()
+	defer r.formation.Unlock()
+	own, err := r.introduce(ctx)
+	if err != nil || len(own.Voters) > 0 {
+		return own, err
+	}
+	group, err := r.beginForming(ctx)
+	if err != nil {
+		return nil, err
+	}
+	answers, err := r.askInitialVoters(ctx)
+	if existing := existingGroup(answers); existing != nil {
+		return existing, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	members, err := r.initialMembers(answers)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.join(ctx, group, members); err != nil {
+		return nil, err
+	}
+	r.announceMembers(ctx, group, members)
+	return r.introduce(ctx)
+}
+
+// beginForming returns the id of the group to form.
+func (r *Replica) beginForming(ctx context.Context) (group string, err error) {
+	derr := r.do(ctx, func() {
+		if r.store == nil {
+			err = errors.New("an initial voter needs a data folder")
+			return
+		}
+		if r.id.Forming == "" {
+			id := r.id
+			id.Forming = uuid.NewString()
+			if err = r.store.saveIdentity(id); err != nil {
+				return
+			}
+			r.id = id
+		}
+		group = r.id.Forming
+	})
+	return group, errors.Join(derr, err)
+}
+
+// askInitialVoters asks every initial voter for its replica id. The answers
+// are in the order of the settings; one that failed is nil.
+func (r *Replica) askInitialVoters(ctx context.Context) ([]*formationResponse, error) {
+	answers := make([]*formationResponse, len(r.opts.InitialVoters))
+	var g errgroup.Group
+	for i, instance := range r.opts.InitialVoters {
+		g.Go(func() error {
+			resp, err := r.formationCall(ctx, instance, formationRequest{Step: formationAsk})
+			if err == nil {
+				answers[i] = resp
+			}
+			return err
+		})
+	}
+	err := g.Wait()
+	return answers, err
+}
+
+func (r *Replica) formationCall(ctx context.Context, instance string, req formationRequest) (*formationResponse, error) {
+	if instance == r.opts.Self {
+		return r.onFormation(ctx, instance, &req)
+	}
+	resp := new(formationResponse)
+	err := r.opts.Peers.Call(ctx, instance, transport.KindFormation, req, resp)
+	return resp, steperr.Wrap(err, "form group", instance)
+}
+
+func existingGroup(answers []*formationResponse) *formationResponse {
+	for _, a := range answers {
+		if a != nil && a.Group != "" && len(a.Voters) > 0 {
+			return a
+		}
+	}
+	return nil
+}
+
+func (r *Replica) initialMembers(answers []*formationResponse) (raft.Membership, error) {
+	var m raft.Membership
+	for i, a := range answers {
+		instance := r.opts.InitialVoters[i]
+		switch {
+		case a.Group != "":
+			return m, fmt.Errorf("instance %s is in group %s, whose members it does not know yet", instance, a.Group)
+		case !a.Disk:
+			return m, fmt.Errorf("initial voter %s has no data folder", instance)
+		}
+		m.Voters = append(m.Voters, raft.Member{ID: a.Replica, Instance: instance, Zone: a.Zone})
+	}
+	return m, nil
+}
+
+// announceMembers sends the initial membership to the other voters. One that
+// misses it gets it from the leader.
+func (r *Replica) announceMembers(ctx context.Context, group string, m raft.Membership) {
+	var g errgroup.Group
+	for _, v := range m.Voters {
+		if v.Instance == r.opts.Self {
+			continue
+		}
+		g.Go(func() error {
+			_, err := r.formationCall(ctx, v.Instance, formationRequest{Step: formationJoin, Group: group, Members: m})
+			return err
+		})
+	}
+	_ = g.Wait()
+}
+
+// join takes over the initial membership, unless this replica is in a group.
+func (r *Replica) join(ctx context.Context, group string, m raft.Membership) error {
+	var err error
+	derr := r.do(ctx, func() { err = r.joinInLoop(group, m) })
+	return errors.Join(derr, err)
+}
+
+func (r *Replica) joinInLoop(group string, m raft.Membership) error {
+	switch {
+	case r.id.Group == group:
+		return nil
+	case r.id.Group != "":
+		return fmt.Errorf("instance %s is in group %s already", r.opts.Self, r.id.Group)
+	case m.Voter(r.id.Replica) == nil:
+		return fmt.Errorf("replica %d of instance %s is not in the membership", r.id.Replica, r.opts.Self)
+	}
+	position := raft.Position{Index: firstPosition, Term: firstPosition, Members: m}
+	first := state.New()
+	first.Index = firstPosition
+	if err := r.persistJoin(group, position, first); err != nil {
+		r.dropStorage(err)
+		return err
+	}
+	r.notify()
+	return r.newCore(recovered{base: position, state: first, hard: raft.HardState{Term: firstPosition}})
+}
+
+// persistJoin writes the identity last. If a crash comes before, a restart
+// finds the membership and takes the group id from identity.Forming.
+func (r *Replica) persistJoin(group string, p raft.Position, s *state.State) error {
+	id := r.id
+	id.Forming = group
+	if err := r.store.saveIdentity(id); err != nil {
+		return err
+	}
+	data, err := s.EncodeSnapshot()
+	if err != nil {
+		return err
+	}
+	if err := r.store.saveSnapshot(&snapshotRecord{Position: p, State: data}); err != nil {
+		return err
+	}
+	if err := r.store.rewrite(p, raft.HardState{Term: p.Term}, p.Index, nil); err != nil {
+		return err
+	}
+	r.id = id
+	r.adopt(group)
+	return nil
+}
--- a/replica/memory.go
+++ b/replica/memory.go
@@ -38,7 +38,7 @@
 		leadership: Leadership{Leader: "memory", Term: 1, Self: true, Epoch: 1},
 		leases:     make(map[string]bool),
 	}
-	m.state.Store(&state.State{})
+	m.state.Store(state.New())
 	return m
 }
 
@@ -54,7 +54,7 @@
 	}
 	s := m.state.Load()
 	c.Time = max(m.clock.Now().UnixMilli(), s.Time)
-	next, result := apply(s, s.Index+1, c)
+	next, result := s.Apply(s.Index+1, c)
 	m.state.Store(next)
 	m.notify()
 	return result, nil
--- /dev/null
+++ b/replica/status.go
@@ -0,0 +1,133 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"apricotrouter/raft"
+)
+
+// InstanceRole is an instance's part in the control group.
+type InstanceRole string
+
+// Roles of instances.
+const (
+	RoleLeader  InstanceRole = "leader"
+	RoleVoter   InstanceRole = "voter"
+	RoleLearner InstanceRole = "learner"
+)
+
+// InstanceStatus is what is known of one instance.
+type InstanceStatus struct {
+	Instance  string
+	Role      InstanceRole
+	ReplicaID uint64
+	Zone      string
+	// LastContact is how long ago the leader heard from the instance; negative
+	// if unknown, as on every instance but the leader.
+	LastContact time.Duration
+}
+
+// Status is a summary for operators.
+type Status struct {
+	GroupID   string // empty before the group is formed
+	Leader    string // empty if none is known
+	Term      uint64
+	Applied   uint64
+	Fresh     bool
+	Voter     bool
+	Instances []InstanceStatus
+}
+
+const unknownContact = time.Duration(-1)
+
+// Status returns a summary, at most one tick old.
+func (r *Replica) Status() Status {
+	v := r.view.Load()
+	self := raft.Membership{Voters: v.voters}
+	return Status{
+		GroupID: v.group, Leader: v.leader, Term: v.term, Applied: r.State().Index,
+		Fresh: r.Fresh(), Voter: self.Voter(v.replica) != nil, Instances: v.peers,
+	}
+}
+
+// Leadership implements Log.
+func (r *Replica) Leadership() Leadership {
+	v := r.view.Load()
+	return Leadership{Leader: v.leader, Term: v.term, Self: r.confirmed(v), Epoch: v.epoch}
+}
+
+func (r *Replica) confirmed(v *view) bool {
+	return v.leads && v.ready && r.now() < v.confirmedUntil
+}
+
+// publishView makes what the loop knows of the leadership visible.
+func (r *Replica) publishView() {
+	old := r.view.Load()
+	if old == nil {
+		old = &view{}
+	}
+	st := r.core.Status()
+	v := &view{
+		leader: r.leaderInstance(st), term: st.Term, group: r.id.Group, voters: st.Members.Voters,
+		replica: r.id.Replica, disk: r.store != nil, epoch: old.epoch, peers: r.instanceStatus(st),
+	}
+	v.leads = st.Role == raft.Leader
+	v.ready = v.leads && !r.core.Transferring() && r.State().Index >= st.TermStart
+	if begun, ok := r.rounds.start(r.core.ConfirmedRound()); ok && v.leads {
+		v.confirmedUntil = begun + r.opts.confirmWindow()
+	}
+	wasSelf, isSelf := r.confirmed(old) && old.term == v.term, r.confirmed(v)
+	if isSelf && !wasSelf {
+		v.epoch++
+	}
+	r.view.Store(v)
+	if v.leader != old.leader || isSelf != wasSelf || v.replica != old.replica {
+		r.metrics.setLeader(isSelf)
+		r.notify()
+	}
+}
+
+// leaderInstance returns the leader that the core knows, or else the one that
+// another instance named.
+func (r *Replica) leaderInstance(st raft.Status) string {
+	if st.Leader != raft.None {
+		r.hint.Store(nil)
+		return r.instanceOf(st.Leader)
+	}
+	if hint := r.hint.Load(); hint != nil {
+		return *hint
+	}
+	return ""
+}
+
+func (r *Replica) instanceStatus(st raft.Status) []InstanceStatus {
+	all := make([]InstanceStatus, 0, len(r.opts.PeerIDs))
+	for _, v := range st.Members.Voters {
+		all = append(all, r.replicaStatus(st, v, RoleVoter))
+	}
+	if st.Role == raft.Leader {
+		for _, instance := range slices.Sorted(maps.Keys(r.members.info)) {
+			info := r.members.info[instance]
+			if st.Members.Voter(info.replica) == nil {
+				m := raft.Member{ID: info.replica, Instance: instance, Zone: info.zone}
+				all = append(all, r.replicaStatus(st, m, RoleLearner))
+			}
+		}
+	}
+	return all
+}
+
+func (r *Replica) replicaStatus(st raft.Status, m raft.Member, role InstanceRole) InstanceStatus {
+	s := InstanceStatus{
+		Instance: m.Instance, Role: role, ReplicaID: uint64(m.ID), Zone: m.Zone, LastContact: unknownContact,
+	}
+	if m.ID == st.Leader {
+		s.Role = RoleLeader
+	}
+	if ticks, ok := r.core.HeardTicks(m.ID); ok {
+		s.LastContact = time.Duration(ticks) * r.opts.Tick
+	}
+	return s
+}
--- /dev/null
+++ b/replica/storage.go
@@ -0,0 +1,315 @@
+package replica
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"apricotrouter/disk"
+	"apricotrouter/raft"
+	"apricotrouter/snap"
+	"apricotrouter/state"
+	"apricotrouter/steperr"
+	"apricotrouter/wal"
+)
+
+// Types of records of the log file. Numbers are part of the format.
+const (
+	recordEntry uint8 = iota + 1
+	recordHardState
+	recordCommit
+	recordBase // the log starts anew after this position
+)
+
+// Names within the data folder.
+const (
+	identityFile = "identity"
+	snapshotFile = "snapshot"
+	walFolder    = "wal"
+)
+
+// identity is who a data folder is.
+type identity struct {
+	Replica raft.ID `cbor:"1,keyasint"`
+	Group   string  `cbor:"2,keyasint,omitempty"`
+	// Forming is the id of a group that this replica has begun to form.
+	Forming string `cbor:"3,keyasint,omitempty"`
+}
+
+// snapshotRecord is the content of a snapshot file and of a transfer.
+type snapshotRecord struct {
+	Position raft.Position `cbor:"1,keyasint"`
+	State    []byte        `cbor:"2,keyasint"`
+}
+
+// recovered is what was read from a data folder.
+type recovered struct {
+	hard    raft.HardState
+	base    raft.Position
+	entries []raft.Entry
+	commit  uint64
+	state   *state.State
+}
+
+// storage keeps a replica's identity, log and snapshot. A nil storage keeps
+// nothing and never fails: it is that of a replica without a disk.
+type storage struct {
+	fs      disk.FS
+	dir     string
+	wal     *wal.Log
+	written uint64 // commit index written last
+
+	snapMu   sync.Mutex
+	snapshot uint64 // index of the snapshot saved last
+}
+
+func newReplicaID() raft.ID {
+	var b [8]byte
+	for {
+		// rand.Read never fails: it ends the process instead.
+		_, _ = rand.Read(b[:])
+		if id := raft.ID(binary.LittleEndian.Uint64(b[:])); id != raft.None {
+			return id
+		}
+	}
+}
+
+// openStorage opens a data folder. A new or emptied folder gets a new id.
+func openStorage(fs disk.FS, dir string) (*storage, identity, recovered, error) {
+	st := &storage{fs: fs, dir: dir}
+	if err := fs.MkdirAll(dir); err != nil {
+		return nil, identity{}, recovered{}, steperr.Wrap(err, "create data folder", dir)
+	}
+	id, err := st.loadIdentity()
+	if err != nil {
+		return nil, identity{}, recovered{}, err
+	}
+	rec, err := st.load()
+	if err != nil {
+		return nil, identity{}, recovered{}, err
+	}
+	return st, id, rec, nil
+}
+
+func (st *storage) loadIdentity() (identity, error) {
+	data, err := snap.Load(st.fs, st.path(identityFile))
+	if err != nil {
+		return identity{}, err
+	}
+	if data == nil {
+		return st.createIdentity()
+	}
+	var id identity
+	if err := cbor.Unmarshal(data, &id); err != nil {
+		return identity{}, steperr.Wrap(err, "decode identity", st.path(identityFile))
+	}
+	return id, nil
+}
+
+// createIdentity refuses a folder that has other files: without their identity
+// the replica could vote a second time in a term.
+func (st *storage) createIdentity() (identity, error) {
+	names, err := st.fs.List(st.dir)
+	if err != nil {
+		return identity{}, steperr.Wrap(err, "list data folder", st.dir)
+	}
+	for _, name := range names {
+		if name == snapshotFile || name == walFolder {
+			return identity{}, fmt.Errorf("data folder %s has %s but no %s", st.dir, name, identityFile)
+		}
+	}
+	id := identity{Replica: newReplicaID()}
+	return id, st.saveIdentity(id)
+}
+
+func (st *storage) saveIdentity(id identity) error {
+	if st == nil {
+		return nil
+	}
+	data, err := cbor.Marshal(id)
+	if err != nil {
+		return err
+	}
+	return snap.Save(st.fs, st.path(identityFile), data)
+}
+
+func (st *storage) path(name string) string { return filepath.Join(st.dir, name) }
+
+// load reads the snapshot and the log.
+func (st *storage) load() (recovered, error) {
+	rec := recovered{state: state.New()}
+	snapshot, err := st.loadSnapshot()
+	if err != nil {
+		return rec, err
+	}
+	st.wal, err = wal.Open(wal.Options{Dir: st.path(walFolder), FS: st.fs}, rec.replay)
+	if err != nil || snapshot == nil {
+		return rec, err
+	}
+	if rec.base.Index > snapshot.Position.Index {
+		return rec, fmt.Errorf("log in %s starts at %d, after the snapshot at %d",
+			st.dir, rec.base.Index, snapshot.Position.Index)
+	}
+	rec.state, err = state.DecodeSnapshot(snapshot.State)
+	if err != nil {
+		return rec, steperr.Wrap(err, "decode snapshot", st.path(snapshotFile))
+	}
+	st.snapshot = snapshot.Position.Index
+	rec.startFrom(snapshot.Position)
+	return rec, nil
+}
+
+func (st *storage) loadSnapshot() (*snapshotRecord, error) {
+	data, err := snap.Load(st.fs, st.path(snapshotFile))
+	if err != nil || data == nil {
+		return nil, err
+	}
+	r := new(snapshotRecord)
+	if err := cbor.Unmarshal(data, r); err != nil {
+		return nil, steperr.Wrap(err, "decode snapshot", st.path(snapshotFile))
+	}
+	return r, nil
+}
+
+// replay adds one record of the log.
+func (rec *recovered) replay(r wal.Record) error {
+	switch r.Type {
+	case recordEntry:
+		var e raft.Entry
+		if err := cbor.Unmarshal(r.Data, &e); err != nil {
+			return err
+		}
+		next := rec.base.Index + uint64(len(rec.entries)) + 1
+		if e.Index <= rec.base.Index || e.Index > next {
+			return fmt.Errorf("entry %d follows entry %d", e.Index, next-1)
+		}
+		rec.entries = append(rec.entries[:e.Index-rec.base.Index-1], e)
+		return nil
+	case recordHardState:
+		return cbor.Unmarshal(r.Data, &rec.hard)
+	case recordCommit:
+		return cbor.Unmarshal(r.Data, &rec.commit)
+	case recordBase:
+		rec.entries = nil
+		return cbor.Unmarshal(r.Data, &rec.base)
+	default:
+		return fmt.Errorf("unknown record type %d", r.Type)
+	}
+}
+
+// startFrom brings the log in line with the snapshot. Where a crash came
+// between saving a received snapshot and rewriting the log, the log ends
+// before the snapshot or differs from it, and is dropped.
+func (rec *recovered) startFrom(p raft.Position) {
+	if p.Index == rec.base.Index {
+		return
+	}
+	last := rec.base.Index + uint64(len(rec.entries))
+	if p.Index <= last && rec.entries[p.Index-rec.base.Index-1].Term == p.Term {
+		return
+	}
+	rec.base, rec.entries = p, nil
+}
+
+// write writes an output without syncing it, and reports whether it has to be
+// synced before anything is sent.
+func (st *storage) write(hard *raft.HardState, entries []raft.Entry, commit uint64) (bool, error) {
+	if st == nil {
+		return false, nil
+	}
+	for i := range entries {
+		if err := st.append(recordEntry, &entries[i]); err != nil {
+			return false, err
+		}
+	}
+	if hard != nil {
+		if err := st.append(recordHardState, hard); err != nil {
+			return false, err
+		}
+	}
+	if commit > st.written {
+		st.written = commit
+		if err := st.append(recordCommit, commit); err != nil {
+			return false, err
+		}
+	}
+	return hard != nil || len(entries) > 0, st.wal.Flush()
+}
+
+func (st *storage) append(kind uint8, v any) error {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		return err
+	}
+	st.wal.Append(wal.Record{Type: kind, Data: data})
+	return nil
+}
+
+func (st *storage) sync() error {
+	if st == nil {
+		return nil
+	}
+	return st.wal.Sync()
+}
+
+// saveSnapshot replaces the snapshot file unless that is as new. It may run
+// beside the other methods.
+func (st *storage) saveSnapshot(r *snapshotRecord) error {
+	if st == nil {
+		return nil
+	}
+	data, err := cbor.Marshal(r)
+	if err != nil {
+		return err
+	}
+	st.snapMu.Lock()
+	defer st.snapMu.Unlock()
+	if r.Position.Index <= st.snapshot {
+		return nil
+	}
+	if err := snap.Save(st.fs, st.path(snapshotFile), data); err != nil {
+		return err
+	}
+	st.snapshot = r.Position.Index
+	return nil
+}
+
+// rewrite replaces the log by what follows base. A snapshot at base or later
+// must have been saved.
+func (st *storage) rewrite(base raft.Position, hard raft.HardState, commit uint64, tail []raft.Entry) error {
+	if st == nil {
+		return nil
+	}
+	records := make([]wal.Record, 0, len(tail)+3)
+	add := func(kind uint8, v any) error {
+		data, err := cbor.Marshal(v)
+		records = append(records, wal.Record{Type: kind, Data: data})
+		return err
+	}
+	err := add(recordBase, base)
+	for i := 0; i < len(tail) && err == nil; i++ {
+		err = add(recordEntry, &tail[i])
+	}
+	if err == nil {
+		err = add(recordHardState, hard)
+	}
+	if err == nil {
+		err = add(recordCommit, commit)
+	}
+	if err != nil {
+		return err
+	}
+	st.written = commit
+	return st.wal.Rewrite(records)
+}
+
+func (st *storage) close() error {
+	if st == nil {
+		return nil
+	}
+	return st.wal.Close()
+}
