design: do not require lists in results

Cause: an empty list is absent in the encoding, and the generated client refuses a result without a required list: listing no services failed with "services is missing from message", as would a worker's list without tasks. Change: lists in results are optional; the Go types stay slices. Observed: TestExitCodes of package cli failed with that message before and passes now.

--- a/design/design.go
+++ b/design/design.go
@@ -77,6 +77,9 @@
 	})
 }
 
+// Lists in results are not required: an empty list is absent in the encoding,
+// and the generated client refuses a result without a required list.
+
 // queryErrors declares the errors of methods that only read.
 func queryErrors() {
 	Error("not_found", ErrorResult, "The object does not exist")
@@ -219,7 +222,7 @@
 		Result(func() {
 			Field(1, "group_id", String)
 			Field(2, "voters", ArrayOf(String))
-			Required("group_id", "voters")
+			Required("group_id")
 		})
 		mutationErrors()
 	})
@@ -236,7 +239,7 @@
 		mutationErrors()
 	})
 	Method("list_zones", func() {
-		Result(func() { Field(1, "zones", ArrayOf(zoneInfo)); Required("zones") })
+		Result(func() { Field(1, "zones", ArrayOf(zoneInfo)) })
 		queryErrors()
 	})
 	Method("apply_service", func() {
@@ -261,7 +264,7 @@
 		mutationErrors()
 	})
 	Method("list_services", func() {
-		Result(func() { Field(1, "services", ArrayOf(serviceInfo)); Required("services") })
+		Result(func() { Field(1, "services", ArrayOf(serviceInfo)) })
 		queryErrors()
 	})
 	Method("apply_team", func() {
@@ -278,7 +281,7 @@
 		mutationErrors()
 	})
 	Method("list_teams", func() {
-		Result(func() { Field(1, "teams", ArrayOf(teamInfo)); Required("teams") })
+		Result(func() { Field(1, "teams", ArrayOf(teamInfo)) })
 		queryErrors()
 	})
 	Method("submit_job", func() {
@@ -302,7 +305,7 @@
 	})
 	Method("list_jobs", func() {
 		Payload(func() { Field(1, "phase", String, "Only jobs in this phase; empty for all") })
-		Result(func() { Field(1, "jobs", ArrayOf(jobInfo)); Required("jobs") })
+		Result(func() { Field(1, "jobs", ArrayOf(jobInfo)) })
 		queryErrors()
 	})
 	Method("show_job", func() {
@@ -310,7 +313,7 @@
 		Result(func() {
 			Field(1, "job", jobInfo)
 			Field(2, "tasks", ArrayOf(taskInfo))
-			Required("job", "tasks")
+			Required("job")
 		})
 		queryErrors()
 	})
@@ -341,7 +344,7 @@
 		mutationErrors()
 	})
 	Method("list_workers", func() {
-		Result(func() { Field(1, "workers", ArrayOf(workerInfo)); Required("workers") })
+		Result(func() { Field(1, "workers", ArrayOf(workerInfo)) })
 		queryErrors()
 	})
 	Method("show_worker", func() {
@@ -350,7 +353,7 @@
 		queryErrors()
 	})
 	Method("list_endpoints", func() {
-		Result(func() { Field(1, "endpoints", ArrayOf(endpointInfo)); Required("endpoints") })
+		Result(func() { Field(1, "endpoints", ArrayOf(endpointInfo)) })
 		queryErrors()
 	})
 	Method("status", func() {
@@ -362,7 +365,7 @@
 			Field(5, "fresh", Boolean, "Whether the instance holds its freshness lease")
 			Field(6, "group_id", String)
 			Field(7, "instances", ArrayOf(instanceInfo))
-			Required("instance", "leader", "term", "applied_index", "fresh", "group_id", "instances")
+			Required("instance", "leader", "term", "applied_index", "fresh", "group_id")
 		})
 		queryErrors()
 	})
@@ -372,13 +375,13 @@
 			Field(2, "object", String, "Only records of this object; empty for all")
 			Field(3, "limit", Int64, "Newest records to return; 0 for 1000")
 		})
-		Result(func() { Field(1, "records", ArrayOf(auditRecord)); Required("records") })
+		Result(func() { Field(1, "records", ArrayOf(auditRecord)) })
 		queryErrors()
 	})
 	Method("explain", func() {
 		Description("Says why a task, job, worker, endpoint or request is as it is")
 		Payload(func() { Field(1, "object", String, "KIND/ID, such as task/job-1.0 or request/ID"); Required("object") })
-		Result(func() { Field(1, "lines", ArrayOf(String)); Required("lines") })
+		Result(func() { Field(1, "lines", ArrayOf(String)) })
 		queryErrors()
 	})
 })
@@ -434,7 +437,7 @@
 			Field(1, "now_ms", Int64, "Worker's monotonic reading in milliseconds")
 			Field(2, "boot_id", String, "Changes when the worker restarts; readings of different boots can't be compared")
 			Field(3, "tasks", ArrayOf(workerTask))
-			Required("now_ms", "boot_id", "tasks")
+			Required("now_ms", "boot_id")
 		})
 		workerErrors()
 	})
@@ -484,7 +487,7 @@
 		Result(func() {
 			Field(1, "now_ms", Int64)
 			Field(2, "tasks", ArrayOf(taskUsage))
-			Required("now_ms", "tasks")
+			Required("now_ms")
 		})
 		workerErrors()
 	})
--- a/gen/grpc/operator/client/encode_decode.go
+++ b/gen/grpc/operator/client/encode_decode.go
@@ -46,9 +46,6 @@
 	if !ok {
 		return nil, goagrpc.ErrInvalidType("operator", "init", "*operatorpb.InitResponse", v)
 	}
-	if err := ValidateInitResponse(message); err != nil {
-		return nil, err
-	}
 	res := NewInitResult(message)
 	return res, nil
 }
@@ -107,9 +104,6 @@
 	if !ok {
 		return nil, goagrpc.ErrInvalidType("operator", "list_zones", "*operatorpb.ListZonesResponse", v)
 	}
-	if err := ValidateListZonesResponse(message); err != nil {
-		return nil, err
-	}
 	res := NewListZonesResult(message)
 	return res, nil
 }
@@ -572,9 +566,6 @@
 	if !ok {
 		return nil, goagrpc.ErrInvalidType("operator", "list_endpoints", "*operatorpb.ListEndpointsResponse", v)
 	}
-	if err := ValidateListEndpointsResponse(message); err != nil {
-		return nil, err
-	}
 	res := NewListEndpointsResult(message)
 	return res, nil
 }
@@ -599,9 +590,6 @@
 	if !ok {
 		return nil, goagrpc.ErrInvalidType("operator", "status", "*operatorpb.StatusResponse", v)
 	}
-	if err := ValidateStatusResponse(message); err != nil {
-		return nil, err
-	}
 	res := NewStatusResult(message)
 	return res, nil
 }
@@ -635,9 +623,6 @@
 	if !ok {
 		return nil, goagrpc.ErrInvalidType("operator", "audit", "*operatorpb.AuditResponse", v)
 	}
-	if err := ValidateAuditResponse(message); err != nil {
-		return nil, err
-	}
 	res := NewAuditResult(message)
 	return res, nil
 }
@@ -671,9 +656,6 @@
 	if !ok {
 		return nil, goagrpc.ErrInvalidType("operator", "explain", "*operatorpb.ExplainResponse", v)
 	}
-	if err := ValidateExplainResponse(message); err != nil {
-		return nil, err
-	}
 	res := NewExplainResult(message)
 	return res, nil
 }
--- a/gen/grpc/operator/client/types.go
+++ b/gen/grpc/operator/client/types.go
@@ -698,22 +698,6 @@
 	return result
 }
 
-// ValidateInitResponse runs the validations defined on InitResponse.
-func ValidateInitResponse(message *operatorpb.InitResponse) (err error) {
-	if message.Voters == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("voters", "message"))
-	}
-	return
-}
-
-// ValidateListZonesResponse runs the validations defined on ListZonesResponse.
-func ValidateListZonesResponse(message *operatorpb.ListZonesResponse) (err error) {
-	if message.Zones == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("zones", "message"))
-	}
-	return
-}
-
 // ValidateServiceSpec runs the validations defined on ServiceSpec.
 func ValidateServiceSpec(spec *operatorpb.ServiceSpec) (err error) {
 	if spec.Resources == nil {
@@ -726,9 +710,6 @@
 // ValidateListServicesResponse runs the validations defined on
 // ListServicesResponse.
 func ValidateListServicesResponse(message *operatorpb.ListServicesResponse) (err error) {
-	if message.Services == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("services", "message"))
-	}
 	for _, e := range message.Services {
 		if e != nil {
 			if err2 := ValidateServiceInfo(e); err2 != nil {
@@ -754,9 +735,6 @@
 
 // ValidateListTeamsResponse runs the validations defined on ListTeamsResponse.
 func ValidateListTeamsResponse(message *operatorpb.ListTeamsResponse) (err error) {
-	if message.Teams == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("teams", "message"))
-	}
 	for _, e := range message.Teams {
 		if e != nil {
 			if err2 := ValidateTeamInfo(e); err2 != nil {
@@ -798,9 +776,6 @@
 
 // ValidateListJobsResponse runs the validations defined on ListJobsResponse.
 func ValidateListJobsResponse(message *operatorpb.ListJobsResponse) (err error) {
-	if message.Jobs == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("jobs", "message"))
-	}
 	for _, e := range message.Jobs {
 		if e != nil {
 			if err2 := ValidateJobInfo(e); err2 != nil {
@@ -829,9 +804,6 @@
 	if message.Job == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("job", "message"))
 	}
-	if message.Tasks == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("tasks", "message"))
-	}
 	if message.Job != nil {
 		if err2 := ValidateJobInfo(message.Job); err2 != nil {
 			err = goa.MergeErrors(err, err2)
@@ -843,9 +815,6 @@
 // ValidateListWorkersResponse runs the validations defined on
 // ListWorkersResponse.
 func ValidateListWorkersResponse(message *operatorpb.ListWorkersResponse) (err error) {
-	if message.Workers == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("workers", "message"))
-	}
 	for _, e := range message.Workers {
 		if e != nil {
 			if err2 := ValidateWorkerInfo(e); err2 != nil {
@@ -879,39 +848,6 @@
 	return
 }
 
-// ValidateListEndpointsResponse runs the validations defined on
-// ListEndpointsResponse.
-func ValidateListEndpointsResponse(message *operatorpb.ListEndpointsResponse) (err error) {
-	if message.Endpoints == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("endpoints", "message"))
-	}
-	return
-}
-
-// ValidateStatusResponse runs the validations defined on StatusResponse.
-func ValidateStatusResponse(message *operatorpb.StatusResponse) (err error) {
-	if message.Instances == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("instances", "message"))
-	}
-	return
-}
-
-// ValidateAuditResponse runs the validations defined on AuditResponse.
-func ValidateAuditResponse(message *operatorpb.AuditResponse) (err error) {
-	if message.Records == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("records", "message"))
-	}
-	return
-}
-
-// ValidateExplainResponse runs the validations defined on ExplainResponse.
-func ValidateExplainResponse(message *operatorpb.ExplainResponse) (err error) {
-	if message.Lines == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("lines", "message"))
-	}
-	return
-}
-
 // protobufOperatorpbServiceSpecToOperatorServiceSpec builds a value of type
 // *operator.ServiceSpec from a value of type *operatorpb.ServiceSpec.
 func protobufOperatorpbServiceSpecToOperatorServiceSpec(v *operatorpb.ServiceSpec) *operator.ServiceSpec {
