--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,3 @@
+// Package examples holds sample settings, services and jobs of two
+// organisations. Its test checks that they are accepted.
+package examples
