--- /dev/null
+++ b/state/failure_test.go
@@ -0,0 +1,311 @@
+package state_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/state"
+)
+
+// Guards against an operator's change that is made twice because the answer
+// was lost, and against a request id reused for something else.
+func TestResentRequestReturnsFirstResult(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1")
+	bodies := []state.Body{
+		state.SetZone{Name: "z"},
+		state.ApplyTeam{Name: "t", Weight: 1},
+		state.ApplyService{Spec: state.ServiceSpec{Name: "s", Replicas: 1, Resources: size(1, 1)}},
+		job("j", 1, size(1, 1)),
+		job("k", 1, size(9000, 1)), // refused
+		state.SetZone{Name: "a", ExpectedVersion: 999},
+		state.RegisterWorker{ID: "w9", Zone: "a", Capacity: size(1, 1)},
+		state.EvictTask{Task: "j.0"},
+		state.CancelJobs{IDs: []string{"j"}},
+		state.DeleteService{Name: "none", ExpectedVersion: 3},
+	}
+	for i, b := range bodies {
+		c := state.NewRequest(fmt.Sprint("r", i), "op", b)
+		first := m.apply(c)
+		audit := m.Audit.Len()
+		g.Expect(m.apply(c)).To(Equal(first), "%T", b)
+		g.Expect(m.apply(c)).To(Equal(first), "%T", b)
+		g.Expect(m.Audit.Len()).To(Equal(audit))
+		g.Expect(audit).To(Equal(i + 1))
+	}
+	r := m.apply(state.NewRequest("r0", "op", state.SetZone{Name: "z", Out: true}))
+	g.Expect(r.Code).To(Equal(state.CodeReusedRequestID))
+	g.Expect(m.ZoneOut("z")).To(BeFalse())
+}
+
+// Guards against two operators who both believe that their change is in force.
+func TestRacingOperatorsGetOneWinner(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1")
+	z, _ := m.Zones.Get("a")
+	first := m.apply(state.NewRequest("r1", "op1", state.SetZone{Name: "a", Out: true, ExpectedVersion: z.Version}))
+	second := m.apply(state.NewRequest("r2", "op2", state.SetZone{Name: "a", Out: false, ExpectedVersion: z.Version}))
+	g.Expect(first.Code).To(Equal(state.CodeOK))
+	g.Expect(second.Code).To(Equal(state.CodeConflict))
+	g.Expect(second.Current).To(Equal(first.Version))
+	g.Expect(m.ZoneOut("a")).To(BeTrue())
+	last, _ := m.Audit.Get(state.AuditKey(2))
+	g.Expect(last.Outcome).To(Equal("conflict"))
+}
+
+// Guards against a report of an earlier owner, incarnation or worker that
+// changes a task.
+func TestStaleReportsChangeNothing(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1", "w2")
+	m.do(state.RegisterInstance{Instance: state.Instance{ID: "i2", InstanceStart: 1}})
+	m.do(job("j", 1, size(1000, 1000)))
+	m.place("j.0", "w1")
+	old := m.fence("w1")
+	m.do(state.Assign{Changes: []state.OwnerChange{{Kind: state.AssignWorker, ID: "w1", Fence: old, To: "i2"}}})
+	stopped := func(worker string, fence, incarnation uint64) state.Code {
+		return m.do(state.ReportTasks{Worker: worker, Fence: fence, Reports: []state.TaskReport{
+			{Task: "j.0", Incarnation: incarnation, Event: state.EventStopped},
+		}}).Code
+	}
+	g.Expect(stopped("w1", old, 1)).To(Equal(state.CodeStale))
+	stopped("w1", m.fence("w1"), 2)
+	stopped("w2", m.fence("w2"), 1)
+	g.Expect(m.Task("j.0").Phase).To(Equal(state.PhaseStarting))
+	stopped("w1", m.fence("w1"), 1)
+	g.Expect(m.Task("j.0").Phase).To(Equal(state.PhasePending))
+	g.Expect(m.do(state.MarkWorkerLost{Worker: "w1", Fence: old}).Code).To(Equal(state.CodeStale))
+	g.Expect(m.do(state.Assign{Changes: []state.OwnerChange{{Kind: state.AssignWorker, ID: "w1", Fence: old, To: "i1"}}}).Code).To(Equal(state.CodeStale))
+}
+
+// Guards against a cancelled task whose start is in flight: its reservation
+// must last until the worker is known not to run it.
+func TestCancelOfStartInFlightHoldsReservation(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1")
+	m.do(job("j", 2, size(1000, 1000)))
+	m.place("j.0", "w1")
+	m.do(state.CancelJobs{IDs: []string{"j"}})
+	g.Expect(m.Task("j.1").Phase).To(Equal(state.PhaseCancelled))
+	g.Expect(m.Task("j.0").Phase).To(Equal(state.PhaseStopping))
+	m.report("j.0", state.EventStarted, "")
+	m.do(state.EvictTask{Task: "j.0"})
+	g.Expect(m.Task("j.0").Phase).To(Equal(state.PhaseStopping))
+	g.Expect(m.Task("j.0").StopReason).To(Equal(state.StopCancel))
+	w, _ := m.Workers.Get("w1")
+	g.Expect(w.Reserved).To(Equal(size(1000, 1000)))
+	m.report("j.0", state.EventStopped, "c1")
+	g.Expect(m.Task("j.0").Phase).To(Equal(state.PhaseCancelled))
+	w, _ = m.Workers.Get("w1")
+	g.Expect(w.Reserved.IsZero()).To(BeTrue())
+	g.Expect(m.do(state.CancelJobs{IDs: []string{"j", "none"}}).Code).To(Equal(state.CodeOK))
+}
+
+// Guards against an eviction that loses progress or resumes twice, with the
+// stop reported again by a new owner.
+func TestEvictionRequeuesOnceWithCheckpoint(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1")
+	m.do(job("j", 1, size(1000, 1000)))
+	m.place("j.0", "w1")
+	m.report("j.0", state.EventStarted, "")
+	m.do(state.EvictTask{Task: "j.0", Reason: "test"})
+	stop := state.ReportTasks{Worker: "w1", Fence: m.fence("w1"), Reports: []state.TaskReport{
+		{Task: "j.0", Incarnation: 1, Event: state.EventStopped, Checkpoint: "c1"},
+	}}
+	m.do(stop)
+	m.place("j.0", "w1")
+	m.do(stop)
+	m.do(state.EvictTask{Task: "j.0"})
+	got := m.Task("j.0")
+	g.Expect(got.Phase).To(Equal(state.PhaseStopping))
+	g.Expect(got.Incarnation).To(BeEquivalentTo(2))
+	g.Expect(got.Checkpoint).To(Equal("c1"))
+	g.Expect(got.Evictions).To(BeEquivalentTo(1))
+}
+
+// Guards against a second run while a lost worker may still run the first.
+func TestLostWorkerKeepsTasksUntilLeaseEnds(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1", "w2")
+	m.do(job("j", 1, size(1000, 1000)))
+	m.place("j.0", "w1")
+	m.report("j.0", state.EventStarted, "c7")
+	f := m.fence("w1")
+	g.Expect(m.do(state.MarkWorkerLeaseEnded{Worker: "w1", LostFence: f}).Code).To(Equal(state.CodeStale))
+	m.do(state.MarkWorkerLost{Worker: "w1", Fence: f})
+	g.Expect(m.place("j.0", "w2").Code).To(Equal(state.CodeStale))
+	m.do(state.MarkWorkerReturned{Worker: "w1", Fence: f})
+	g.Expect(m.do(state.MarkWorkerLeaseEnded{Worker: "w1", LostFence: f}).Code).To(Equal(state.CodeStale))
+	m.do(state.MarkWorkerLost{Worker: "w1", Fence: f})
+	m.do(state.MarkWorkerLeaseEnded{Worker: "w1", LostFence: f})
+	g.Expect(m.Task("j.0").Phase).To(Equal(state.PhasePending))
+	g.Expect(m.Task("j.0").Checkpoint).To(Equal("c7"))
+	g.Expect(m.place("j.0", "w1").Code).To(Equal(state.CodeStale))
+	g.Expect(m.place("j.0", "w2").Code).To(Equal(state.CodeOK))
+}
+
+// Guards against a job that fails everywhere and runs forever, and against a
+// job failed by a single bad worker.
+func TestJobFailsAfterThreeWorkers(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1", "w2", "w3")
+	m.do(job("j", 2, size(1000, 1000)))
+	m.place("j.1", "w1")
+	for _, w := range []string{"w1", "w1", "w1", "w2", "w3"} {
+		g.Expect(m.Task("j.0").Phase).To(Equal(state.PhasePending))
+		m.place("j.0", w)
+		m.report("j.0", state.EventFailed, "")
+	}
+	j, _ := m.Jobs.Get("j")
+	g.Expect(j.Phase).To(Equal(state.JobFailed))
+	g.Expect(j.Reason).To(ContainSubstring("incarnation 5 on w3: test"))
+	g.Expect(m.Task("j.0").Phase).To(Equal(state.PhaseFailed))
+	g.Expect(m.Task("j.1").StopReason).To(Equal(state.StopCancel))
+}
+
+// Guards against placements that were decided on an earlier state.
+func TestPlacementIsCheckedAgainAtApply(t *testing.T) {
+	for name, change := range map[string]func(m *machine){
+		"zone out": func(m *machine) { m.do(state.SetZone{Name: "a", Out: true, ExpectedVersion: zoneVersion(m, "a")}) },
+		"lost":     func(m *machine) { m.do(state.MarkWorkerLost{Worker: "w1", Fence: m.fence("w1")}) },
+		"capacity": func(m *machine) { m.do(job("k", 1, size(3500, 1))); m.place("k.0", "w1") },
+		"memory":   func(m *machine) { m.do(job("k", 1, size(1, 3500))); m.place("k.0", "w1") },
+		"quota": func(m *machine) {
+			m.do(state.ApplyTeam{Name: "t", Weight: 1, Quota: size(900, 0), ExpectedVersion: teamVersion(m)})
+		},
+		"cancelled":  func(m *machine) { m.do(state.CancelJobs{IDs: []string{"j"}}) },
+		"quarantine": func(m *machine) { m.do(job("k", 1, size(1, 1))); m.place("k.0", "w1"); quarantine(m) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := withWorkers(g, "w1")
+			m.do(state.ApplyTeam{Name: "t", Weight: 1})
+			j := job("j", 1, size(1000, 1000))
+			j.Spec.Team = "t"
+			m.do(j)
+			change(m)
+			g.Expect(m.place("j.0", "w1").Code).To(Equal(state.CodeStale))
+			g.Expect(m.Task("j.0").Holds()).To(BeFalse())
+		})
+	}
+}
+
+func quarantine(m *machine) { m.do(state.QuarantineWorker{Worker: "w1", Quarantined: true}) }
+
+func zoneVersion(m *machine, zone string) uint64 { z, _ := m.Zones.Get(zone); return z.Version }
+
+func teamVersion(m *machine) uint64 { t, _ := m.Teams.Get("t"); return t.Version }
+
+// Guards against a delayed placement of an earlier incarnation.
+func TestPlacementOfEarlierIncarnationIsStale(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1")
+	m.do(job("j", 1, size(1000, 1000)))
+	first := state.PlaceTasks{Placements: []state.Placement{{Task: "j.0", Worker: "w1", Incarnation: 1}}}
+	m.do(first)
+	m.report("j.0", state.EventNotStarted, "")
+	g.Expect(m.do(first).Code).To(Equal(state.CodeStale))
+	g.Expect(m.Task("j.0").Phase).To(Equal(state.PhasePending))
+}
+
+// Guards against a job that waits forever because no worker can hold it.
+func TestJobLargerThanAnyWorkerIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1")
+	r := m.do(job("j", 1, size(5000, 1)))
+	g.Expect(r.Code).To(Equal(state.CodeInvalid))
+	g.Expect(r.Message).To(ContainSubstring("largest worker w1 has 4000 mCPU"))
+	g.Expect(m.Jobs.Len()).To(Equal(0))
+}
+
+// Guards against an endpoint that leaves and comes back by a late
+// announcement, and against an earlier process of a restarted instance.
+func TestEarlierAnnouncementsAndStartsAreStale(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1")
+	ep := state.Endpoint{ID: "e", Service: "s", Incarnation: 2, Draining: true}
+	m.do(state.RegisterEndpoint{Endpoint: ep})
+	ep.Draining = false
+	m.do(state.RegisterEndpoint{Endpoint: ep})
+	e, _ := m.Endpoints.Get("e")
+	g.Expect(e.Draining).To(BeTrue())
+	ep.Incarnation = 1
+	g.Expect(m.do(state.RegisterEndpoint{Endpoint: ep}).Code).To(Equal(state.CodeStale))
+	g.Expect(m.do(state.RemoveEndpoint{ID: "e", Incarnation: 1}).Code).To(Equal(state.CodeStale))
+
+	before := m.fence("w1")
+	g.Expect(m.do(state.HandOver{Instance: "i1", InstanceStart: 9}).Code).To(Equal(state.CodeStale))
+	m.do(state.HandOver{Instance: "i1", InstanceStart: 1})
+	m.do(state.RegisterInstance{Instance: state.Instance{ID: "i1", InstanceStart: 1}})
+	in, _ := m.Instances.Get("i1")
+	g.Expect(in.Leaving).To(BeTrue())
+	m.do(state.RegisterInstance{Instance: state.Instance{ID: "i1", InstanceStart: 2}})
+	in, _ = m.Instances.Get("i1")
+	g.Expect(in.Leaving).To(BeFalse())
+	g.Expect(m.fence("w1")).To(BeNumerically(">", before))
+}
+
+// Guards against two primaries of a ledger bucket after a race of two changes.
+func TestLedgerBucketChangesByEpoch(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g)
+	m.do(state.RegisterInstance{Instance: state.Instance{ID: "i2", InstanceStart: 1}})
+	set := func(epoch uint64, primary, backup string) state.Code {
+		return m.do(state.SetLedgerBuckets{Buckets: []state.LedgerBucket{{Number: 3, Primary: primary, Backup: backup, Epoch: epoch}}}).Code
+	}
+	g.Expect(set(0, "i1", "i2")).To(Equal(state.CodeOK))
+	first, _ := m.Buckets.Get(state.BucketKey(3))
+	g.Expect(set(first.Epoch, "i2", "")).To(Equal(state.CodeOK))
+	g.Expect(set(first.Epoch, "i1", "")).To(Equal(state.CodeStale))
+	b, _ := m.Buckets.Get(state.BucketKey(3))
+	g.Expect(b.Primary).To(Equal("i2"))
+}
+
+// Guards against request results that are forgotten too early or kept forever.
+func TestRequestResultsAreKeptForADay(t *testing.T) {
+	g := NewWithT(t)
+	m := newMachine()
+	const kept = 10_000
+	for i := range kept + 5 {
+		m.apply(state.NewRequest(fmt.Sprint("r", i), "op", state.CancelJobs{IDs: []string{"none"}}))
+	}
+	g.Expect(m.Requests.Len()).To(Equal(kept + 5))
+	m.now += 25 * 3600 * 1000
+	m.do(state.Noop{})
+	g.Expect(m.Requests.Len()).To(Equal(kept))
+	_, first := m.Requests.Get("r0")
+	g.Expect(first).To(BeFalse())
+}
+
+// Guards against ended jobs that fill the memory of every instance.
+func TestEndedJobIsForgottenAfterADay(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1")
+	m.do(job("j", 3, size(1, 1)))
+	m.do(state.CancelJobs{IDs: []string{"j"}})
+	m.now += 23 * 3600 * 1000
+	m.do(state.Noop{})
+	g.Expect(m.Jobs.Len()).To(Equal(1))
+	m.now += 2 * 3600 * 1000
+	m.do(state.Noop{})
+	g.Expect(m.Jobs.Len()).To(Equal(0))
+	g.Expect(m.Tasks.Len()).To(Equal(0))
+	g.Expect(state.CheckIndexes(m.State)).To(Succeed())
+}
+
+// Guards against bytes in the log that stop every replica.
+func TestBrokenCommandsAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	m := newMachine()
+	for kind := state.Kind(0); kind < 40; kind++ {
+		r := m.apply(state.Command{Kind: kind, Body: []byte{0xff, 0x00}})
+		if kind != state.KindNoop {
+			g.Expect(r.Code).To(Equal(state.CodeInvalid), "%v", kind)
+		}
+	}
+	_, err := state.DecodeSnapshot([]byte{1, 2, 3})
+	g.Expect(err).To(HaveOccurred())
+}
--- /dev/null
+++ b/state/history_test.go
@@ -0,0 +1,270 @@
+package state_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"apricotrouter/state"
+)
+
+// platform is what really runs on the workers in a random history. It starts
+// and stops tasks as a session holder may, independently of what the state
+// makes of the reports.
+type platform struct {
+	running map[string]map[string]uint64 // task, worker, incarnation
+	sent    []state.Command              // commands that may be sent again
+}
+
+type history struct {
+	*machine
+	t        *rapid.T
+	real     platform
+	log      []state.Command
+	requeues map[string]int // TASK@INCARNATION, number of requeues
+	requests int
+}
+
+var (
+	historyWorkers = []string{"w1", "w2", "w3"}
+	historyJobs    = []string{"j1", "j2", "j3"}
+	historyZones   = []string{"a", "b"}
+)
+
+func (h *history) send(c state.Command) state.Result {
+	before := h.State
+	h.now += rapid.Int64Range(0, 4000).Draw(h.t, "pause")
+	c.Time = h.now
+	h.log = append(h.log, c)
+	r := h.apply(c)
+	h.log[len(h.log)-1].Time = h.now
+	h.check(before)
+	return r
+}
+
+func (h *history) body(b state.Body) state.Result {
+	c := state.NewCommand(b)
+	h.real.sent = append(h.real.sent, c)
+	return h.send(c)
+}
+
+func (h *history) request(b state.Body) {
+	h.requests++
+	c := state.NewRequest(fmt.Sprintf("r%d", h.requests), "op", b)
+	h.real.sent = append(h.real.sent, c)
+	h.send(c)
+}
+
+// check compares the state with the invariants and with what really runs.
+func (h *history) check(before *state.State) {
+	for id, w := range h.Workers.All() {
+		var sum state.Resources
+		for t := range h.TasksOnWorker(id) {
+			sum = sum.Add(t.Resources)
+		}
+		if sum != w.Reserved || !sum.Fits(w.Capacity) {
+			h.t.Fatalf("worker %s: tasks hold %s, reserved %s, capacity %s", id, sum, w.Reserved, w.Capacity)
+		}
+	}
+	for id, t := range h.Tasks.All() {
+		if old := before.Task(id); old != nil {
+			h.checkStep(old, t)
+		}
+	}
+	for id, on := range h.real.running {
+		for w, incarnation := range on {
+			t := h.Task(id)
+			if t == nil || !t.Holds() || t.Worker != w || t.Incarnation != incarnation {
+				h.t.Fatalf("task %s runs on %s in incarnation %d without a reservation", id, w, incarnation)
+			}
+		}
+	}
+	if err := state.CheckIndexes(h.State); err != nil {
+		h.t.Fatal(err)
+	}
+	if h.Audit.Len() != h.requests {
+		h.t.Fatalf("%d audit records for %d requests", h.Audit.Len(), h.requests)
+	}
+}
+
+func (h *history) checkStep(old, t *state.Task) {
+	if t.Incarnation < old.Incarnation {
+		h.t.Fatalf("incarnation of %s went from %d to %d", t.ID, old.Incarnation, t.Incarnation)
+	}
+	if old.Ended() && !t.Ended() {
+		h.t.Fatalf("task %s came back from %s", t.ID, old.Phase)
+	}
+	requeued := old.Holds() && t.Phase == state.PhasePending
+	if requeued {
+		k := fmt.Sprintf("%s@%d", t.ID, t.Incarnation)
+		if h.requeues[k]++; h.requeues[k] > 1 {
+			h.t.Fatalf("%s was requeued twice", k)
+		}
+	}
+	evicted := requeued && old.Phase == state.PhaseStopping && old.StopReason == state.StopEvict
+	if (t.Evictions > old.Evictions) != evicted {
+		h.t.Fatalf("task %s: %d evictions, before %d", t.ID, t.Evictions, old.Evictions)
+	}
+}
+
+func (h *history) pick(label string, from []string) string {
+	return rapid.SampledFrom(from).Draw(h.t, label)
+}
+
+func (h *history) anyTask() *state.Task {
+	var ids []string
+	for id := range h.Tasks.All() {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return &state.Task{ID: "none"}
+	}
+	return h.Task(h.pick("task", ids))
+}
+
+func (h *history) step() {
+	switch rapid.IntRange(0, 15).Draw(h.t, "step") {
+	case 0:
+		h.request(state.SetZone{Name: h.pick("zone", historyZones), Out: rapid.Bool().Draw(h.t, "out"), ExpectedVersion: h.zoneVersion()})
+	case 1:
+		spec := state.JobSpec{
+			ID: h.pick("job", historyJobs), Class: "c", Team: "t", Priority: state.PriorityNormal,
+			Tasks: rapid.Int64Range(1, 3).Draw(h.t, "tasks"), Resources: size(rapid.Int64Range(500, 3000).Draw(h.t, "cpu"), 100),
+		}
+		h.request(state.SubmitJob{Spec: spec})
+	case 2:
+		h.request(state.CancelJobs{IDs: []string{h.pick("job", historyJobs)}})
+	case 3:
+		h.request(state.EvictTask{Task: h.anyTask().ID})
+	case 4, 5, 6, 7:
+		t := h.anyTask()
+		h.body(state.PlaceTasks{Placements: []state.Placement{{Task: t.ID, Incarnation: t.Incarnation + 1, Worker: h.pick("worker", historyWorkers)}}})
+	case 8, 9:
+		h.startReal()
+	case 10, 11:
+		h.endReal()
+	case 12:
+		h.workerFails()
+	case 13:
+		h.body(state.AddReplicas{Service: "s"})
+		t := h.anyTask()
+		why := rapid.SampledFrom([]state.StopReason{state.StopEvict, state.StopReplace, state.StopCancel, state.StopRemove}).Draw(h.t, "why")
+		h.body(state.StopTasks{Stops: []state.TaskStop{{Task: t.ID, Incarnation: t.Incarnation, StopReason: why}}})
+	case 14:
+		h.changeOwner()
+	case 15:
+		if len(h.real.sent) > 0 { // a resend or a delayed duplicate
+			h.send(rapid.SampledFrom(h.real.sent).Draw(h.t, "resend"))
+		}
+	}
+}
+
+func (h *history) zoneVersion() uint64 {
+	if z, ok := h.Zones.Get("a"); ok {
+		return z.Version
+	}
+	return 0
+}
+
+// startReal starts a task as its session holder may, or finds it not started.
+func (h *history) startReal() {
+	t := h.anyTask()
+	if t.Phase != state.PhaseStarting {
+		return
+	}
+	w, _ := h.Workers.Get(t.Worker)
+	if w.Condition == state.WorkerLost || rapid.IntRange(0, 4).Draw(h.t, "void") == 0 {
+		if w.Condition != state.WorkerLost && h.real.running[t.ID][t.Worker] == 0 {
+			h.reportReal(t, state.EventNotStarted)
+		}
+		return
+	}
+	if h.real.running[t.ID] == nil {
+		h.real.running[t.ID] = map[string]uint64{}
+	}
+	h.real.running[t.ID][t.Worker] = t.Incarnation
+	h.reportReal(t, state.EventStarted)
+}
+
+// endReal ends a run on its worker and then reports the end.
+func (h *history) endReal() {
+	t := h.anyTask()
+	if !t.Holds() || h.real.running[t.ID][t.Worker] != t.Incarnation {
+		return
+	}
+	delete(h.real.running[t.ID], t.Worker)
+	events := []state.TaskEvent{state.EventStopped, state.EventExited, state.EventFailed}
+	h.reportReal(t, rapid.SampledFrom(events).Draw(h.t, "event"))
+}
+
+func (h *history) reportReal(t *state.Task, ev state.TaskEvent) {
+	h.body(state.ReportTasks{Worker: t.Worker, Fence: h.fence(t.Worker), Reports: []state.TaskReport{
+		{Task: t.ID, Incarnation: t.Incarnation, Event: ev, Checkpoint: fmt.Sprintf("c%d", h.Index)},
+	}})
+}
+
+// workerFails loses a worker, and then finds it back or waits until its lease
+// has ended.
+func (h *history) workerFails() {
+	id := h.pick("worker", historyWorkers)
+	w, _ := h.Workers.Get(id)
+	if w.Condition != state.WorkerLost {
+		h.body(state.MarkWorkerLost{Worker: id, Fence: h.fence(id)})
+		return
+	}
+	if rapid.Bool().Draw(h.t, "back") {
+		h.body(state.MarkWorkerReturned{Worker: id, Fence: h.fence(id)})
+		return
+	}
+	for _, on := range h.real.running {
+		delete(on, id)
+	}
+	h.send(state.NewCommand(state.MarkWorkerLeaseEnded{Worker: id, LostFence: w.LostFence}))
+}
+
+func (h *history) changeOwner() {
+	id := h.pick("worker", historyWorkers)
+	h.body(state.Assign{Changes: []state.OwnerChange{{Kind: state.AssignWorker, ID: id, Fence: h.fence(id), To: h.pick("to", []string{"i1", "i2"})}}})
+}
+
+func (h *history) prepare() {
+	h.body(state.ApplyTeam{Name: "t", Weight: 1, Quota: size(6000, 0)})
+	h.body(state.ApplyService{Spec: state.ServiceSpec{Name: "s", Replicas: 2, Resources: size(700, 10)}})
+	for _, in := range []string{"i1", "i2"} {
+		h.body(state.RegisterInstance{Instance: state.Instance{ID: in, InstanceStart: 1}})
+	}
+	for i, w := range historyWorkers {
+		h.body(state.RegisterWorker{ID: w, Zone: historyZones[i%2], Capacity: size(4000, 4000)})
+		h.body(state.Assign{Changes: []state.OwnerChange{{Kind: state.AssignWorker, ID: w, To: "i1"}}})
+	}
+	h.real.sent = nil
+}
+
+// Guards against a worker over its capacity, a task in two places, an
+// incarnation that goes back, an eviction without exactly one requeue, and
+// state that depends on anything but the commands.
+func TestRandomHistoriesKeepInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		h := &history{
+			machine:  newMachine(),
+			t:        rt,
+			real:     platform{running: map[string]map[string]uint64{}},
+			requeues: map[string]int{},
+		}
+		h.prepare()
+		for range rapid.IntRange(20, 150).Draw(rt, "steps") {
+			h.step()
+		}
+		again := state.New()
+		for i, c := range h.log {
+			again, _ = again.Apply(uint64(i+1), c)
+		}
+		first, _ := h.EncodeSnapshot()
+		second, _ := again.EncodeSnapshot()
+		if !bytes.Equal(first, second) {
+			rt.Fatal("the same commands gave another state")
+		}
+	})
+}
