Add endpoint registry, request path and stand-in endpoint

Requests had no way to endpoints. The registry receives announcements, proposes new endpoints, counts the slots of owned endpoints and exchanges free slots; dispatch forwards to an owned endpoint or with one hop to a peer that has room, over its own HTTP/1.1 client so that it knows whether a byte was sent. Observed: the four tests of package dispatch pass with -race.

--- /dev/null
+++ b/dispatch/attempt.go
@@ -0,0 +1,239 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"apricotrouter/event"
+	"apricotrouter/registry"
+	"apricotrouter/steperr"
+)
+
+// reply is an answer whose header has arrived. Exactly one of finish and
+// abandon is called.
+type reply struct {
+	x       *exchange
+	d       *Dispatcher
+	svc     *service
+	started time.Time
+	attempt string
+	target  *target // nil if a peer answered
+}
+
+// try sends a request to an endpoint or peer and waits for the header of the
+// answer. A slot in g is given back when the attempt has certainly ended.
+func (d *Dispatcher) try(ctx context.Context, rq *request, g grant) (*reply, *Problem) {
+	if g.endpoint != nil {
+		return d.tryEndpoint(ctx, rq, g.endpoint)
+	}
+	return d.tryPeer(ctx, rq, g.peer)
+}
+
+func (d *Dispatcher) tryEndpoint(ctx context.Context, rq *request, e *registry.Endpoint) (*reply, *Problem) {
+	t := d.targetOf(e)
+	r := &reply{d: d, svc: rq.service, started: time.Now(), attempt: d.nextAttemptID(), target: t}
+	c, err := d.connect(ctx, rq, t.pool)
+	if err != nil {
+		d.release(rq.service, e)
+		if ctx.Err() == nil && err != errConnLimit {
+			d.countFailure(t)
+		}
+		return nil, d.attemptFailed(r, notRun(http.StatusServiceUnavailable, "endpoint-unreachable", "could not connect to an endpoint"), err)
+	}
+	// A change that forbids this attempt may have been applied elsewhere while
+	// it was connecting.
+	if !d.opts.Log.Fresh() {
+		t.pool.put(c)
+		d.release(rq.service, e)
+		return nil, d.notFresh()
+	}
+	r.x, err = d.send(ctx, c, rq, rq.outgoing(r.attempt))
+	if err == nil && !r.matches() {
+		err = errMismatched
+		event.Log(d.opts.Logger, event.AnswerMismatched, slog.String("endpoint", e.ID))
+	}
+	if err != nil {
+		return nil, d.endpointFailed(ctx, r, err)
+	}
+	if r.refusedNotRun() {
+		r.finish()
+		return nil, notRun(http.StatusServiceUnavailable, "endpoint-refused", "endpoint refused the request")
+	}
+	return r, nil
+}
+
+// connect returns a connection by the deadline of the request.
+func (d *Dispatcher) connect(ctx context.Context, rq *request, p *connPool) (*conn, error) {
+	if c := p.takeIdle(); c != nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
+	defer cancel()
+	return p.get(ctx)
+}
+
+// send notes that a body was sent that can't be sent again.
+func (d *Dispatcher) send(ctx context.Context, c *conn, rq *request, out *outgoing) (*exchange, error) {
+	rq.bodySent = true
+	return send(ctx, c, out, rq.deadline)
+}
+
+// matches reports whether the answer is to this attempt, as far as the
+// endpoint repeats the id.
+func (r *reply) matches() bool {
+	id := r.x.resp.Header.Get(HeaderAttemptID)
+	return id == "" || id == r.attempt
+}
+
+// refusedNotRun reports whether the endpoint said that it did not run the
+// request.
+func (r *reply) refusedNotRun() bool {
+	return r.x.whole && r.x.resp.StatusCode == http.StatusServiceUnavailable &&
+		r.x.resp.Header.Get(HeaderOutcome) == string(OutcomeNotRun)
+}
+
+// endpointFailed ends an attempt that got no answer. The outcome is not-run
+// only if no byte was sent.
+func (d *Dispatcher) endpointFailed(ctx context.Context, r *reply, err error) *Problem {
+	t, x := r.target, r.x
+	if !x.conn.wrote {
+		x.close()
+		d.release(r.svc, t.endpoint)
+		if ctx.Err() == nil {
+			d.countFailure(t)
+		}
+		return d.attemptFailed(r, notRun(http.StatusServiceUnavailable, "endpoint-unreachable", "could not send to an endpoint"), err)
+	}
+	if ctx.Err() != nil {
+		r.abandon()
+		return unknown(http.StatusBadGateway, "cancelled", "request was cancelled", errCancelled)
+	}
+	d.countFailure(t)
+	if timedOut(err) {
+		d.noteSilent(t, x)
+		r.abandon()
+		return d.attemptFailed(r, unknown(http.StatusGatewayTimeout, "no-answer", "no answer by the deadline", errNoAnswer), err)
+	}
+	r.abandon()
+	return d.attemptFailed(r, unknown(http.StatusBadGateway, "answer-incomplete", "endpoint did not answer in full", err), err)
+}
+
+// noteSilent counts a connection that carried nothing although an answer was
+// due. Idle connections opened as long ago may be silent too.
+func (d *Dispatcher) noteSilent(t *target, x *exchange) {
+	if x.resp != nil {
+		return
+	}
+	d.metrics.silent.Inc()
+	event.Log(d.opts.Logger, event.ConnectionSilent, slog.String("endpoint", t.endpoint.ID))
+	t.pool.closeIdle(false)
+}
+
+func (d *Dispatcher) attemptFailed(r *reply, p *Problem, err error) *Problem {
+	peer := ""
+	if r.target != nil {
+		peer = r.target.endpoint.ID
+	}
+	p.cause = steperr.Wrap(err, "forward request", peer)
+	d.metrics.failures.WithLabelValues(string(p.Outcome)).Inc()
+	event.Log(d.opts.Logger, event.AttemptFailed, slog.String("endpoint", peer),
+		slog.String("outcome", string(p.Outcome)), slog.Any("error", p.cause))
+	return p
+}
+
+// close ends a connection that carried no whole exchange.
+func (x *exchange) close() {
+	if x.stop != nil {
+		x.stop()
+	}
+	x.conn.close()
+}
+
+// finish ends an attempt whose answer was read in full.
+func (r *reply) finish() {
+	took := time.Since(r.started)
+	r.x.finish()
+	r.svc.estimate.observe(took)
+	if r.target == nil {
+		return
+	}
+	r.target.health.succeeded()
+	r.target.observe(took)
+	r.d.release(r.svc, r.target.endpoint)
+}
+
+// abandon cancels an attempt. Its slot stays counted until it has certainly
+// ended: its whole answer came, or an announcement no longer lists it.
+func (r *reply) abandon() {
+	if r.target == nil {
+		r.x.close()
+		return
+	}
+	e := r.target.endpoint
+	e.Linger(r.attempt, r.d.opts.Clock.Now())
+	r.d.metrics.lingering.Inc()
+	r.d.background.Go(func() {
+		defer r.d.metrics.lingering.Dec()
+		stop := context.AfterFunc(r.d.stopped, func() { _ = r.x.conn.SetDeadline(longAgo) })
+		defer stop()
+		ended := r.x.drainAnswer(time.Now().Add(lingerRead))
+		r.x.conn.close()
+		if ended {
+			e.EndLinger(r.attempt)
+		}
+	})
+}
+
+// discard drops an answer that came too late to be used.
+func (r *reply) discard() {
+	if r.x.ended {
+		r.finish()
+	} else {
+		r.abandon()
+	}
+}
+
+// copyRest copies the rest of a long body and ends the attempt. It returns an
+// error if the answer is not complete.
+func (r *reply) copyRest(w io.Writer) error {
+	_, err := io.Copy(w, r.x)
+	if err == nil && r.x.ended {
+		r.finish()
+		return nil
+	}
+	if r.target != nil && r.x.readErr != nil {
+		r.d.countFailure(r.target)
+	}
+	r.abandon()
+	return err
+}
+
+// countFailure counts a failed attempt and ejects the endpoint if there were
+// many, unless half of the endpoints of the service are ejected already.
+func (d *Dispatcher) countFailure(t *target) {
+	if !t.health.failed() {
+		return
+	}
+	now := d.opts.Clock.Now()
+	pool := d.opts.Registry.Pool(t.endpoint.Service)
+	if pool == nil {
+		return
+	}
+	d.ejecting.Lock()
+	defer d.ejecting.Unlock()
+	ejected := 1
+	for _, e := range pool.Endpoints {
+		if e != t.endpoint && d.targetOf(e).health.ejected(now) {
+			ejected++
+		}
+	}
+	if 2*ejected > len(pool.Endpoints) || t.health.ejected(now) {
+		return
+	}
+	length := t.health.eject(now)
+	d.metrics.ejections.Inc()
+	event.Log(d.opts.Logger, event.EndpointEjected, slog.String("endpoint", t.endpoint.ID), slog.Duration("for", length))
+}
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,78 @@
+package dispatch_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"apricotrouter/dispatch"
+	"apricotrouter/standin/endpoint"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// Guards against answers that reach another caller, or requests that are
+// changed on the way.
+func TestAnswerReachesItsCaller(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	e := c.addEndpoint(0, endpoint.Options{})
+	r := c.do(0, call{method: http.MethodPost, body: "gift", id: "r1", headers: map[string]string{"X-Other": "kept"}})
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(r.status).To(Equal(http.StatusOK))
+	g.Expect(r.body).To(Equal("r1\ngift"))
+	g.Expect(r.header.Get(dispatch.HeaderRequestID)).To(Equal("r1"))
+	g.Expect(e.Records()).To(HaveLen(1))
+	g.Expect(e.Records()[0].URI).To(Equal("/receipts/1"))
+}
+
+// Guards against a service that is reachable only through the owner of its
+// endpoints.
+func TestForwardsToPeerWithRoom(t *testing.T) {
+	c := newCluster(t, 2)
+	g := NewWithT(t)
+	e := c.addEndpoint(1, endpoint.Options{})
+	g.Eventually(func() bool { return c.instances[0].registry.Served(service) }).Should(BeTrue())
+	long := strings.Repeat("x", 300<<10)
+	r := c.do(0, call{method: http.MethodPut, body: long, id: "r1"})
+	g.Expect(r.err).NotTo(HaveOccurred())
+	g.Expect(r.status).To(Equal(http.StatusOK))
+	g.Expect(r.body).To(Equal("r1\n" + long))
+	g.Expect(e.Records()[0].Method).To(Equal(http.MethodPut))
+	g.Expect(e.Records()[0].URI).To(Equal("/receipts/1"))
+}
+
+// Guards against requests by an instance that may have missed a change.
+func TestRefusesWhenNotFresh(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	e := c.addEndpoint(0, endpoint.Options{})
+	c.instances[0].log.stale.Store(true)
+	r := c.do(0, call{})
+	g.Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(r.outcome).To(Equal("not-run"))
+	g.Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(e.Records()).To(BeEmpty())
+}
+
+// Guards against a shutdown that cuts off a long request.
+func TestDrainWaitsForLongRequests(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	e := c.addEndpoint(0, endpoint.Options{ServiceTime: 300 * time.Millisecond})
+	answer := c.later(0, call{})
+	g.Eventually(e.Running).Should(Equal(1))
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	g.Expect(c.instances[0].dispatch.Drain(ctx)).To(MatchError(context.DeadlineExceeded))
+	g.Expect(c.instances[0].dispatch.Drain(context.Background())).To(Succeed())
+	g.Expect(e.Running()).To(Equal(0))
+	g.Expect((<-answer).status).To(Equal(http.StatusOK))
+}
--- /dev/null
+++ b/dispatch/entry.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// EntryHandler returns the handler of callers' requests.
+func (d *Dispatcher) EntryHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.requests.begin()
+		defer d.requests.end()
+		rq, p := d.parse(r)
+		if p == nil {
+			p = d.serve(w, r, rq)
+		}
+		result := "answered"
+		if p != nil {
+			result = string(p.Outcome)
+			p.write(w, rq.id)
+		} else {
+			d.metrics.seconds.Observe(time.Since(rq.started).Seconds())
+		}
+		d.metrics.requests.WithLabelValues(result).Inc()
+	})
+}
+
+// serve routes a request and passes its answer on.
+func (d *Dispatcher) serve(w http.ResponseWriter, r *http.Request, rq *request) *Problem {
+	if !d.opts.Log.Fresh() {
+		return d.notFresh()
+	}
+	s := d.opts.Log.State()
+	rq.service = d.routesFor(s).find(r.Host, r.URL.Path)
+	if rq.service == nil {
+		return notRun(http.StatusNotFound, "no-service", "no service has this host and path")
+	}
+	if p := d.readBody(r.Context(), w, r, rq); p != nil {
+		return p
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	reply, p := d.route(ctx, rq)
+	if p != nil {
+		return p
+	}
+	d.writeAnswer(w, rq, reply, nil)
+	return nil
+}
--- /dev/null
+++ b/dispatch/forward.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"apricotrouter/steperr"
+)
+
+// ForwardPath is the path of requests between entry instances on the peer
+// port. The request of the caller is carried with its body; its method, path,
+// host and service are in header fields.
+const ForwardPath = "/v1/forward"
+
+const (
+	headerForwardMethod  = "X-Forward-Method"
+	headerForwardURI     = "X-Forward-Uri"
+	headerForwardHost    = "X-Forward-Host"
+	headerForwardService = "X-Forward-Service"
+	// headerForwardResult tells an answer of an endpoint from a refusal of
+	// the peer.
+	headerForwardResult = "X-Forward-Result"
+	resultAnswer        = "answer"
+	resultRefused       = "refused"
+)
+
+// tryPeer sends a request to a peer, which makes one attempt at one of its
+// endpoints.
+func (d *Dispatcher) tryPeer(ctx context.Context, rq *request, peer string) (*reply, *Problem) {
+	pool := d.peerPool(peer)
+	if pool == nil {
+		return nil, notRun(http.StatusServiceUnavailable, "peer-unreachable", "address of peer "+peer+" is not known")
+	}
+	r := &reply{d: d, svc: rq.service, started: time.Now()}
+	c, err := d.connect(ctx, rq, pool)
+	if err != nil {
+		return nil, d.peerFailed(r, peer, notRun(http.StatusServiceUnavailable, "peer-unreachable", "could not connect to a peer"), err)
+	}
+	r.x, err = d.send(ctx, c, rq, rq.forwarding())
+	if err != nil {
+		wrote := c.wrote
+		r.x.close()
+		switch {
+		case !wrote:
+			return nil, d.peerFailed(r, peer, notRun(http.StatusServiceUnavailable, "peer-unreachable", "could not send to a peer"), err)
+		case ctx.Err() != nil:
+			return nil, unknown(http.StatusBadGateway, "cancelled", "request was cancelled", errCancelled)
+		case timedOut(err):
+			pool.closeIdle(false)
+			return nil, d.peerFailed(r, peer, unknown(http.StatusGatewayTimeout, "no-answer", "no answer by the deadline", err), err)
+		}
+		return nil, d.peerFailed(r, peer, unknown(http.StatusBadGateway, "answer-incomplete", "peer did not answer in full", err), err)
+	}
+	return d.peerAnswered(r, peer)
+}
+
+// peerAnswered tells an endpoint's answer from a refusal of the peer.
+func (d *Dispatcher) peerAnswered(r *reply, peer string) (*reply, *Problem) {
+	h := r.x.resp.Header
+	switch {
+	case h.Get(headerForwardResult) == resultAnswer:
+		return r, nil
+	case h.Get(headerForwardResult) == resultRefused && r.x.whole:
+		status := r.x.resp.StatusCode
+		r.x.finish()
+		if h.Get(HeaderOutcome) == string(OutcomeNotRun) {
+			return nil, notRun(http.StatusServiceUnavailable, "peer-refused", "peer "+peer+" refused the request")
+		}
+		return nil, unknown(status, "answer-incomplete", "endpoint of a peer did not answer in full", nil)
+	}
+	r.abandon()
+	return nil, unknown(http.StatusBadGateway, "bad-answer", "peer "+peer+" gave no valid answer", nil)
+}
+
+func (d *Dispatcher) peerFailed(_ *reply, peer string, p *Problem, err error) *Problem {
+	p.cause = steperr.Wrap(err, "forward request to peer", peer)
+	d.metrics.failures.WithLabelValues(string(p.Outcome)).Inc()
+	return p
+}
+
+// forwarding returns the request as sent to a peer.
+func (rq *request) forwarding() *outgoing {
+	return &outgoing{
+		method: http.MethodPost, uri: ForwardPath, host: rq.host,
+		header: rq.header, except: rq.except, body: &rq.body,
+		extra: []field{
+			{HeaderRequestID, rq.id},
+			{HeaderTimeout, strconv.FormatInt(max(1, rq.remaining().Milliseconds()), 10)},
+			{headerForwardMethod, rq.method},
+			{headerForwardURI, rq.uri},
+			{headerForwardHost, rq.host},
+			{headerForwardService, rq.service.name},
+		},
+	}
+}
+
+// ForwardHandler returns the handler of ForwardPath on the peer port.
+func (d *Dispatcher) ForwardHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.requests.begin()
+		defer d.requests.end()
+		rq, p := d.parseForwarded(r)
+		if p == nil {
+			p = d.readBody(r.Context(), w, r, rq)
+		}
+		if p == nil {
+			p = d.serveForwarded(r.Context(), w, rq)
+		}
+		if p != nil {
+			w.Header().Set(headerForwardResult, resultRefused)
+			p.write(w, rq.id)
+		}
+	})
+}
+
+func (d *Dispatcher) parseForwarded(r *http.Request) (*request, *Problem) {
+	rq, p := d.parse(r)
+	if p != nil {
+		return rq, p
+	}
+	rq.forwarded = true
+	rq.method = r.Header.Get(headerForwardMethod)
+	rq.uri = r.Header.Get(headerForwardURI)
+	rq.host = r.Header.Get(headerForwardHost)
+	rq.service = d.routesFor(d.opts.Log.State()).services[r.Header.Get(headerForwardService)]
+	if rq.method == "" || rq.uri == "" || rq.service == nil {
+		return rq, notRun(http.StatusNotFound, "no-service", "forwarded request names no known service")
+	}
+	return rq, nil
+}
+
+// serveForwarded makes one attempt; retries and hedges are up to the instance
+// that the caller is connected to.
+func (d *Dispatcher) serveForwarded(ctx context.Context, w http.ResponseWriter, rq *request) *Problem {
+	g, p := d.place(ctx, rq, &tried{})
+	if p != nil {
+		return p
+	}
+	r, p := d.try(ctx, rq, g)
+	if p != nil {
+		return p
+	}
+	w.Header().Set(headerForwardResult, resultAnswer)
+	d.writeAnswer(w, rq, r, nil)
+	return nil
+}
--- /dev/null
+++ b/dispatch/harness_test.go
@@ -0,0 +1,266 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/dispatch"
+	"apricotrouter/registry"
+	"apricotrouter/standin/endpoint"
+	"apricotrouter/standin/statelog"
+	"apricotrouter/state"
+	"apricotrouter/transport"
+)
+
+const service = "receipts"
+
+// cluster is a few entry instances in one process that share a state.
+type cluster struct {
+	t         testing.TB
+	g         *WithT
+	log       *statelog.Log
+	net       *transport.Local
+	instances []*instance
+	endpoints []*endpoint.Endpoint
+	owner     atomic.Pointer[string] // of endpoints that register next
+}
+
+// instance is one entry instance.
+type instance struct {
+	id       string
+	log      *instanceLog
+	registry *registry.Registry
+	dispatch *dispatch.Dispatcher
+	entry    *httptest.Server
+	forward  *httptest.Server
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+// instanceLog is the shared log with the freshness of one instance.
+type instanceLog struct {
+	*statelog.Log
+	stale atomic.Bool
+}
+
+func (l *instanceLog) Fresh() bool { return !l.stale.Load() }
+
+func newCluster(t testing.TB, size int) *cluster {
+	c := &cluster{t: t, g: NewWithT(t), log: statelog.New(), net: transport.NewLocal()}
+	c.own("a")
+	c.log.OnPropose = c.apply
+	c.log.Update(func(s *state.State) {
+		spec := state.ServiceSpec{Name: service, PathPrefix: "/receipts"}
+		s.Services = s.Services.Put(service, &state.Service{Spec: spec, Version: 1})
+		for i := range size {
+			id := string(rune('a' + i))
+			s.Instances = s.Instances.Put(id, &state.Instance{ID: id, Zone: "zone-" + id})
+		}
+	})
+	for i := range size {
+		c.instances = append(c.instances, c.start(string(rune('a'+i))))
+	}
+	t.Cleanup(c.close)
+	return c
+}
+
+// apply stands in for applying commands and for the leader's assignments.
+func (c *cluster) apply(s *state.State, cmd state.Command) (*state.State, state.Result) {
+	next := *s
+	next.Index++
+	switch cmd.Kind {
+	case state.KindRegisterEndpoint:
+		var body state.RegisterEndpoint
+		if cbor.Unmarshal(cmd.Body, &body) != nil {
+			return s, state.Result{Code: state.CodeInvalid}
+		}
+		e := body.Endpoint
+		next.Endpoints = next.Endpoints.Put(e.ID, &e)
+		if next.Assignment(state.AssignEndpoint, e.ID) == nil {
+			assign(&next, e.ID, *c.owner.Load())
+		}
+	case state.KindRemoveEndpoint:
+		var body state.RemoveEndpoint
+		if cbor.Unmarshal(cmd.Body, &body) != nil {
+			return s, state.Result{Code: state.CodeInvalid}
+		}
+		next.Endpoints = next.Endpoints.Delete(body.ID)
+		next.Assignments = next.Assignments.Delete(state.AssignmentKey(state.AssignEndpoint, body.ID))
+	}
+	return &next, state.Result{Code: state.CodeOK, Index: next.Index}
+}
+
+func assign(s *state.State, id, owner string) {
+	a := &state.Assignment{Kind: state.AssignEndpoint, ID: id, Owner: owner, Fence: s.Index}
+	s.Assignments = s.Assignments.Put(state.AssignmentKey(state.AssignEndpoint, id), a)
+}
+
+// own makes an instance the owner of endpoints that register from now on.
+func (c *cluster) own(owner string) { c.owner.Store(&owner) }
+
+func (c *cluster) start(id string) *instance {
+	in := &instance{id: id, log: &instanceLog{Log: c.log}, done: make(chan struct{})}
+	mux := transport.NewMux()
+	peers := c.net.Join(id, mux)
+	in.registry = registry.New(registry.Options{Self: id, Zone: "zone-" + id, Log: in.log, Peers: peers, Mux: mux})
+	in.dispatch = dispatch.New(dispatch.Options{
+		Registry: in.registry, Log: in.log,
+		ForwardAddress: c.forwardAddress,
+	})
+	entry := http.NewServeMux()
+	entry.Handle("POST /v1/announce", in.registry.AnnounceHandler())
+	entry.Handle("/", in.dispatch.EntryHandler())
+	in.entry = httptest.NewServer(entry)
+	in.forward = httptest.NewServer(in.dispatch.ForwardHandler())
+	var ctx context.Context
+	ctx, in.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(in.done)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			_ = in.registry.Run(ctx)
+		}()
+		_ = in.dispatch.Run(ctx)
+		<-stopped
+	}()
+	return in
+}
+
+func (c *cluster) forwardAddress(id string) string {
+	for _, in := range c.instances {
+		if in.id == id {
+			return strings.TrimPrefix(in.forward.URL, "http://")
+		}
+	}
+	return ""
+}
+
+func (c *cluster) close() {
+	for _, e := range c.endpoints {
+		e.Die()
+	}
+	for _, in := range c.instances {
+		in.entry.CloseClientConnections()
+		in.entry.Close()
+		in.cancel()
+		<-in.done
+		in.forward.CloseClientConnections()
+		in.forward.Close()
+	}
+	http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+}
+
+// addEndpoint starts an endpoint owned by an instance and waits until it
+// takes requests.
+func (c *cluster) addEndpoint(owner int, opts endpoint.Options) *endpoint.Endpoint {
+	c.own(c.instances[owner].id)
+	if opts.ID == "" {
+		opts.ID = fmt.Sprintf("endpoint-%d", len(c.endpoints))
+	}
+	if opts.Zone == "" {
+		opts.Zone = "zone-" + c.instances[owner].id
+	}
+	opts.Service = service
+	if opts.Entries == nil {
+		for _, in := range c.instances {
+			opts.Entries = append(opts.Entries, strings.TrimPrefix(in.entry.URL, "http://"))
+		}
+	}
+	if opts.AnnounceInterval == 0 {
+		opts.AnnounceInterval = 50 * time.Millisecond
+	}
+	e, err := endpoint.Start(opts)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.endpoints = append(c.endpoints, e)
+	c.g.Eventually(func() bool { return c.ready(owner, opts.ID) }).Should(BeTrue(), "endpoint takes requests")
+	return e
+}
+
+func (c *cluster) ready(owner int, id string) bool {
+	e := c.ownedEndpoint(owner, id)
+	return e != nil && e.Ready()
+}
+
+func (c *cluster) ownedEndpoint(owner int, id string) *registry.Endpoint {
+	pool := c.instances[owner].registry.Pool(service)
+	if pool == nil {
+		return nil
+	}
+	for _, e := range pool.Endpoints {
+		if e.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// call is one request of a caller.
+type call struct {
+	method  string
+	body    string
+	id      string
+	headers map[string]string
+	timeout time.Duration
+}
+
+// result is what a caller got.
+type result struct {
+	status  int
+	body    string
+	outcome string
+	header  http.Header
+	err     error // the connection broke before the answer was complete
+}
+
+func (c *cluster) do(instance int, q call) result {
+	return doURL(c.instances[instance].entry.URL+"/receipts/1", q)
+}
+
+func doURL(url string, q call) result {
+	if q.method == "" {
+		q.method = http.MethodGet
+	}
+	var body io.Reader
+	if q.body != "" {
+		body = strings.NewReader(q.body)
+	}
+	req, err := http.NewRequest(q.method, url, body)
+	if err != nil {
+		return result{err: err}
+	}
+	if q.id != "" {
+		req.Header.Set(dispatch.HeaderRequestID, q.id)
+	}
+	if q.timeout > 0 {
+		req.Header.Set(dispatch.HeaderTimeout, fmt.Sprint(q.timeout.Milliseconds()))
+	}
+	for k, v := range q.headers {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return result{resp.StatusCode, string(data), resp.Header.Get(dispatch.HeaderOutcome), resp.Header, err}
+}
+
+// later runs a request in the background.
+func (c *cluster) later(instance int, q call) <-chan result {
+	ch := make(chan result, 1)
+	go func() { ch <- c.do(instance, q) }()
+	return ch
+}
+
--- /dev/null
+++ b/dispatch/health.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// ejectAfter is the number of failures in a row that eject an endpoint.
+	ejectAfter = 5
+	// ejectFor is the length of the first ejection. Each further one in a row
+	// is longer by the same amount, up to ejectForMax.
+	ejectFor    = 5 * time.Second
+	ejectForMax = 60 * time.Second
+)
+
+// health counts the failures of an endpoint and ejects it for a while.
+type health struct {
+	mu        sync.Mutex
+	failures  int // in a row
+	ejections int // in a row
+
+	until atomic.Int64 // end of the ejection, Unix nanoseconds
+}
+
+// succeeded ends a row of failures.
+func (h *health) succeeded() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failures, h.ejections = 0, 0
+}
+
+// failed counts a failure and reports whether the endpoint should be ejected.
+func (h *health) failed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failures++
+	return h.failures >= ejectAfter
+}
+
+// eject ejects the endpoint. After it, one more failure ejects it again.
+func (h *health) eject(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ejections++
+	length := min(time.Duration(h.ejections)*ejectFor, ejectForMax)
+	h.until.Store(now.Add(length).UnixNano())
+	h.failures = ejectAfter - 1
+	return length
+}
+
+// ejected reports whether the endpoint is ejected now.
+func (h *health) ejected(now time.Time) bool {
+	return now.UnixNano() < h.until.Load()
+}
--- /dev/null
+++ b/dispatch/problem.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Outcome says whether the work of a refused request may have run.
+type Outcome string
+
+// Outcomes. OutcomeNotRun is certain: no byte of the request can have reached
+// an endpoint, or the endpoint itself said so.
+const (
+	OutcomeNotRun  Outcome = "not-run"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Problem is a refusal, as application/problem+json.
+type Problem struct {
+	Type      string  `json:"type"`
+	Title     string  `json:"title"`
+	Status    int     `json:"status"`
+	Detail    string  `json:"detail,omitempty"`
+	Outcome   Outcome `json:"outcome"`
+	RequestID string  `json:"request_id,omitempty"`
+
+	// retryAfter is sent where a resend helps.
+	retryAfter time.Duration
+	// cause is logged and not sent.
+	cause error
+	// peer is true if a peer refused the request for want of a slot.
+	peer bool
+}
+
+const (
+	problemType = "urn:apricotrouter:problem:"
+	resendAfter = time.Second
+)
+
+// Error implements error.
+func (p *Problem) Error() string {
+	s := p.Title + " (" + string(p.Outcome) + ")"
+	if p.cause != nil {
+		s += ": " + p.cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (p *Problem) Unwrap() error { return p.cause }
+
+// notRun returns a refusal of a request that certainly did not run.
+func notRun(status int, kind, title string) *Problem {
+	p := &Problem{Type: problemType + kind, Title: title, Status: status, Outcome: OutcomeNotRun}
+	if status == http.StatusServiceUnavailable {
+		p.retryAfter = resendAfter
+	}
+	return p
+}
+
+// unknown returns a refusal of a request that may have run.
+func unknown(status int, kind, title string, cause error) *Problem {
+	return &Problem{Type: problemType + kind, Title: title, Status: status, Outcome: OutcomeUnknown, cause: cause}
+}
+
+func (p *Problem) because(err error) *Problem {
+	p.cause = err
+	return p
+}
+
+// write sends the refusal to the caller.
+func (p *Problem) write(w http.ResponseWriter, requestID string) {
+	out := *p
+	out.RequestID = requestID
+	if p.cause != nil && out.Detail == "" {
+		out.Detail = p.cause.Error()
+	}
+	body, err := json.Marshal(&out)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(HeaderOutcome, string(p.Outcome))
+	if requestID != "" {
+		h.Set(HeaderRequestID, requestID)
+	}
+	if p.retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((p.retryAfter+time.Second-1)/time.Second)))
+	}
+	w.WriteHeader(p.Status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/dispatch/request.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	// replayBytes is the length up to which a body is kept so that it can be
+	// sent again.
+	replayBytes    = 64 << 10
+	maxIDBytes     = 128
+	minTimeout     = time.Millisecond
+	bodyLate       = "request body did not arrive by the deadline"
+)
+
+// request is one request of a caller or peer.
+type request struct {
+	id         string
+	callerID   bool // id was named by the caller
+	caller     string
+	service    *service
+	idempotent bool
+	forwarded  bool // came from a peer; it takes no further hop
+	deadline   time.Time
+	started    time.Time
+
+	method, uri, host string
+	header            http.Header
+	except            map[string]bool
+	body              payload
+	bodySent          bool // a body that can't be replayed was sent
+}
+
+// canSendAgain reports whether the body is still at hand.
+func (rq *request) canSendAgain() bool { return rq.body.replayable() || !rq.bodySent }
+
+func (rq *request) remaining() time.Duration { return time.Until(rq.deadline) }
+
+// outgoing returns the request as sent to an endpoint.
+func (rq *request) outgoing(attempt string) *outgoing {
+	return &outgoing{
+		method: rq.method, uri: rq.uri, host: rq.host,
+		header: rq.header, except: rq.except, body: &rq.body,
+		extra: []field{
+			{HeaderRequestID, rq.id},
+			{HeaderAttemptID, attempt},
+			{HeaderTimeout, strconv.FormatInt(max(1, rq.remaining().Milliseconds()), 10)},
+		},
+	}
+}
+
+// parse checks the header of a caller's request.
+func (d *Dispatcher) parse(r *http.Request) (*request, *Problem) {
+	rq := &request{
+		started: time.Now(),
+		method:  r.Method, uri: requestURI(r), host: r.Host,
+		header: r.Header, except: exceptions(r.Header),
+	}
+	var p *Problem
+	if rq.id, p = single(r.Header, HeaderRequestID); p != nil {
+		return rq, p
+	}
+	if rq.id != "" && !validID(rq.id) {
+		rq.id = ""
+		return rq, notRun(http.StatusBadRequest, "bad-request-id", "X-Request-Id must have 1 to 128 visible ASCII characters")
+	}
+	rq.callerID = rq.id != ""
+	if !rq.callerID {
+		rq.id = d.nextAttemptID()
+	}
+	if p = d.parseTimeout(rq, r.Header); p != nil {
+		return rq, p
+	}
+	if p = parseIdempotent(rq, r.Header); p != nil {
+		return rq, p
+	}
+	rq.caller = callerOf(r)
+	return rq, d.checkForm(r)
+}
+
+func (d *Dispatcher) checkForm(r *http.Request) *Problem {
+	switch {
+	case r.Method == http.MethodConnect:
+		return notRun(http.StatusMethodNotAllowed, "method-not-allowed", "CONNECT is not forwarded")
+	case r.Header.Get("Upgrade") != "":
+		return notRun(http.StatusNotImplemented, "upgrade-not-supported", "protocol upgrades are not forwarded")
+	case r.ContentLength > d.opts.MaxBodyBytes:
+		return d.bodyTooLarge(OutcomeNotRun)
+	}
+	return nil
+}
+
+func (d *Dispatcher) bodyTooLarge(outcome Outcome) *Problem {
+	p := notRun(http.StatusRequestEntityTooLarge, "body-too-large",
+		"request body is longer than "+strconv.FormatInt(d.opts.MaxBodyBytes, 10)+" bytes")
+	p.Outcome = outcome
+	return p
+}
+
+// requestURI returns the path and query as the caller sent them.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// single returns the value of a field that may come at most once.
+func single(h http.Header, name string) (string, *Problem) {
+	switch v := h[name]; len(v) {
+	case 0:
+		return "", nil
+	case 1:
+		return v[0], nil
+	default:
+		return "", notRun(http.StatusBadRequest, "repeated-header", name+" must come at most once")
+	}
+}
+
+func validID(id string) bool {
+	if len(id) > maxIDBytes {
+		return false
+	}
+	for i := range len(id) {
+		if id[i] <= ' ' || id[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Dispatcher) parseTimeout(rq *request, h http.Header) *Problem {
+	rq.deadline = rq.started.Add(d.opts.Timeout)
+	v, p := single(h, HeaderTimeout)
+	if p != nil || v == "" {
+		return p
+	}
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || ms < 1 {
+		return notRun(http.StatusBadRequest, "bad-timeout", "X-Request-Timeout-Ms must be a whole number of at least 1")
+	}
+	ms = min(ms, d.opts.MaxTimeout.Milliseconds())
+	rq.deadline = rq.started.Add(time.Duration(ms) * time.Millisecond)
+	return nil
+}
+
+func parseIdempotent(rq *request, h http.Header) *Problem {
+	v, p := single(h, HeaderIdempotent)
+	if p != nil {
+		return p
+	}
+	switch v {
+	case "":
+		rq.idempotent = rq.method == http.MethodGet || rq.method == http.MethodHead || rq.method == http.MethodOptions
+	case "true":
+		rq.idempotent = true
+	case "false":
+	default:
+		return notRun(http.StatusBadRequest, "bad-idempotent", "X-Idempotent must be true or false")
+	}
+	return nil
+}
+
+// callerOf tells callers apart for fairness: by their own name, by the
+// address that the load balancer saw, or by the address of the connection.
+func callerOf(r *http.Request) string {
+	if v := r.Header.Get(HeaderCaller); v != "" {
+		return v
+	}
+	if v := r.Header.Get("X-Forwarded-For"); v != "" {
+		return strings.TrimSpace(v[strings.LastIndexByte(v, ',')+1:])
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// readBody reads the beginning of the body, and all of it if it is short. A
+// slow caller thus holds no slot while its body arrives.
+func (d *Dispatcher) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, rq *request) *Problem {
+	rq.body.length = r.ContentLength
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		rq.body.length = 0
+		return nil
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(rq.deadline)
+	body := http.MaxBytesReader(w, r.Body, d.opts.MaxBodyBytes)
+	size := int64(replayBytes)
+	if r.ContentLength > 0 {
+		size = min(size, r.ContentLength)
+	}
+	rq.body.head = make([]byte, size)
+	n, err := io.ReadFull(body, rq.body.head)
+	rq.body.head = rq.body.head[:n]
+	defer func() {
+		if rq.body.rest == nil {
+			_ = control.SetReadDeadline(time.Time{})
+		}
+	}()
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && r.ContentLength < 0:
+		rq.body.length = int64(n)
+	case err != nil:
+		return d.bodyProblem(ctx, err)
+	case r.ContentLength < 0 || r.ContentLength > int64(n):
+		rq.body.rest = body
+	}
+	return nil
+}
+
+func (d *Dispatcher) bodyProblem(_ context.Context, err error) *Problem {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return d.bodyTooLarge(OutcomeNotRun)
+	case timedOut(err):
+		return notRun(http.StatusRequestTimeout, "body-late", bodyLate)
+	default:
+		return notRun(http.StatusBadRequest, "body-incomplete", "request body ended early").because(err)
+	}
+}
--- /dev/null
+++ b/standin/endpoint/serve.go
@@ -0,0 +1,134 @@
+package endpoint
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"apricotrouter/dispatch"
+)
+
+// statusCancelled is what a request answers whose caller gave up.
+const statusCancelled = 499
+
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
+	var b Behavior
+	if f := e.behavior.Load(); f != nil {
+		b = (*f)(r)
+	}
+	if b.Refuse {
+		e.mu.Lock()
+		e.refused++
+		e.mu.Unlock()
+		w.Header().Set(dispatch.HeaderOutcome, string(dispatch.OutcomeNotRun))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	rec := e.begin(r, body)
+	cancelled := !e.work(r, b)
+	e.end(rec, cancelled)
+	switch {
+	case b.Silent:
+		e.waitForEnd(r)
+		panic(http.ErrAbortHandler)
+	case cancelled:
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(statusCancelled)
+	default:
+		e.answer(w, rec, b)
+	}
+}
+
+func (e *Endpoint) begin(r *http.Request, body []byte) *Record {
+	rec := &Record{
+		RequestID: r.Header.Get(dispatch.HeaderRequestID),
+		AttemptID: r.Header.Get(dispatch.HeaderAttemptID),
+		Method:    r.Method,
+		URI:       r.RequestURI,
+		Body:      body,
+		Started:   time.Now(),
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.records = append(e.records, rec)
+	e.running[rec] = struct{}{}
+	e.highest = max(e.highest, len(e.running))
+	return rec
+}
+
+func (e *Endpoint) end(rec *Record, cancelled bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	rec.Ended = time.Now()
+	rec.Cancelled = cancelled
+	delete(e.running, rec)
+}
+
+// work takes the service time and reports false if the caller gave up.
+func (e *Endpoint) work(r *http.Request, b Behavior) bool {
+	d := time.Duration(e.service.Load()) + b.Delay
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	case <-e.stopped.Done():
+		return false
+	}
+}
+
+// waitForEnd waits until the caller gives up or the endpoint dies.
+func (e *Endpoint) waitForEnd(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-e.stopped.Done():
+	}
+}
+
+func (e *Endpoint) answer(w http.ResponseWriter, rec *Record, b Behavior) {
+	body := b.Answer
+	if body == nil {
+		body = append([]byte(rec.RequestID+"\n"), rec.Body...)
+	}
+	attempt := rec.AttemptID
+	if b.WrongAttempt {
+		attempt = "another-" + attempt
+	}
+	w.Header().Set(dispatch.HeaderAttemptID, attempt)
+	w.Header().Set("X-Endpoint", e.opts.ID)
+	if !b.Chunked {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	status := b.Status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	w.WriteHeader(status)
+	if b.CutAnswer {
+		body = body[:min(b.Truncate, len(body))]
+	}
+	_, _ = w.Write(body)
+	if b.Chunked || b.CutAnswer {
+		_ = http.NewResponseController(w).Flush()
+	}
+	if b.CutAnswer {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// String describes the endpoint in failures of tests.
+func (e *Endpoint) String() string {
+	return fmt.Sprintf("endpoint %s at %s", e.opts.ID, e.Address())
+}
