state: order pending tasks by rank, team and submission

A plan must not cost more when the queue is longer. The index of pending tasks now sorts by rank, team, time of submission and job, with a cursor that skips the rest of a job. A restarted instance loses its ledger copies, which it kept in memory only: the backup becomes primary, or the bucket is marked lost.

--- a/state/apply_member.go
+++ b/state/apply_member.go
@@ -199,12 +199,20 @@
 		in.Leaving, in.RegisteredAt = old.Leaving, old.RegisteredAt
 	default:
 		in.Leaving, in.RegisteredAt = false, tx.now
-		tx.renewFences(in.ID)
+		if ok {
+			tx.restarted(in.ID)
+		}
 	}
 	tx.Instances = tx.Instances.Put(in.ID, &in)
 	return Result{Code: CodeOK, Object: object}
 }
 
+// restarted follows the start of a new process of a known instance.
+func (tx *txn) restarted(instance string) {
+	tx.renewFences(instance)
+	tx.dropLedgerCopies(instance)
+}
+
 // renewFences gives the assignments of a restarted instance a new fence, so
 // that messages of the earlier process are refused.
 func (tx *txn) renewFences(instance string) {
@@ -216,6 +224,26 @@
 	}
 }
 
+// dropLedgerCopies takes the buckets from a restarted instance, which kept
+// them in memory only: the backup becomes the primary, or the bucket is lost.
+func (tx *txn) dropLedgerCopies(instance string) {
+	for k, old := range tx.Buckets.All() {
+		b := *old
+		switch {
+		case b.Backup == instance:
+			b.Backup = ""
+		case b.Primary == instance && b.Backup != "":
+			b.Primary, b.Backup = b.Backup, ""
+		case b.Primary == instance:
+			b.LostAt = tx.now
+		default:
+			continue
+		}
+		b.Epoch = tx.index
+		tx.Buckets = tx.Buckets.Put(k, &b)
+	}
+}
+
 func (tx *txn) handOver(b *HandOver) Result {
 	object := "instance/" + b.Instance
 	old, ok := tx.Instances.Get(b.Instance)
--- a/state/apply_operator.go
+++ b/state/apply_operator.go
@@ -27,7 +27,7 @@
 	if r, ok := tx.checkVersion(object, b.ExpectedVersion, z.Version); !ok {
 		return r
 	}
-	if z.Out != b.Out || z.Version == 0 {
+	if z.Out != b.Out {
 		z.ChangedAt = tx.now
 	}
 	z.Out = b.Out
@@ -39,7 +39,7 @@
 // addZone makes the zone of a worker known.
 func (tx *txn) addZone(name string) {
 	if _, ok := tx.Zones.Get(name); !ok {
-		tx.Zones = tx.Zones.Put(name, &ZoneRecord{Name: name, Version: tx.index, ChangedAt: tx.now})
+		tx.Zones = tx.Zones.Put(name, &ZoneRecord{Name: name, Version: tx.index})
 	}
 }
 
@@ -147,6 +147,7 @@
 			Resources:       spec.Resources,
 			Phase:           PhasePending,
 			QueuedAt:        tx.now,
+			SubmittedAt:     tx.now,
 			ExpectedSeconds: spec.ExpectedSeconds,
 		})
 	}
--- a/state/apply_task.go
+++ b/state/apply_task.go
@@ -21,10 +21,10 @@
 		tx.tasksByOwner.put(key(string(t.Kind), t.Owner, t.ID), struct{}{})
 	}
 	if old != nil && old.Phase == PhasePending && t.Phase != PhasePending {
-		tx.pending.delete(t.ID)
+		tx.pending.delete(queueKey(old))
 	}
 	if t.Phase == PhasePending && (old == nil || old.Phase != PhasePending) {
-		tx.pending.put(t.ID, struct{}{})
+		tx.pending.put(queueKey(t), struct{}{})
 	}
 	if old != nil && old.Holds() && !t.Holds() {
 		tx.tasksByWorker.delete(key(old.Worker, old.ID))
@@ -186,7 +186,7 @@
 		return
 	}
 	t := *old
-	t.Phase, t.Reason, t.Throttle = phase, reason, 0
+	t.Phase, t.Reason, t.Throttle, t.EndedAt = phase, reason, 0, tx.now
 	tx.putTask(old, &t)
 	tx.countEnd(t.Owner, phase)
 }
@@ -323,6 +323,8 @@
 		Phase:     PhasePending,
 		QueuedAt:  tx.now,
 		Replaces:  replaces,
+
+		SubmittedAt: tx.now,
 	})
 }
 
--- a/state/query.go
+++ b/state/query.go
@@ -39,7 +39,8 @@
 	return s.tasksIn(s.tasksByOwner, key(string(kind), owner, ""))
 }
 
-// PendingTasks yields the tasks that wait for a worker, in the order of ids.
+// PendingTasks yields the tasks that wait for a worker, by rank, team and time
+// of submission.
 func (s *State) PendingTasks() iter.Seq[*Task] {
 	return s.tasksIn(s.pending, "")
 }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -111,7 +111,7 @@
 	for _, t := range s.Tasks.All() {
 		tx.tasksByOwner.put(key(string(t.Kind), t.Owner, t.ID), struct{}{})
 		if t.Phase == PhasePending {
-			tx.pending.put(t.ID, struct{}{})
+			tx.pending.put(queueKey(t), struct{}{})
 		}
 		if !t.Holds() {
 			continue
--- a/state/state.go
+++ b/state/state.go
@@ -28,7 +28,7 @@
 	// decoded. The parts of a key are separated by keySeparator.
 	tasksByWorker Table[struct{}]  // WORKER, TASK of tasks that hold a reservation
 	tasksByOwner  Table[struct{}]  // KIND, OWNER, TASK of all tasks
-	pending       Table[struct{}]  // TASK of pending tasks
+	pending       Table[struct{}]  // queueKey of pending tasks
 	byOwner       Table[struct{}]  // INSTANCE, KIND/ID of assignments
 	requestAges   Table[string]    // age order of Requests
 	endedJobs     Table[string]    // age order of jobs whose tasks have all ended
--- a/state/table.go
+++ b/state/table.go
@@ -69,6 +69,17 @@
 	}
 }
 
+// lowerBound returns the first id that is not before from.
+func (t Table[T]) lowerBound(from string) (string, bool) {
+	if t.tree == nil {
+		return "", false
+	}
+	it := t.tree.Root().Iterator()
+	it.SeekLowerBound([]byte(from))
+	k, _, ok := it.Next()
+	return string(k), ok
+}
+
 // edit collects changes to one table, so that a command with many changes
 // copies each inner node of the tree once.
 type edit[T any] struct {
--- a/state/types.go
+++ b/state/types.go
@@ -5,7 +5,7 @@
 	Name    string `cbor:"1,keyasint"`
 	Out     bool   `cbor:"2,keyasint,omitempty"`
 	Version uint64 `cbor:"3,keyasint"`
-	// ChangedAt is when Out last changed, in Unix milliseconds.
+	// ChangedAt is when Out last changed, in Unix milliseconds; 0 if never.
 	ChangedAt int64 `cbor:"4,keyasint,omitempty"`
 }
 
@@ -134,13 +134,18 @@
 	StopReason  StopReason `cbor:"13,keyasint,omitempty"`
 	Reason      string     `cbor:"14,keyasint,omitempty"` // why the task is in its phase
 	Failures    []Failure  `cbor:"15,keyasint,omitempty"`
-	QueuedAt    int64      `cbor:"16,keyasint"`           // Unix milliseconds
+	QueuedAt    int64      `cbor:"16,keyasint"`           // when it last became pending, Unix milliseconds
 	StartedAt   int64      `cbor:"17,keyasint,omitempty"` // Unix milliseconds
 	Evictions   int64      `cbor:"18,keyasint,omitempty"`
 	// ExpectedSeconds is the declared run time; 0 if unknown.
 	ExpectedSeconds int64 `cbor:"19,keyasint,omitempty"`
 	// Replaces is the task that is stopped once this one runs.
 	Replaces string `cbor:"20,keyasint,omitempty"`
+	// SubmittedAt is when the task was created, in Unix milliseconds. Unlike
+	// QueuedAt it stays the same when the task is requeued.
+	SubmittedAt int64 `cbor:"21,keyasint,omitempty"`
+	// EndedAt is when the task reached a final phase, in Unix milliseconds.
+	EndedAt int64 `cbor:"22,keyasint,omitempty"`
 }
 
 // Holds reports whether the task holds a reservation on its worker.
