placement: plan replicas, zone drains, quarantine and the queue

The leader needs a pure function from state to commands. ObservationsNotice is the message of session holders to the leader.

--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,114 @@
+package placement
+
+import (
+	"slices"
+
+	"apricotrouter/state"
+)
+
+// spread counts the replicas of one service, so that they can be spread.
+type spread struct {
+	zones   map[int]int
+	racks   map[string]int
+	workers map[int]int
+}
+
+// Weights of the score of a worker. A lower score is better.
+const (
+	scoreSameWorker = 1000
+	scoreSameZone   = 100
+	scoreSameRack   = 10
+	// scoreAccelerators keeps workers with free accelerators for tasks that
+	// need them.
+	scoreAccelerators = 5
+	// scoreProbe makes a quarantined worker take the next task, which shows
+	// whether it works again.
+	scoreProbe = -10_000
+)
+
+// choose returns the index of the best worker for the task, or -1.
+func (p *plan) choose(t *state.Task, size state.Resources) int {
+	best, bestScore, anyRoom := -1, 0.0, false
+	for i := range p.view.workers {
+		w := &p.view.workers[i]
+		if !w.usable || !size.Fits(w.free) {
+			continue
+		}
+		anyRoom = true
+		if !p.allows(t, i, size) {
+			continue
+		}
+		if score := p.score(t, i, size); best < 0 || score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if !anyRoom {
+		p.noRoom = append(p.noRoom, size)
+	}
+	return best
+}
+
+// allows reports whether the worker may take the task as far as it goes
+// beyond room.
+func (p *plan) allows(t *state.Task, i int, size state.Resources) bool {
+	w := &p.view.workers[i]
+	switch {
+	case p.view.zones[w.zone].allowance == 0:
+		return false
+	case w.single && (t.Rank() < state.RankNormal || len(t.Failures) > 0):
+		return false
+	case failedOn(t, w.worker.ID) && len(t.Failures) < len(p.view.workers):
+		return false
+	case w.reserved != nil && !w.reserved.admits(p, t, size):
+		return false
+	}
+	return true
+}
+
+func failedOn(t *state.Task, worker string) bool {
+	return slices.ContainsFunc(t.Failures, func(f state.Failure) bool { return f.Worker == worker })
+}
+
+func (p *plan) score(t *state.Task, i int, size state.Resources) float64 {
+	w := &p.view.workers[i]
+	left := fraction(w.free.Sub(size), w.worker.Capacity)
+	if t.Kind == state.KindLatencyCritical {
+		return p.spreadScore(t.Owner, i) - left
+	}
+	score := left
+	if size.Accelerators == 0 && w.free.Accelerators > 0 {
+		score += scoreAccelerators
+	}
+	if w.single {
+		score += scoreProbe
+	}
+	return score
+}
+
+func (p *plan) spreadScore(service string, i int) float64 {
+	s := p.spreads[service]
+	if s == nil {
+		return 0
+	}
+	w := &p.view.workers[i]
+	return float64(scoreSameWorker*s.workers[i] + scoreSameZone*s.zones[w.zone] + scoreSameRack*s.racks[w.worker.Rack])
+}
+
+// noteReplica counts a replica on a worker.
+func (p *plan) noteReplica(service string, i int) {
+	s := p.spreads[service]
+	if s == nil {
+		s = &spread{zones: map[int]int{}, racks: map[string]int{}, workers: map[int]int{}}
+		p.spreads[service] = s
+	}
+	w := &p.view.workers[i]
+	s.workers[i]++
+	s.zones[w.zone]++
+	s.racks[w.worker.Rack]++
+}
+
+func (p *plan) notePlaced(t *state.Task, i int) {
+	if t.Kind == state.KindLatencyCritical {
+		p.noteReplica(t.Owner, i)
+	}
+}
--- /dev/null
+++ b/placement/observations.go
@@ -0,0 +1,55 @@
+package placement
+
+import "apricotrouter/state"
+
+// ObservationsNotice is the notice of kind transport.KindObservations, which
+// the holder of worker sessions sends to the leader every 2 s. A worker whose
+// samples did not change may be left out.
+type ObservationsNotice struct {
+	Workers []WorkerSample `cbor:"1,keyasint"`
+}
+
+// WorkerSample is one measurement of all tasks on a worker.
+type WorkerSample struct {
+	Worker string `cbor:"1,keyasint"`
+	// Fence is that of the sender's assignment of the worker.
+	Fence uint64 `cbor:"2,keyasint"`
+	// SampledAt is when the worker measured, in Unix milliseconds of the
+	// sender's clock; the measurement may have been on its way for long.
+	SampledAt int64 `cbor:"3,keyasint"`
+	// Tasks are all tasks that ran on the worker at SampledAt.
+	Tasks []TaskSample `cbor:"4,keyasint"`
+}
+
+// TaskSample is one measurement of one task.
+type TaskSample struct {
+	Task        string          `cbor:"1,keyasint"`
+	Incarnation uint64          `cbor:"2,keyasint"`
+	Used        state.Resources `cbor:"3,keyasint"`
+	// LatencyRatio is the latency of a replica against its latency alone; 0 if
+	// not measured.
+	LatencyRatio float64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Observations are what the leader knows beyond the state. Plan only reads
+// them. The zero value knows nothing.
+type Observations struct {
+	// Since is when the leader was elected, in Unix milliseconds.
+	Since int64
+	// Workers holds the last sample of each worker.
+	Workers map[string]*WorkerSample
+}
+
+// InterferencePolicy selects the response to interference.
+type InterferencePolicy string
+
+// Responses to interference. The last two are baselines for comparison.
+const (
+	// InterferenceStepwise avoids the pair, then throttles, then evicts.
+	InterferenceStepwise InterferencePolicy = "stepwise"
+	// InterferenceIgnore does nothing.
+	InterferenceIgnore InterferencePolicy = "ignore"
+	// InterferenceEvictAtOnce evicts every batch task of a worker on the first
+	// sample above the limit.
+	InterferenceEvictAtOnce InterferencePolicy = "evict-at-once"
+)
--- a/state/apply_operator.go
+++ b/state/apply_operator.go
@@ -184,20 +184,12 @@
 	if !ok {
 		return CodeNotFound, fmt.Sprintf("team %q does not exist", spec.Team)
 	}
-	if !withinQuota(spec.Resources, team.Quota) {
+	if !spec.Resources.Within(team.Quota) {
 		return CodeInvalid, fmt.Sprintf("one task is larger than the quota of team %q", spec.Team)
 	}
 	return CodeOK, ""
 }
 
-// withinQuota reports whether used is at most quota in each dimension in which
-// the quota sets a limit.
-func withinQuota(used, quota Resources) bool {
-	return (quota.MilliCPU == 0 || used.MilliCPU <= quota.MilliCPU) &&
-		(quota.MemoryMiB == 0 || used.MemoryMiB <= quota.MemoryMiB) &&
-		(quota.Accelerators == 0 || used.Accelerators <= quota.Accelerators)
-}
-
 // tooLarge says that no known worker can hold a task of the size, naming the
 // largest worker; "" if one can or none is known.
 func (tx *txn) tooLarge(size Resources) string {
--- a/state/apply_task.go
+++ b/state/apply_task.go
@@ -97,7 +97,7 @@
 	}
 	if team, ok := tx.Teams.Get(old.Team); ok && old.Kind == KindBatch {
 		used, _ := tx.teamUsed.get(old.Team)
-		if !withinQuota(used.Add(old.Resources), team.Quota) {
+		if !used.Add(old.Resources).Within(team.Quota) {
 			return fmt.Sprintf("quota of team %s is used up", old.Team)
 		}
 	}
--- a/state/resources.go
+++ b/state/resources.go
@@ -35,6 +35,14 @@
 	return r == Resources{}
 }
 
+// Within reports whether r is at most quota in each dimension in which the
+// quota sets a limit. 0 is no limit.
+func (r Resources) Within(quota Resources) bool {
+	return (quota.MilliCPU == 0 || r.MilliCPU <= quota.MilliCPU) &&
+		(quota.MemoryMiB == 0 || r.MemoryMiB <= quota.MemoryMiB) &&
+		(quota.Accelerators == 0 || r.Accelerators <= quota.Accelerators)
+}
+
 // String returns the amounts with their units.
 func (r Resources) String() string {
 	return fmt.Sprintf("%d mCPU, %d MiB, %d accelerators", r.MilliCPU, r.MemoryMiB, r.Accelerators)
