--- a/state/apply_operator.go
+++ b/state/apply_operator.go
@@ -27,7 +27,7 @@
 	if r, ok := tx.checkVersion(object, b.ExpectedVersion, z.Version); !ok {
 		return r
 	}
-	if z.Out != b.Out || z.Version == 0 {
+	if z.Out != b.Out {
 		z.ChangedAt = tx.now
 	}
 	z.Out = b.Out
@@ -39,7 +39,7 @@
 // addZone makes the zone of a worker known.
 func (tx *txn) addZone(name string) {
 	if _, ok := tx.Zones.Get(name); !ok {
-		tx.Zones = tx.Zones.Put(name, &ZoneRecord{Name: name, Version: tx.index, ChangedAt: tx.now})
+		tx.Zones = tx.Zones.Put(name, &ZoneRecord{Name: name, Version: tx.index})
 	}
 }
 
@@ -147,6 +147,7 @@
 			Resources:       spec.Resources,
 			Phase:           PhasePending,
 			QueuedAt:        tx.now,
+			SubmittedAt:     tx.now,
 			ExpectedSeconds: spec.ExpectedSeconds,
 		})
 	}
@@ -183,20 +184,12 @@
 	if !ok {
 		return CodeNotFound, fmt.Sprintf("team %q does not exist", spec.Team)
 	}
-	if !withinQuota(spec.Resources, team.Quota) {
+	if !spec.Resources.Within(team.Quota) {
 		return CodeInvalid, fmt.Sprintf("one task is larger than the quota of team %q", spec.Team)
 	}
 	return CodeOK, ""
 }
 
-// withinQuota reports whether used is at most quota in each dimension in which
-// the quota sets a limit.
-func withinQuota(used, quota Resources) bool {
-	return (quota.MilliCPU == 0 || used.MilliCPU <= quota.MilliCPU) &&
-		(quota.MemoryMiB == 0 || used.MemoryMiB <= quota.MemoryMiB) &&
-		(quota.Accelerators == 0 || used.Accelerators <= quota.Accelerators)
-}
-
 // tooLarge says that no known worker can hold a task of the size, naming the
 // largest worker; "" if one can or none is known.
 func (tx *txn) tooLarge(size Resources) string {
