--- a/event/operator.go
+++ b/event/operator.go
@@ -2,6 +2,8 @@
 
 import "log/slog"
 
+//go:generate go test -count=1 -run TestEventsPageMatchesCatalogue . -args -update
+
 // Events of the operator service: 600 to 699.
 var (
 	OperatorListening = define(601, "operator-listening", slog.LevelInfo,
