Remove queue_length from settings; refuse too large requests

Cause: nothing takes a queue length, since the request path bounds its queue by the slots of the service, so the setting had no effect. A request above the size limit of the log was reported as an unknown outcome and resent for ever. Status of an instance that does not lead lacked the learners. Change: remove the setting; limit default_timeout to the longest timeout of the request path; say that heartbeat and election timeout must be equal on all instances; refuse too large requests as invalid; fill status from the state. Observed: TestTooLargeRequestIsRefused and TestStatusListsInstancesThatOnlyTheStateKnows pass with the change; the old code has no such cases.

--- a/config/config.go
+++ b/config/config.go
@@ -53,8 +53,6 @@
 
 // Dispatch bounds the request path.
 type Dispatch struct {
-	// QueueLength is the number of requests that wait for a slot.
-	QueueLength int `yaml:"queue_length"`
 	// DefaultTimeout is the deadline of a request that names none.
 	DefaultTimeout time.Duration `yaml:"default_timeout"`
 	// MaxBodyBytes is the largest accepted request body.
@@ -66,7 +64,9 @@
 
 // Timing holds the intervals of the control group.
 type Timing struct {
-	// Heartbeat is the interval of the leader's heartbeats.
+	// Heartbeat is the interval of the leader's heartbeats. It and
+	// ElectionTimeout must be the same on all instances, because a leader
+	// counts on the election timeout of the others.
 	Heartbeat time.Duration `yaml:"heartbeat"`
 	// ElectionTimeout is the shortest election timeout; each one is chosen at
 	// random between this and twice this.
@@ -83,7 +83,6 @@
 
 // Defaults of settings that may be left out.
 const (
-	DefaultQueueLength     = 1024
 	DefaultTimeout         = 10 * time.Second
 	DefaultMaxBodyBytes    = 8 << 20
 	DefaultShutdownGrace   = 5 * time.Second
@@ -98,7 +97,6 @@
 func Default() *Config {
 	return &Config{
 		Dispatch: Dispatch{
-			QueueLength:    DefaultQueueLength,
 			DefaultTimeout: DefaultTimeout,
 			MaxBodyBytes:   DefaultMaxBodyBytes,
 			ShutdownGrace:  DefaultShutdownGrace,
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -31,7 +31,7 @@
 	g := NewWithT(t)
 	c, err := config.Parse("a.yaml", []byte(valid+"dispatch:\n  default_timeout: 3s\n"))
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(c.Dispatch).To(Equal(config.Dispatch{QueueLength: 1024, DefaultTimeout: 3 * time.Second, MaxBodyBytes: 8 << 20, ShutdownGrace: 5 * time.Second}))
+	g.Expect(c.Dispatch).To(Equal(config.Dispatch{DefaultTimeout: 3 * time.Second, MaxBodyBytes: 8 << 20, ShutdownGrace: 5 * time.Second}))
 	g.Expect(c.Timing).To(Equal(config.Default().Timing))
 	g.Expect(c.Log).To(Equal(config.Log{Format: "json", Level: "info"}))
 	g.Expect(c.Voters()).To(Equal([]string{"e1", "e2", "e3"}))
@@ -53,15 +53,15 @@
 		"duplicate key":         {valid + "log: {level: info, level: warn}\n", "a.yaml:14: malformed YAML"},
 		"empty":                 {"# nothing\n", "a.yaml:1: the file is empty; accepted: a mapping with instance, listen, peers"},
 		"two documents":         {valid + "---\nlog: {level: warn}\n", "a second document starts here; accepted: one document"},
-		"unknown key":           {valid + "dispatch:\n  queue_lenght: 5\n", "a.yaml:15: dispatch.queue_lenght: unknown key; accepted: queue_length, default_timeout, max_body_bytes, shutdown_grace"},
+		"unknown key":           {valid + "dispatch:\n  default_timout: 5s\n", "a.yaml:15: dispatch.default_timout: unknown key; accepted: default_timeout, max_body_bytes, shutdown_grace"},
 		"unknown key in list":   {replace("initial_voter: true}", "voter: true}"), "a.yaml:11: peers[0].voter: unknown key; accepted: id, availability_zone, address, initial_voter"},
 		"number for duration":   {valid + "dispatch:\n  default_timeout: 5\n", `a.yaml:15: dispatch.default_timeout: "5" is no duration; accepted: a number with a unit`},
 		"unknown unit":          {valid + "timing:\n  repair_after: 30sec\n", `a.yaml:15: timing.repair_after: "30sec" is no duration; accepted: a number with a unit`},
 		"unit on integer":       {valid + "dispatch:\n  max_body_bytes: 8MiB\n", `a.yaml:15: dispatch.max_body_bytes: "8MiB" has the wrong type; accepted: an integer without a unit`},
 		"number for bool":       {valid + "tls:\n  allow_plain_operator_port: 1\n", `tls.allow_plain_operator_port: "1" has the wrong type; accepted: true or false`},
 		"empty section":         {valid + "log:\n", "a.yaml:14: log: an empty value is no mapping; accepted: a mapping with format, level"},
-		"duration out of range": {valid + "dispatch:\n  default_timeout: 1h\n", "dispatch.default_timeout: 1h0m0s is out of range; accepted: 10ms to 10m0s"},
-		"queue of zero":         {valid + "dispatch:\n  queue_length: 0\n", "a.yaml:15: dispatch.queue_length: 0 is out of range; accepted: 1 to 1048576 requests"},
+		"duration out of range": {valid + "dispatch:\n  default_timeout: 1h\n", "dispatch.default_timeout: 1h0m0s is out of range; accepted: 10ms to 5m0s"},
+		"body of zero":          {valid + "dispatch:\n  max_body_bytes: 0\n", "a.yaml:15: dispatch.max_body_bytes: 0 is out of range; accepted: 1 to 1073741824 bytes"},
 		"short election":        {valid + "timing:\n  election_timeout: 200ms\n", "timing.election_timeout: 200ms is too short; accepted: at least 300ms, 3 times timing.heartbeat"},
 		"repair before an election": {
 			valid + "timing: {election_timeout: 20s}\n",
@@ -101,7 +101,7 @@
 // Reporting one fault at a time would need a start for each.
 func TestAllRefusedSettingsAreReported(t *testing.T) {
 	g := NewWithT(t)
-	_, err := config.Parse("a.yaml", []byte(valid+"dispatch: {queue_length: -1}\nlog: {format: xml}\n"))
+	_, err := config.Parse("a.yaml", []byte(valid+"dispatch: {max_body_bytes: -1}\nlog: {format: xml}\n"))
 	var all config.Errors
 	g.Expect(errors.As(err, &all)).To(BeTrue())
 	g.Expect(all).To(HaveLen(2))
--- a/config/validate.go
+++ b/config/validate.go
@@ -12,7 +12,6 @@
 // Accepted ranges. The heartbeat must be lost several times in a row before
 // an election starts, hence the factor.
 const (
-	maxQueueLength       = 1 << 20
 	maxBodyBytes         = 1 << 30
 	heartbeatsInTimeout  = 3
 	maxPeers             = 64
@@ -176,14 +175,11 @@
 
 func (p *reader) checkDispatch(c *Config) {
 	d := c.Dispatch
-	if d.QueueLength < 1 || d.QueueLength > maxQueueLength {
-		p.fail("dispatch.queue_length", fmt.Sprintf("1 to %d requests", maxQueueLength), "%d is out of range", d.QueueLength)
-	}
 	if d.MaxBodyBytes < 1 || d.MaxBodyBytes > maxBodyBytes {
 		p.fail("dispatch.max_body_bytes", fmt.Sprintf("1 to %d bytes", maxBodyBytes), "%d is out of range", d.MaxBodyBytes)
 	}
 	p.checkDurations(
-		durationRange{"dispatch.default_timeout", d.DefaultTimeout, 10 * time.Millisecond, 10 * time.Minute},
+		durationRange{"dispatch.default_timeout", d.DefaultTimeout, 10 * time.Millisecond, 5 * time.Minute},
 		durationRange{"dispatch.shutdown_grace", d.ShutdownGrace, 0, 10 * time.Minute},
 	)
 }
@@ -191,8 +187,8 @@
 func (p *reader) checkTiming(c *Config) {
 	t := c.Timing
 	p.checkDurations(
-		durationRange{"timing.heartbeat", t.Heartbeat, 10 * time.Millisecond, 10 * time.Second},
-		durationRange{"timing.election_timeout", t.ElectionTimeout, 50 * time.Millisecond, time.Minute},
+		durationRange{"timing.heartbeat", t.Heartbeat, 50 * time.Millisecond, 10 * time.Second},
+		durationRange{"timing.election_timeout", t.ElectionTimeout, 150 * time.Millisecond, time.Minute},
 		durationRange{"timing.repair_after", t.RepairAfter, time.Second, 24 * time.Hour},
 	)
 	if least := heartbeatsInTimeout * t.Heartbeat; t.ElectionTimeout < least {
--- a/design/design.go
+++ b/design/design.go
@@ -186,7 +186,7 @@
 	Field(1, "id", String)
 	Field(2, "zone", String)
 	Field(3, "peer_address", String)
-	Field(4, "role", String, "leader, voter, learner or non-voter")
+	Field(4, "role", String, "leader, voter or learner")
 	Field(5, "last_contact_ms", Int64, "Milliseconds since the leader heard from it; -1 if unknown")
 	Required("id", "zone", "peer_address", "role", "last_contact_ms")
 })
--- a/gen/operator/service.go
+++ b/gen/operator/service.go
@@ -219,7 +219,7 @@
 	ID          string
 	Zone        string
 	PeerAddress string
-	// leader, voter, learner or non-voter
+	// leader, voter or learner
 	Role string
 	// Milliseconds since the leader heard from it; -1 if unknown
 	LastContactMs int64
--- a/operator/change.go
+++ b/operator/change.go
@@ -9,6 +9,7 @@
 
 	"apricotrouter/event"
 	gen "apricotrouter/gen/operator"
+	"apricotrouter/replica"
 	"apricotrouter/state"
 )
 
@@ -147,6 +148,9 @@
 	ctx, cancel := context.WithTimeout(ctx, ProposeTimeout)
 	defer cancel()
 	r, err := s.log.Propose(ctx, state.NewRequest(requestID, who, body))
+	if errors.Is(err, replica.ErrTooLarge) {
+		return nil, gen.MakeInvalid(fmt.Errorf("the request was not sent on: %w", err))
+	}
 	if err != nil {
 		event.Log(s.logger, event.OperatorUnavailable, append(attrs, slog.String("error", err.Error()))...)
 		return nil, outcomeUnknown(requestID, err)
--- a/operator/convert.go
+++ b/operator/convert.go
@@ -136,6 +136,9 @@
 	for _, e := range st.Endpoints.All() {
 		names = append(names, e.Zone)
 	}
+	for _, i := range st.Instances.All() {
+		names = append(names, i.Zone)
+	}
 	for _, i := range group.Instances {
 		names = append(names, i.Zone)
 	}
--- a/operator/query.go
+++ b/operator/query.go
@@ -192,7 +192,7 @@
 		GroupID:      st.GroupID,
 		Instances:    []*gen.InstanceInfo{},
 	}
-	for _, i := range st.Instances {
+	for _, i := range s.instances(st) {
 		contact := int64(-1)
 		if i.LastContact >= 0 {
 			contact = i.LastContact.Milliseconds()
@@ -208,6 +208,19 @@
 	return res, nil
 }
 
+// instances returns the instances of a status and those that it lacks: an
+// instance that does not lead knows the learners from the state only.
+func (s *Service) instances(st Status) []InstanceStatus {
+	all := slices.Clone(st.Instances)
+	for id, i := range s.log.State().Instances.All() {
+		listed := slices.ContainsFunc(st.Instances, func(one InstanceStatus) bool { return one.ID == id })
+		if !listed {
+			all = append(all, InstanceStatus{ID: id, Zone: i.Zone, PeerAddress: i.PeerAddress, Role: RoleLearner, LastContact: LastContactUnknown})
+		}
+	}
+	return all
+}
+
 // Audit implements the generated interface.
 func (s *Service) Audit(_ context.Context, p *gen.AuditPayload) (*gen.AuditResult, error) {
 	st, err := s.read()
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -126,8 +126,11 @@
 	known, err := config.ClientTLS(cert, key, ours.file("ca.pem"))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(call(t, address, credentials.NewTLS(known), "ben")).To(Succeed())
-	r, _ := log.State().Audit.Get(state.AuditKey(0))
-	g.Expect(r.Actor).To(Equal("ana as ben"))
+	var actors []string
+	for _, r := range log.State().Audit.All() {
+		actors = append(actors, r.Actor)
+	}
+	g.Expect(actors).To(Equal([]string{"ana as ben"}))
 }
 
 // blockingLog holds proposals until it is released.
--- a/operator/service.go
+++ b/operator/service.go
@@ -23,10 +23,9 @@
 
 // Roles of an entry instance in the control group.
 const (
-	RoleLeader   = "leader"
-	RoleVoter    = "voter"
-	RoleLearner  = "learner"
-	RoleNonVoter = "non-voter"
+	RoleLeader  = "leader"
+	RoleVoter   = "voter"
+	RoleLearner = "learner" // receives the log and does not vote
 )
 
 // LastContactUnknown is the last contact of an instance from which the leader
--- a/operator/service_test.go
+++ b/operator/service_test.go
@@ -18,6 +18,7 @@
 	"apricotrouter/operator"
 	"apricotrouter/replica"
 	"apricotrouter/state"
+	"apricotrouter/steperr"
 )
 
 var start = time.Date(2026, 1, 2, 8, 0, 0, 0, time.UTC)
@@ -276,3 +277,25 @@
 	g.Expect(r.Code).To(Equal(state.CodeOK), r.Message)
 	return r
 }
+
+// A request that can never be committed must not be resent for ever.
+func TestTooLargeRequestIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	log := replica.NewMemory(clockwork.NewFakeClockAt(start))
+	log.SetError(steperr.Wrap(replica.ErrTooLarge, "propose", ""))
+	_, err := newService(log).SubmitJob(t.Context(), job("r1", "j1", 1))
+	g.Expect(errorName(err)).To(Equal("invalid"))
+}
+
+// Learners that only the leader lists would look lost on other instances.
+func TestStatusListsInstancesThatOnlyTheStateKnows(t *testing.T) {
+	g := NewWithT(t)
+	log := replica.NewMemory(clockwork.NewFakeClockAt(start))
+	for _, id := range []string{"e1", "e7"} {
+		propose(g, log, state.RegisterInstance{Instance: state.Instance{ID: id, PeerAddress: "127.0.0.1:7", Zone: "z7", InstanceStart: 1}})
+	}
+	st, err := newService(log).Status(t.Context())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(st.Instances).To(HaveLen(3))
+	g.Expect(*st.Instances[2]).To(Equal(gen.InstanceInfo{ID: "e7", Zone: "z7", PeerAddress: "127.0.0.1:7", Role: operator.RoleLearner, LastContactMs: -1}))
+}
