daemon, dev: wire an entry instance and an embedded cluster

The parts need a process around them: ports, health, metrics, graceful shutdown, and a cluster in one process that a newcomer can start.

--- a/cmd/apricotrouter/main.go
+++ b/cmd/apricotrouter/main.go
@@ -5,8 +5,11 @@
 	"os"
 
 	"apricotrouter/cli"
+	"apricotrouter/dev"
 )
 
 func main() {
-	os.Exit(cli.Run(cli.NewRoot(), os.Args[1:], os.Stdout, os.Stderr))
+	root := cli.NewRoot()
+	root.AddCommand(dev.Command())
+	os.Exit(cli.Run(root, os.Args[1:], os.Stdout, os.Stderr))
 }
--- /dev/null
+++ b/daemon/servers.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"apricotrouter/transport"
+)
+
+// Limits of the HTTP servers.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 64 << 10
+)
+
+func (d *Daemon) wireServers() error {
+	tlsConfig, err := d.cfg.TLS.PeerServer()
+	if err != nil {
+		return err
+	}
+	d.entry = newServer(d.entryHandler(), nil)
+	d.peer = newServer(d.peerHandler(), tlsConfig)
+	d.admin = newServer(d.adminHandler(), nil)
+	return nil
+}
+
+func newServer(h http.Handler, tlsConfig *tls.Config) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		TLSConfig:         tlsConfig,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// entryHandler serves callers, and endpoints that announce themselves.
+func (d *Daemon) entryHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/announce", d.registry.AnnounceHandler())
+	mux.Handle("/", d.dispatch.EntryHandler())
+	return mux
+}
+
+func (d *Daemon) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+transport.Path, d.mesh)
+	mux.Handle("/v1/forward", d.dispatch.ForwardHandler())
+	return mux
+}
+
+func (d *Daemon) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	mux.Handle("GET /metrics", promhttp.HandlerFor(d.metrics, promhttp.HandlerOpts{}))
+	return mux
+}
+
+// serve runs one HTTP server until it is shut down or closed.
+func (d *Daemon) serve(s *http.Server, l net.Listener) {
+	if s.TLSConfig != nil {
+		l = tls.NewListener(l, s.TLSConfig)
+	}
+	d.parts.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.fail(err)
+		}
+	})
+}
+
+// closeServers ends what Shutdown left: the admin port, and after a failure
+// all of them.
+func (d *Daemon) closeServers() {
+	for _, s := range []*http.Server{d.entry, d.peer, d.admin} {
+		_ = s.Close()
+	}
+}
+
+// Kill ends the instance at once, as a loss of the process would. Run returns.
+func (d *Daemon) Kill() {
+	d.fail(errKilled)
+	d.closeServers()
+}
+
+var errKilled = errors.New("instance was killed")
+
+// registerProcessMetrics adds the metrics of the Go runtime and the process.
+func registerProcessMetrics(r *prometheus.Registry, version string) {
+	info := prometheus.NewGauge(prometheus.GaugeOpts{
+		Name:        "apricotrouter_build_info",
+		Help:        "Always 1; the label names the version of the program.",
+		ConstLabels: prometheus.Labels{"version": version},
+	})
+	info.Set(1)
+	r.MustRegister(info, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+}
