--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -13,8 +13,8 @@
 
 // writeAnswer passes an answer on to the caller. A long answer that turns out
 // to be incomplete aborts the connection to the caller, so that it is never
-// taken for a whole one. It reports whether the endpoint's answer was read in
-// full; capture, if not nil, gets the beginning of a long body.
+// taken for a whole one. capture, if not nil, gets the beginning of a long
+// body.
 func (d *Dispatcher) writeAnswer(w http.ResponseWriter, rq *request, r *reply, capture *prefix) {
 	x := r.x
 	copyHeader(w.Header(), x.resp.Header)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"apricotrouter/ledger"
 	"apricotrouter/registry"
 	"apricotrouter/replica"
 )
@@ -42,9 +43,9 @@
 // 0 take their defaults.
 type Options struct {
 	Registry *registry.Registry
-	// Ledger keeps requests that must not run twice; nil refuses to keep them,
-	// and such requests are forwarded at most once.
-	Ledger Ledger
+	// Ledger keeps requests that must not run twice. Without it, a resend of
+	// such a request runs again.
+	Ledger *ledger.Ledger
 	Log    replica.Log
 	// ForwardAddress returns host:port of the ForwardHandler of an entry
 	// instance, or "" if it is not known.
@@ -74,7 +75,7 @@
 	metrics  *metrics
 	scratch  *hdrhistogram.Histogram // used by maintain
 
-	requests   inFlight
+	requests   inFlight       // of callers and peers, until their ends are recorded
 	background sync.WaitGroup // abandoned attempts and losing hedges
 	stopped    context.Context
 	stop       context.CancelFunc
@@ -193,6 +194,3 @@
 	}
 	return p
 }
-
-// Ledger keeps requests that must not run twice.
-type Ledger interface{}
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -39,6 +39,9 @@
 	if p := d.readBody(r.Context(), w, r, rq); p != nil {
 		return p
 	}
+	if !rq.idempotent && rq.callerID && d.opts.Ledger != nil {
+		return d.serveClaimed(w, r, rq)
+	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	reply, p := d.route(ctx, rq)
--- a/dispatch/exchange.go
+++ b/dispatch/exchange.go
@@ -28,7 +28,7 @@
 	resp    *http.Response
 	body    []byte // the whole body if whole
 	whole   bool
-	ended   bool // the answer was read in full
+	ended   bool  // the answer was read in full
 	readErr error // why the answer is not complete, if it isn't
 	request *http.Request
 }
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"apricotrouter/dispatch"
+	"apricotrouter/ledger"
 	"apricotrouter/registry"
 	"apricotrouter/standin/endpoint"
 	"apricotrouter/standin/statelog"
@@ -41,6 +44,7 @@
 	log      *instanceLog
 	registry *registry.Registry
 	dispatch *dispatch.Dispatcher
+	ledger   *ledger.Ledger
 	entry    *httptest.Server
 	forward  *httptest.Server
 	cancel   context.CancelFunc
@@ -71,6 +75,15 @@
 		c.instances = append(c.instances, c.start(string(rune('a'+i))))
 	}
 	t.Cleanup(c.close)
+	c.log.Update(func(s *state.State) {
+		for i := range state.LedgerBuckets {
+			b := &state.LedgerBucket{Number: i, Primary: c.instances[i%size].id, Epoch: s.Index, First: s.Index}
+			if size > 1 {
+				b.Backup = c.instances[(i+1)%size].id
+			}
+			s.Buckets = s.Buckets.Put(state.BucketKey(i), b)
+		}
+	})
 	return c
 }
 
@@ -113,8 +126,10 @@
 	mux := transport.NewMux()
 	peers := c.net.Join(id, mux)
 	in.registry = registry.New(registry.Options{Self: id, Zone: "zone-" + id, Log: in.log, Peers: peers, Mux: mux})
+	in.ledger = ledger.New(ledger.Options{Self: id, Log: in.log, Peers: peers, Mux: mux})
+	in.ledger.SetRegistered(1)
 	in.dispatch = dispatch.New(dispatch.Options{
-		Registry: in.registry, Log: in.log,
+		Registry: in.registry, Ledger: in.ledger, Log: in.log,
 		ForwardAddress: c.forwardAddress,
 	})
 	entry := http.NewServeMux()
@@ -126,13 +141,11 @@
 	ctx, in.cancel = context.WithCancel(context.Background())
 	go func() {
 		defer close(in.done)
-		stopped := make(chan struct{})
-		go func() {
-			defer close(stopped)
-			_ = in.registry.Run(ctx)
-		}()
-		_ = in.dispatch.Run(ctx)
-		<-stopped
+		var parts sync.WaitGroup
+		parts.Go(func() { _ = in.registry.Run(ctx) })
+		parts.Go(func() { _ = in.ledger.Run(ctx) })
+		parts.Go(func() { _ = in.dispatch.Run(ctx) })
+		parts.Wait()
 	}()
 	return in
 }
@@ -146,6 +159,42 @@
 	return ""
 }
 
+// moveBucket gives the bucket of a request to other holders, as the leader
+// does once the lease of a lost holder has ended.
+func (c *cluster) moveBucket(requestID, primary, backup string) {
+	number := ledger.Key{Service: service, RequestID: requestID}.Bucket()
+	c.log.Update(func(s *state.State) {
+		old, _ := s.Buckets.Get(state.BucketKey(number))
+		next := &state.LedgerBucket{
+			Number: number, Primary: primary, Backup: backup,
+			Epoch: s.Index, First: old.First, Previous: old.Epoch,
+		}
+		s.Buckets = s.Buckets.Put(state.BucketKey(number), next)
+	})
+}
+
+// idWithPrimary returns a request id whose bucket has the instance as its
+// primary.
+func (c *cluster) idWithPrimary(instance int) string {
+	for n := 0; ; n++ {
+		id := fmt.Sprintf("request-%d", n)
+		if (ledger.Key{Service: service, RequestID: id}).Bucket()%len(c.instances) == instance {
+			return id
+		}
+	}
+}
+
+// kill ends an instance as the loss of its machine does.
+func (c *cluster) kill(instance int) {
+	in := c.instances[instance]
+	c.net.SetRule(func(from, to string, _ transport.Kind) transport.Fate {
+		return transport.Fate{Drop: from == in.id || to == in.id}
+	})
+	in.log.stale.Store(true)
+	in.entry.CloseClientConnections()
+	in.forward.CloseClientConnections()
+}
+
 func (c *cluster) close() {
 	for _, e := range c.endpoints {
 		e.Die()
@@ -264,3 +313,47 @@
 	return ch
 }
 
+// results collects the results of concurrent requests.
+type results struct {
+	wg  sync.WaitGroup
+	mu  sync.Mutex
+	all map[string]result
+}
+
+func (s *results) run(f func() result, id string) {
+	s.wg.Go(func() {
+		r := f()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.all == nil {
+			s.all = make(map[string]result)
+		}
+		s.all[id] = r
+	})
+}
+
+func (s *results) wait() map[string]result {
+	s.wg.Wait()
+	return s.all
+}
+
+func dropBetween(x, y string) func(from, to string, kind transport.Kind) transport.Fate {
+	return func(from, to string, _ transport.Kind) transport.Fate {
+		return transport.Fate{Drop: (from == x && to == y) || (from == y && to == x)}
+	}
+}
+
+// announce makes an address known as an endpoint that takes requests.
+func (c *cluster) announce(instance int, address string) {
+	c.own(c.instances[instance].id)
+	a := registry.Announcement{
+		ID: "raw", Service: service, Address: address, Zone: "zone-a",
+		Slots: 1, ConnectionLimit: 4, Incarnation: 1, TTLMillis: 60_000, Fence: 1 << 40,
+	}
+	body, err := json.Marshal(a)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Eventually(func() bool {
+		doURL(c.instances[instance].entry.URL+"/v1/announce", call{method: http.MethodPost, body: string(body)})
+		return c.ready(instance, "raw")
+	}).Should(BeTrue())
+}
--- /dev/null
+++ b/dispatch/outcome_test.go
@@ -0,0 +1,327 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/standin/endpoint"
+	"apricotrouter/state"
+)
+
+// Guards against a part of an answer that passes for the whole.
+func TestTruncatedAnswerIsNeverASuccess(t *testing.T) {
+	long := []byte(strings.Repeat("x", 200<<10))
+	cases := []struct {
+		name     string
+		behavior endpoint.Behavior
+		aborted  bool // the beginning was passed on, so the connection breaks
+	}{
+		{"short with length", endpoint.Behavior{Answer: []byte("receipt 17"), CutAnswer: true, Truncate: 4}, false},
+		{"only the header", endpoint.Behavior{Answer: []byte("receipt 17"), CutAnswer: true}, false},
+		{"long with length", endpoint.Behavior{Answer: long, CutAnswer: true, Truncate: 100 << 10}, true},
+		{"long in chunks", endpoint.Behavior{Answer: long, Chunked: true, CutAnswer: true, Truncate: 100 << 10}, true},
+		{"short in chunks", endpoint.Behavior{Answer: []byte("receipt 17"), Chunked: true, CutAnswer: true, Truncate: 4}, true},
+	}
+	c := newCluster(t, 2)
+	e := c.addEndpoint(1, endpoint.Options{})
+	for _, from := range []int{1, 0} { // directly, and by a hop
+		c.g.Eventually(func() bool { return c.instances[from].registry.Served(service) }).Should(BeTrue())
+		for i, tc := range cases {
+			t.Run(fmt.Sprintf("%s from %d", tc.name, from), func(t *testing.T) {
+				g := NewWithT(t)
+				e.SetBehavior(func(*http.Request) endpoint.Behavior { return tc.behavior })
+				defer e.SetBehavior(nil)
+				id := fmt.Sprintf("cut-%d-%d", from, i)
+				r := c.do(from, call{method: http.MethodPost, id: id})
+				if tc.aborted {
+					g.Expect(r.err).To(HaveOccurred())
+				} else {
+					g.Expect(r.err).NotTo(HaveOccurred())
+					g.Expect(r.status).To(Equal(http.StatusBadGateway))
+					g.Expect(r.outcome).To(Equal("unknown"))
+				}
+				again := c.do(from, call{method: http.MethodPost, id: id})
+				g.Expect(again.outcome).To(Equal("unknown"))
+				g.Expect(e.Runs(id)).To(Equal(1))
+			})
+		}
+	}
+}
+
+// Guards against not-run after an endpoint may have got the request, and
+// against a second run of a request that must not run twice.
+func TestEndpointKilledWhileRunning(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	e := c.addEndpoint(0, endpoint.Options{ServiceTime: time.Minute})
+	post := c.later(0, call{method: http.MethodPost})
+	g.Eventually(e.Running).Should(Equal(1))
+	e.Die()
+	r := <-post
+	g.Expect(r.status).To(Equal(http.StatusBadGateway))
+	g.Expect(r.outcome).To(Equal("unknown"))
+	g.Expect(e.Records()).To(HaveLen(1))
+}
+
+// Guards against an idempotent request that fails with its endpoint although
+// another one could answer, and against not-run if all fail.
+func TestIdempotentRequestIsRetriedElsewhere(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	cut := func(*http.Request) endpoint.Behavior { return endpoint.Behavior{CutAnswer: true} }
+	a := c.addEndpoint(0, endpoint.Options{})
+	a.SetBehavior(cut)
+	b := c.addEndpoint(0, endpoint.Options{})
+	r := c.do(0, call{id: "r1"})
+	if a.Runs("r1") == 0 {
+		r = c.do(0, call{id: "r1"})
+	}
+	g.Expect(r.status).To(Equal(http.StatusOK))
+	b.SetBehavior(cut)
+	r = c.do(0, call{id: "r2"})
+	g.Expect(r.status).To(Equal(http.StatusBadGateway))
+	g.Expect(r.outcome).To(Equal("unknown"))
+}
+
+// Guards against unknown for a request that certainly did not run, and against
+// giving up although another endpoint takes it.
+func TestRequestThatDidNotRunIsSentElsewhere(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	a := c.addEndpoint(0, endpoint.Options{})
+	a.SetBehavior(func(*http.Request) endpoint.Behavior { return endpoint.Behavior{Refuse: true} })
+	r := c.do(0, call{method: http.MethodPost, id: "alone"})
+	g.Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(r.outcome).To(Equal("not-run"))
+	b := c.addEndpoint(0, endpoint.Options{})
+	r = c.do(0, call{method: http.MethodPost, id: "alone"})
+	g.Expect(r.status).To(Equal(http.StatusOK))
+	b.Die()
+	// Nobody listens at b any more, and a refuses.
+	g.Eventually(func() string {
+		return c.do(0, call{method: http.MethodPost, id: "none"}).outcome
+	}).Should(Equal("not-run"))
+	g.Expect(a.Runs("none") + b.Runs("none")).To(Equal(0))
+}
+
+// Guards against an answer that the endpoint gave to another request.
+func TestAnswerOfAnotherAttemptIsDropped(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	e := c.addEndpoint(0, endpoint.Options{})
+	e.SetBehavior(func(*http.Request) endpoint.Behavior { return endpoint.Behavior{WrongAttempt: true} })
+	r := c.do(0, call{method: http.MethodPost, id: "r1"})
+	g.Expect(r.status).To(Equal(http.StatusBadGateway))
+	g.Expect(r.outcome).To(Equal("unknown"))
+}
+
+// Guards against a late answer that reaches the next request, and against a
+// slot that is given away while the endpoint still works.
+func TestLateAnswersReachNobodyElse(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	const slots = 2
+	e := c.addEndpoint(0, endpoint.Options{Slots: slots, ServiceTime: time.Millisecond})
+	var late results
+	e.SetBehavior(func(r *http.Request) endpoint.Behavior {
+		if strings.HasPrefix(r.Header.Get("X-Request-Id"), "late") {
+			return endpoint.Behavior{Delay: 200 * time.Millisecond}
+		}
+		return endpoint.Behavior{}
+	})
+	for i := range 40 {
+		id, timeout := fmt.Sprintf("ok-%d", i), 10*time.Second
+		if i%4 == 0 {
+			id, timeout = fmt.Sprintf("late-%d", i), 50*time.Millisecond
+		}
+		late.run(func() result { return c.do(0, call{id: id, timeout: timeout}) }, id)
+	}
+	answered := 0
+	for id, r := range late.wait() {
+		if r.err == nil && r.status == http.StatusOK {
+			answered++
+			g.Expect(r.body).To(Equal(id + "\n"))
+		} else if r.outcome != "not-run" { // the queue was full
+			g.Expect(id).To(HavePrefix("late"))
+		}
+	}
+	g.Expect(answered).To(BeNumerically(">", 0))
+	g.Expect(e.HighestConcurrency()).To(BeNumerically("<=", slots))
+}
+
+// Guards against more connections or requests than an endpoint announced.
+func TestEndpointLimitsHold(t *testing.T) {
+	c := newCluster(t, 2)
+	g := NewWithT(t)
+	const slots = 3
+	e := c.addEndpoint(0, endpoint.Options{Slots: slots, ConnectionLimit: slots, ServiceTime: 5 * time.Millisecond})
+	g.Eventually(func() bool { return c.instances[1].registry.Served(service) }).Should(BeTrue())
+	var all results
+	for i := range 60 {
+		id := fmt.Sprintf("r%d", i)
+		all.run(func() result { return c.do(i%2, call{method: http.MethodPost, id: id}) }, id)
+	}
+	answered := 0
+	for id, r := range all.wait() {
+		if r.status == http.StatusOK {
+			answered++
+			g.Expect(e.Runs(id)).To(Equal(1))
+		} else {
+			g.Expect(r.outcome).To(Equal("not-run"))
+			g.Expect(e.Runs(id)).To(Equal(0))
+		}
+	}
+	g.Expect(answered).To(BeNumerically(">", 0))
+	g.Expect(e.HighestConcurrency()).To(BeNumerically("<=", slots))
+	g.Expect(e.HighestConnections()).To(BeNumerically("<=", slots))
+}
+
+// Guards against requests that hang or fail because connections that were
+// open went silent.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	e := c.addEndpoint(0, endpoint.Options{})
+	g.Expect(c.do(0, call{}).status).To(Equal(http.StatusOK))
+	e.SilenceOpenConnections()
+	time.Sleep(1200 * time.Millisecond) // no connection is known to be alive any more
+	g.Expect(c.do(0, call{timeout: time.Second}).status).To(Equal(http.StatusOK))
+	before := e.Accepted()
+	e.SilenceOpenConnections()
+	r := c.do(0, call{method: http.MethodPost, timeout: 100 * time.Millisecond})
+	g.Expect(r.status).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(r.outcome).To(Equal("unknown"))
+	for range 5 {
+		g.Expect(c.do(0, call{timeout: time.Second}).status).To(Equal(http.StatusOK))
+	}
+	g.Expect(e.Accepted()).To(BeNumerically(">", before))
+}
+
+// Guards against unclear or missing refusals of requests that are not valid.
+func TestInvalidRequestsAreRefused(t *testing.T) {
+	c := newCluster(t, 1)
+	e := c.addEndpoint(0, endpoint.Options{})
+	cases := []struct {
+		name   string
+		call   call
+		status int
+		kind   string
+	}{
+		{"timeout", call{headers: map[string]string{"X-Request-Timeout-Ms": "soon"}}, 400, "bad-timeout"},
+		{"negative timeout", call{headers: map[string]string{"X-Request-Timeout-Ms": "-1"}}, 400, "bad-timeout"},
+		{"idempotent", call{headers: map[string]string{"X-Idempotent": "yes"}}, 400, "bad-idempotent"},
+		{"request id", call{id: strings.Repeat("i", 200)}, 400, "bad-request-id"},
+		{"upgrade", call{headers: map[string]string{"Upgrade": "websocket", "Connection": "Upgrade"}}, 501, "upgrade-not-supported"},
+		{"body", call{method: http.MethodPost, body: strings.Repeat("b", 9<<20), headers: map[string]string{"Expect": "100-continue"}}, 413, "body-too-large"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := c.do(0, tc.call)
+			g.Expect(r.status).To(Equal(tc.status))
+			g.Expect(r.outcome).To(Equal("not-run"))
+			g.Expect(r.body).To(ContainSubstring(tc.kind))
+		})
+	}
+	c.g.Expect(e.Records()).To(BeEmpty())
+	other := doURL(c.instances[0].entry.URL+"/receiptsx", call{})
+	c.g.Expect(other.status).To(Equal(http.StatusNotFound))
+	c.g.Expect(other.outcome).To(Equal("not-run"))
+}
+
+// Guards against new requests to an endpoint that is leaving and tells so to
+// an instance that does not own it.
+func TestLeavingEndpointGetsNothingNew(t *testing.T) {
+	c := newCluster(t, 2)
+	g := NewWithT(t)
+	other := strings.TrimPrefix(c.instances[1].entry.URL, "http://")
+	e := c.addEndpoint(0, endpoint.Options{Entries: []string{other}, ServiceTime: 100 * time.Millisecond})
+	running := c.later(0, call{})
+	g.Eventually(e.Running).Should(Equal(1))
+	g.Expect(e.Drain(context.Background())).To(Succeed())
+	r := c.do(0, call{timeout: 300 * time.Millisecond})
+	g.Expect(r.outcome).To(Equal("not-run"))
+	g.Expect((<-running).status).To(Equal(http.StatusOK))
+	g.Expect(e.Records()).To(HaveLen(1))
+}
+
+// Guards against a leaving endpoint that gets requests because its owner can't
+// be reached by the instance that it told.
+func TestLeavingEndpointIsKnownFromTheLog(t *testing.T) {
+	c := newCluster(t, 2)
+	g := NewWithT(t)
+	other := strings.TrimPrefix(c.instances[1].entry.URL, "http://")
+	e := c.addEndpoint(0, endpoint.Options{Entries: []string{other}})
+	peers := c.net
+	peers.SetRule(dropBetween("a", "b"))
+	_ = e.Drain(context.Background())
+	g.Expect(c.do(0, call{timeout: 300 * time.Millisecond}).outcome).To(Equal("not-run"))
+	g.Expect(e.Records()).To(BeEmpty())
+}
+
+// Guards against more requests than slots after an endpoint changed its owner
+// while requests of the old one run.
+func TestNewOwnerCountsRequestsOfTheOldOne(t *testing.T) {
+	c := newCluster(t, 2)
+	g := NewWithT(t)
+	const slots = 2
+	e := c.addEndpoint(0, endpoint.Options{ID: "moved", Slots: slots, ServiceTime: 700 * time.Millisecond})
+	old := []<-chan result{c.later(0, call{}), c.later(0, call{})}
+	g.Eventually(e.Running).Should(Equal(slots))
+	c.log.Update(func(s *state.State) { assign(s, "moved", "b") })
+	g.Eventually(func() bool { return c.ready(1, "moved") }).Should(BeTrue())
+	var all results
+	for i := range 4 {
+		all.run(func() result { return c.do(1, call{}) }, fmt.Sprint(i))
+	}
+	for _, r := range all.wait() {
+		g.Expect(r.status).To(Equal(http.StatusOK))
+	}
+	for _, ch := range old {
+		g.Expect((<-ch).status).To(Equal(http.StatusOK))
+	}
+	g.Expect(e.HighestConcurrency()).To(Equal(slots))
+}
+
+// Guards against a request of the dead that stays in the way: an endpoint
+// whose announcements stop gets nothing more and is removed.
+func TestSilentEndpointIsRemoved(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	e := c.addEndpoint(0, endpoint.Options{TTL: 500 * time.Millisecond})
+	e.HoldAnnouncements(true)
+	g.Eventually(func() int { return c.log.State().Endpoints.Len() }, 5*time.Second).Should(Equal(0))
+	g.Expect(c.do(0, call{timeout: 200 * time.Millisecond}).outcome).To(Equal("not-run"))
+}
+
+// Guards against answers whose end can't be checked.
+func TestAnswerWithoutLengthIsNotASuccess(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			buf := make([]byte, 4096)
+			_, _ = conn.Read(buf)
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf of a receipt"))
+			_ = conn.Close()
+		}
+	}()
+	c.announce(0, l.Addr().String())
+	r := c.do(0, call{method: http.MethodPost})
+	g.Expect(r.status).To(Equal(http.StatusBadGateway))
+	g.Expect(r.outcome).To(Equal("unknown"))
+}
--- a/dispatch/problem.go
+++ b/dispatch/problem.go
@@ -30,8 +30,6 @@
 	retryAfter time.Duration
 	// cause is logged and not sent.
 	cause error
-	// peer is true if a peer refused the request for want of a slot.
-	peer bool
 }
 
 const (
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -14,10 +14,10 @@
 const (
 	// replayBytes is the length up to which a body is kept so that it can be
 	// sent again.
-	replayBytes    = 64 << 10
-	maxIDBytes     = 128
-	minTimeout     = time.Millisecond
-	bodyLate       = "request body did not arrive by the deadline"
+	replayBytes = 64 << 10
+	maxIDBytes  = 128
+	minTimeout  = time.Millisecond
+	bodyLate    = "request body did not arrive by the deadline"
 )
 
 // request is one request of a caller or peer.
--- a/event/dispatch.go
+++ b/event/dispatch.go
@@ -37,4 +37,6 @@
 		"could not copy ledger bucket to backup", "Claims of the bucket are refused until the copy succeeds. Check the connection to the backup.")
 	LedgerFull = define(524, "ledger-full", slog.LevelWarn,
 		"ledger bucket is full", "Claims of new request ids are refused until entries expire. Check for a caller that floods the service.")
+	RequestNotRecorded = define(525, "request-not-recorded", slog.LevelWarn,
+		"could not record end of request", "A resend of the request is answered unknown. Check the connection to the primary of its ledger bucket.")
 )
--- a/standin/endpoint/serve.go
+++ b/standin/endpoint/serve.go
@@ -38,6 +38,8 @@
 	case b.Silent:
 		e.waitForEnd(r)
 		panic(http.ErrAbortHandler)
+	case e.stopped.Err() != nil:
+		panic(http.ErrAbortHandler)
 	case cancelled:
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(statusCancelled)
--- a/state/apply_member.go
+++ b/state/apply_member.go
@@ -252,8 +252,10 @@
 		return false
 	}
 	var epoch uint64
+	b.First, b.Previous = tx.index, 0
 	if old, ok := tx.Buckets.Get(BucketKey(b.Number)); ok {
 		epoch = old.Epoch
+		b.First, b.Previous = old.First, old.Epoch
 		b.LostAt = max(b.LostAt, old.LostAt)
 	}
 	if epoch != b.Epoch {
--- a/state/types.go
+++ b/state/types.go
@@ -248,6 +248,11 @@
 	Epoch   uint64 `cbor:"4,keyasint"` // log index of the last change
 	// LostAt is when both copies were lost last, in Unix milliseconds; 0 if never.
 	LostAt int64 `cbor:"5,keyasint,omitempty"`
+	// First is the epoch of the first holders, which start without entries.
+	First uint64 `cbor:"6,keyasint,omitempty"`
+	// Previous is the epoch that this one replaced. A holder that did not
+	// follow it may have missed entries.
+	Previous uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // RequestResult is the first result of an operator's request.
