--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -34,7 +34,7 @@
 	// The end is recorded on every way out, an abort of the caller's
 	// connection included.
 	end := &ending{d: d, claim: claim}
-	defer end.record(context.WithoutCancel(ctx))
+	defer end.record()
 	reply, p := d.route(ctx, rq)
 	if p != nil {
 		end.released = p.Outcome == OutcomeNotRun
@@ -100,8 +100,8 @@
 
 // record runs in the background, so that the caller does not wait for it.
 // Drain does.
-func (e *ending) record(ctx context.Context) {
-	d := e.d
+func (e *ending) record() {
+	d, ctx := e.d, e.d.stopped
 	d.requests.begin()
 	d.background.Go(func() {
 		defer d.requests.end()
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -67,7 +67,7 @@
 	}
 	// A claim whose answer was lost must not look like a running request.
 	l.background.Go(func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*callTimeout)
+		ctx, cancel := context.WithTimeout(l.stopped, 2*callTimeout)
 		defer cancel()
 		_ = c.Release(ctx)
 	})
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -60,6 +60,8 @@
 	answerBytes atomic.Int64
 	registered  atomic.Uint64
 	wake        chan struct{}
+	stopped     context.Context // ends with Run
+	stop        context.CancelFunc
 	background  sync.WaitGroup
 	metrics     *metrics
 }
@@ -73,6 +75,7 @@
 	setDefault(&opts.MaxEntries, DefaultMaxEntries)
 	setDefault(&opts.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	l := &Ledger{opts: opts, wake: make(chan struct{}, 1)}
+	l.stopped, l.stop = context.WithCancel(context.Background())
 	l.metrics = newMetrics(opts.Registerer, l)
 	transport.OnCall(opts.Mux, transport.KindLedgerClaim, l.handleClaim)
 	transport.OnCall(opts.Mux, transport.KindLedgerRecord, l.handleRecord)
@@ -105,6 +108,7 @@
 	ticker := l.opts.Clock.NewTicker(expireInterval)
 	defer ticker.Stop()
 	defer l.background.Wait()
+	defer l.stop()
 	for {
 		changed := l.opts.Log.Changed()
 		l.follow(ctx)
