--- a/worker/manager.go
+++ b/worker/manager.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"strings"
 	"sync"
 	"time"
 
@@ -80,9 +79,9 @@
 	var seen state.Table[*state.Assignment]
 	for {
 		changed := m.o.Log.Changed()
-		if a := m.o.Log.State().Assignments; a != seen {
-			seen = a
-			m.adjust(ctx, a)
+		if st := m.o.Log.State(); st.Assignments != seen {
+			seen = st.Assignments
+			m.adjust(ctx, st)
 		}
 		select {
 		case <-ctx.Done():
@@ -93,12 +92,10 @@
 }
 
 // adjust ends the sessions whose assignment changed and starts new ones.
-func (m *Manager) adjust(ctx context.Context, assignments state.Table[*state.Assignment]) {
+func (m *Manager) adjust(ctx context.Context, st *state.State) {
 	wanted := make(map[string]uint64)
-	for key, a := range assignments.WithPrefix(state.AssignmentKey(state.AssignWorker, "")) {
-		if a.Owner == m.o.Self {
-			wanted[strings.TrimPrefix(key, state.AssignmentKey(state.AssignWorker, ""))] = a.Fence
-		}
+	for a := range st.OwnedBy(m.o.Self, state.AssignWorker) {
+		wanted[a.ID] = a.Fence
 	}
 	for id, r := range m.running {
 		if wanted[id] != r.fence {
--- /dev/null
+++ b/worker/manager_test.go
@@ -0,0 +1,59 @@
+package worker_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"apricotrouter/replica"
+	workerstandin "apricotrouter/standin/worker"
+	"apricotrouter/state"
+	"apricotrouter/worker"
+)
+
+// Guards against tasks that are lost or run twice when a worker's connection
+// goes silent while a task is being started, and against goroutines left behind.
+func TestManagerSurvivesSilentConnection(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	g := NewWithT(t)
+	log := &faultyLog{Memory: replica.NewMemory(clockwork.NewRealClock())}
+	propose := func(body state.Body) {
+		r, err := log.Propose(t.Context(), state.NewCommand(body))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.Code).To(Equal(state.CodeOK))
+	}
+	size := state.Resources{MilliCPU: 4000, MemoryMiB: 4096}
+	w := workerstandin.New(workerstandin.Options{ID: "w1", Capacity: size})
+	address, err := w.Listen()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer w.Close()
+	propose(state.RegisterInstance{Instance: state.Instance{ID: "a", InstanceStart: 1}})
+	propose(state.RegisterWorker{ID: "w1", Zone: "z1", Rack: "r", Address: address, Capacity: size})
+
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	m := worker.NewManager(worker.Options{Self: "a", Log: log, Registerer: prometheus.NewRegistry(), Logger: slog.Default()})
+	go func() { done <- m.Run(ctx) }()
+	defer func() { cancel(); g.Expect(<-done).To(Succeed()) }()
+
+	propose(state.Assign{Changes: []state.OwnerChange{{Kind: state.AssignWorker, ID: "w1", To: "a"}}})
+	propose(state.SubmitJob{Spec: state.JobSpec{
+		ID: "job", Class: "c", Priority: state.PriorityNormal, Tasks: 1,
+		Resources: state.Resources{MilliCPU: 3000}, ExpectedSeconds: 1,
+	}})
+	propose(state.PlaceTasks{Placements: []state.Placement{{Task: task, Incarnation: 1, Worker: "w1"}}})
+	w.LoseAnswers(workerstandin.MethodStart, 1)
+	g.Eventually(w.Records, "20s").Should(HaveLen(1))
+	w.SetSilent(true)
+	time.Sleep(2 * worker.CallTimeout)
+	w.SetSilent(false)
+	g.Eventually(func() state.TaskPhase { return log.State().Task(task).Phase }, "20s").
+		Should(Equal(state.PhaseCompleted))
+	g.Expect(w.Records()).To(HaveExactElements(HaveField("End", workerstandin.EndExited)))
+}
--- a/worker/reconcile.go
+++ b/worker/reconcile.go
@@ -53,7 +53,7 @@
 	held := make(map[TaskKey]bool)
 	first := !s.reconciled
 	s.reconciled = true
-	for t := range tasksOn(st, s.worker) {
+	for t := range st.TasksOnWorker(s.worker) {
 		key := TaskKey{t.ID, t.Incarnation}
 		held[key] = true
 		if first {
