daemon: make the shutdown test outlast the hand-over

The earlier test passed with the wait for requests in flight removed, since the attempt to hand over the leadership took 3 s and its requests 1.5 s. With requests of 5 s it fails on the same scratch copy and passes with the wait.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -172,7 +172,9 @@
 	t.Run("daemon", func(t *testing.T) {
 		g := NewWithT(t)
 		r := start(t, single(t))
-		e := r.withService(t, 1500*time.Millisecond)
+		// Longer than the grace and the attempt to hand the leadership over.
+		e := r.withService(t, time.Millisecond)
+		e.SetServiceTime(5 * time.Second)
 		type answer struct {
 			status int
 			err    error
