--- a/raft/core.go
+++ b/raft/core.go
@@ -111,6 +111,7 @@
 	}
 	if c.electionElapsed >= c.electionTimeout {
 		c.resetElection()
+		c.leader = None
 		if c.canCampaign() {
 			c.campaign(true, false)
 		}
--- /dev/null
+++ b/raft/core_test.go
@@ -0,0 +1,230 @@
+package raft
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// cutOff blocks all messages from and to a replica.
+func (s *sim) cutOff(id ID) {
+	s.blocked = func(from, to ID) bool { return (from == id) != (to == id) }
+}
+
+// Guards against a leader that goes on leading alone, and against one that
+// forces an election when it returns after a long time.
+func TestCutOffLeaderStepsDownAndDoesNotDisturb(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(t, 5)
+	old := s.elect()
+	s.cutOff(old.id)
+	s.run(int(old.core.opts.ElectionTicks) + 1)
+	g.Expect(old.core.role).NotTo(Equal(Leader), "the leader steps down after one election timeout")
+	s.run(500)
+	leader := s.leader()
+	g.Expect(leader).NotTo(BeNil())
+	term := leader.core.term
+	s.blocked = nil
+	s.run(100)
+	g.Expect(s.leader()).To(Equal(leader))
+	g.Expect(leader.core.term).To(Equal(term), "the returning replica caused an election")
+	g.Expect(old.core.leader).To(Equal(leader.id))
+}
+
+// Guards against the loss of an entry of an earlier term that counts as
+// committed because a majority holds it, while a replica without it can still
+// win an election.
+func TestCommitOnlyInOwnTerm(t *testing.T) {
+	g := NewWithT(t)
+	m := Membership{Voters: []Member{{ID: 1}, {ID: 2}, {ID: 3}}}
+	c := New(Options{
+		Self: 1, ElectionTicks: 10, HardState: HardState{Term: 3},
+		Base: Position{Index: 1, Term: 1, Members: m}, Entries: []Entry{{Index: 2, Term: 2}},
+	})
+	c.campaign(false, true)
+	c.Step(Message{Type: MsgVoteResp, From: 2, To: 1, Term: 4})
+	g.Expect(c.role).To(Equal(Leader))
+	c.Persisted(c.Take().Entries)
+	c.Step(Message{Type: MsgAppendResp, From: 2, To: 1, Term: 4, Index: 2})
+	g.Expect(c.commit).To(Equal(uint64(1)), "entry 2 of term 2 is on a majority")
+	c.Step(Message{Type: MsgAppendResp, From: 2, To: 1, Term: 4, Index: 3})
+	g.Expect(c.commit).To(Equal(uint64(3)))
+}
+
+func voteFor(c *Core, from ID, kind MessageType) []Message {
+	c.Take()
+	c.Step(Message{Type: kind, From: from, To: c.opts.Self, Term: c.term + 1, Index: 100, LogTerm: 100})
+	return c.Take().Messages
+}
+
+// Guards against a replica that takes the votes of followers away from a
+// leader which they hear.
+func TestFollowerIgnoresVoteRequestsWhileItHearsLeader(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(t, 3)
+	leader := s.elect()
+	for _, id := range s.order {
+		n := s.nodes[id]
+		g.Expect(voteFor(n.core, 99, MsgVote)).To(BeEmpty(), "replica %d (%v)", id, n.core.role)
+		g.Expect(voteFor(n.core, 99, MsgPreVote)).To(BeEmpty())
+	}
+	g.Expect(s.leader()).To(Equal(leader))
+	s.cutOff(leader.id)
+	for _, id := range s.order {
+		if n := s.nodes[id]; n != leader {
+			for range n.core.opts.ElectionTicks {
+				n.core.Tick()
+			}
+			g.Expect(voteFor(n.core, 99, MsgVote)).To(ContainElement(HaveField("Type", MsgVoteResp)))
+		}
+	}
+}
+
+// Guards against a second leader within the time for which the first one
+// counts on its followers, when a follower restarts and has forgotten it.
+func TestRestartedReplicaGrantsNoVoteAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(t, 3)
+	s.elect()
+	n := s.nodes[2]
+	s.restart(n)
+	g.Expect(voteFor(n.core, 99, MsgVote)).To(BeEmpty())
+	for range n.core.opts.ElectionTicks {
+		n.core.Tick()
+	}
+	g.Expect(voteFor(n.core, 99, MsgVote)).NotTo(BeEmpty())
+}
+
+// Guards against two majorities that do not overlap: a second change of
+// membership before the first is committed, or one before an entry of the
+// leader's own term is.
+func TestOneMembershipChangeAtATime(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(t, 3)
+	leader := s.elect()
+	s.add(100, Position{}, HardState{})
+	s.add(101, Position{}, HardState{})
+	g.Expect(leader.core.ProposeMembers(leader.core.members.With(Member{ID: 100}))).To(MatchError(ErrNotCaughtUp))
+	s.observeAll(leader)
+	s.run(10)
+	two := leader.core.members.With(Member{ID: 100}).With(Member{ID: 101})
+	g.Expect(leader.core.ProposeMembers(two)).To(MatchError(ErrMembersStep))
+	g.Expect(leader.core.ProposeMembers(leader.core.members.With(Member{ID: 100}))).To(Succeed())
+	g.Expect(leader.core.ProposeMembers(leader.core.members.With(Member{ID: 101}))).To(MatchError(ErrMembersBusy))
+	s.process(leader, false, false)
+	s.run(10)
+	g.Expect(leader.core.ProposeMembers(leader.core.members.With(Member{ID: 101}))).To(Succeed())
+
+	leader.core.becomeFollower(leader.core.term, None)
+	leader.core.campaign(false, true)
+	leader.core.becomeLeader()
+	g.Expect(leader.core.ProposeMembers(leader.core.members.Without(2))).To(MatchError(ErrMembersBusy))
+}
+
+// Guards against a group that can never elect again: the only replica whose
+// log is new enough holds its own removal, which is not committed.
+func TestReplicaWithUncommittedRemovalElects(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(t, 4)
+	leader := s.elect()
+	var removed, others []ID
+	for _, id := range s.order {
+		if id != leader.id && len(removed) == 0 {
+			removed = append(removed, id)
+		} else if id != leader.id {
+			others = append(others, id)
+		}
+	}
+	s.blocked = func(_, to ID) bool { return to == others[0] || to == others[1] }
+	g.Expect(leader.core.ProposeMembers(leader.core.members.Without(removed[0]))).To(Succeed())
+	s.process(leader, false, false)
+	s.run(3)
+	g.Expect(s.nodes[removed[0]].core.isVoter()).To(BeFalse())
+	leader.core = nil // for good
+	s.order = append(removed, others...)
+	s.blocked = nil
+	next := s.elect()
+	g.Expect(s.propose(next)).To(BeTrue())
+}
+
+// Guards against a learner that ignores vote requests most of the time because
+// it still takes a leader for present that fell silent long ago.
+func TestLearnerForgetsSilentLeader(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(t, 1)
+	learner := s.add(100, Position{}, HardState{})
+	leader := s.elect()
+	s.observeAll(leader)
+	s.run(5)
+	g.Expect(learner.core.leader).To(Equal(leader.id))
+	for range 200 {
+		learner.core.Tick()
+		if learner.core.ticks > 100 {
+			g.Expect(learner.core.hearsLeader()).To(BeFalse())
+		}
+	}
+	g.Expect(learner.core.leader).To(Equal(None))
+}
+
+// Guards against a late snapshot that makes a follower drop entries after it
+// which the leader counts as stored there.
+func TestLateSnapshotKeepsStoredEntries(t *testing.T) {
+	g := NewWithT(t)
+	m := Membership{Voters: []Member{{ID: 1}, {ID: 2}}}
+	c := New(Options{
+		Self: 1, HardState: HardState{Term: 2}, Base: Position{Index: 1, Term: 1, Members: m},
+		Entries: []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 2}, {Index: 4, Term: 2}},
+	})
+	c.Step(Message{
+		Type: MsgSnapshot, From: 2, To: 1, Term: 2,
+		Snapshot: &Position{Index: 3, Term: 2, Members: m},
+	})
+	g.Expect(c.log.lastIndex()).To(Equal(uint64(4)))
+	g.Expect(c.commit).To(Equal(uint64(3)))
+}
+
+// Guards against a leader that sends without limit to a replica that does not
+// answer, and against one that never sends lost entries again.
+func TestFlowControlAndLostAppends(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(t, 3)
+	leader := s.elect()
+	s.run(5)
+	s.queue = nil
+	for range 50 {
+		g.Expect(s.propose(leader)).To(BeTrue())
+	}
+	var to2 int
+	for _, m := range s.queue {
+		if m.To != leader.id && m.Type == MsgAppend && m.To == leader.core.peerIDs()[0] {
+			to2++
+		}
+	}
+	g.Expect(to2).To(BeNumerically("<=", leader.core.opts.MaxInflight))
+	s.queue = nil // lost
+	s.run(20)
+	for _, id := range s.order {
+		g.Expect(s.nodes[id].applied).To(Equal(leader.core.log.lastIndex()))
+	}
+}
+
+// Guards against a transfer that loses proposals or goes to a replica without
+// the whole log, and against a leader that accepts nothing after a failed one.
+func TestTransfer(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(t, 3)
+	leader := s.elect()
+	target := leader.core.peerIDs()[0]
+	s.blocked = func(_, to ID) bool { return to == target }
+	g.Expect(leader.core.Transfer(target)).To(Succeed())
+	g.Expect(s.propose(leader)).To(BeFalse())
+	s.run(int(leader.core.opts.ElectionTicks) + 1)
+	g.Expect(leader.core.role).To(Equal(Leader))
+	g.Expect(s.propose(leader)).To(BeTrue(), "the transfer was given up")
+	s.blocked = nil
+	s.run(10)
+	g.Expect(leader.core.Transfer(target)).To(Succeed())
+	s.process(leader, false, false)
+	s.run(3)
+	g.Expect(s.leader().id).To(Equal(target))
+}
--- a/raft/election.go
+++ b/raft/election.go
@@ -5,8 +5,16 @@
 	c.electionTimeout = c.opts.ElectionTicks + c.rng.Uint64N(c.opts.ElectionTicks+1)
 }
 
-// canCampaign reports whether this replica is a voter.
-func (c *Core) canCampaign() bool { return c.isVoter() }
+// canCampaign reports whether this replica is a voter, or would be if a change
+// that is not committed were undone. Its log may be the only one that is good
+// enough for the voters that are left.
+func (c *Core) canCampaign() bool {
+	if c.isVoter() {
+		return true
+	}
+	committed, _ := c.log.membersAt(c.commit)
+	return committed.Voter(c.opts.Self) != nil
+}
 
 func (c *Core) becomeFollower(term uint64, leader ID) {
 	if term > c.term {
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -177,6 +177,9 @@
 		p.next = max(p.next, p.match+1)
 	}
 	c.advanceCommit()
+	if c.role != Leader {
+		return
+	}
 	c.sendAppends(m.From, p)
 	c.finishTransfer()
 }
@@ -198,6 +201,10 @@
 	}
 	c.commit = index
 	c.broadcastAppend()
+	if !c.canCampaign() {
+		// Its own removal is committed, which was all that it had to do.
+		c.becomeFollower(c.term, None)
+	}
 }
 
 // ReportSnapshot tells the leader that the transfer of a snapshot has ended:
--- a/raft/types.go
+++ b/raft/types.go
@@ -49,7 +49,7 @@
 }
 
 // Voter returns the voter with the id, or nil.
-func (m *Membership) Voter(id ID) *Member {
+func (m Membership) Voter(id ID) *Member {
 	for i := range m.Voters {
 		if m.Voters[i].ID == id {
 			return &m.Voters[i]
@@ -59,17 +59,17 @@
 }
 
 // Majority returns the number of voters that decide.
-func (m *Membership) Majority() int { return len(m.Voters)/2 + 1 }
+func (m Membership) Majority() int { return len(m.Voters)/2 + 1 }
 
 // With returns the membership with one more voter.
-func (m *Membership) With(v Member) Membership {
+func (m Membership) With(v Member) Membership {
 	voters := make([]Member, 0, len(m.Voters)+1)
 	voters = append(voters, m.Voters...)
 	return Membership{Voters: append(voters, v)}
 }
 
 // Without returns the membership without a voter.
-func (m *Membership) Without(id ID) Membership {
+func (m Membership) Without(id ID) Membership {
 	voters := make([]Member, 0, len(m.Voters))
 	for _, v := range m.Voters {
 		if v.ID != id {
