placement: estimate interference, sizes and run times, and act in steps

Slow replicas next to batch work had no response. A filter with independent effects attributes measured latency ratios, by sampling time, to pairs of service and class and to the service itself. Plan keeps pairs apart, throttles the fewest tasks that explain the excess, and then evicts one at a time, with samples judged only if taken after the last action had time to take effect, hysteresis and a bound on evictions per minute. The baselines ignore and evict-at-once are selectable. Use and run times of a class correct what its jobs declare.

--- a/control/control.go
+++ b/control/control.go
@@ -167,7 +167,8 @@
 		all = append(all, proposal{body: b})
 	}
 	c.metrics.observeStep(s, c.Clock.Since(begin))
-	c.propose(ctx, t, all)
+	t.collector.Planned()
+	c.propose(ctx, t, s, all)
 }
 
 // collect hands the received samples to the collector.
@@ -179,7 +180,7 @@
 
 // propose proposes all commands at once and waits for their outcomes. What
 // was refused or failed is decided anew in the next step.
-func (c *Control) propose(ctx context.Context, t *term, all []proposal) {
+func (c *Control) propose(ctx context.Context, t *term, s *state.State, all []proposal) {
 	if len(all) == 0 {
 		return
 	}
@@ -193,7 +194,7 @@
 	wg.Wait()
 	now := c.Clock.Now().UnixMilli()
 	for i, o := range outcomes {
-		c.note(t, all[i], o, now)
+		c.note(t, s, all[i], o, now)
 	}
 }
 
@@ -212,7 +213,7 @@
 }
 
 // note logs and counts an outcome, and tells the collector of actions.
-func (c *Control) note(t *term, p proposal, o outcome, now int64) {
+func (c *Control) note(t *term, s *state.State, p proposal, o outcome, now int64) {
 	kind := p.body.Kind().String()
 	switch {
 	case o.err != nil:
@@ -229,5 +230,5 @@
 	}
 	// A proposal with an unknown outcome may have been carried out, so it
 	// counts as an action too.
-	t.collector.NoteAction(p.body, now)
+	t.collector.NoteAction(s, p.body, now)
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -18,6 +18,9 @@
 	scoreSameWorker = 1000
 	scoreSameZone   = 100
 	scoreSameRack   = 10
+	// scoreRise weighs the expected rise of a replica's latency ratio, so that
+	// a rise of 1 counts as much as two replicas in the zone.
+	scoreRise = 200
 	// scoreAccelerators keeps workers with free accelerators for tasks that
 	// need them.
 	scoreAccelerators = 5
@@ -61,6 +64,8 @@
 		return false
 	case w.reserved != nil && !w.reserved.admits(p, t, size):
 		return false
+	case t.Kind == state.KindBatch && len(p.hosted[i]) > 0 && p.now-t.QueuedAt < avoidTime:
+		return p.rise(t, i, size) <= avoidRise
 	}
 	return true
 }
@@ -73,7 +78,8 @@
 	w := &p.view.workers[i]
 	left := fraction(w.free.Sub(size), w.worker.Capacity)
 	if t.Kind == state.KindLatencyCritical {
-		return p.spreadScore(t.Owner, i) - left
+		left = -left
+		return p.spreadScore(t.Owner, i) + scoreRise*p.riseFrom(t.Owner, i) + left
 	}
 	score := left
 	if size.Accelerators == 0 && w.free.Accelerators > 0 {
@@ -82,6 +88,9 @@
 	if w.single {
 		score += scoreProbe
 	}
+	if len(p.hosted[i]) > 0 {
+		score += scoreRise * p.rise(t, i, size)
+	}
 	return score
 }
 
@@ -102,6 +111,9 @@
 		p.spreads[service] = s
 	}
 	w := &p.view.workers[i]
+	if s.workers[i] == 0 {
+		p.hosted[i] = append(p.hosted[i], service)
+	}
 	s.workers[i]++
 	s.zones[w.zone]++
 	s.racks[w.worker.Rack]++
--- a/placement/observations.go
+++ b/placement/observations.go
@@ -34,10 +34,36 @@
 // Observations are what the leader knows beyond the state. Plan only reads
 // them. The zero value knows nothing.
 type Observations struct {
-	// Since is when the leader was elected, in Unix milliseconds.
+	// Since is when the leader was elected, in Unix milliseconds. Actions of
+	// earlier leaders are not known, so samples from before are not judged.
 	Since int64
-	// Workers holds the last sample of each worker.
-	Workers map[string]*WorkerSample
+	// Workers holds what is known of each worker.
+	Workers map[string]*WorkerObservation
+	// Updated are the workers with a new sample since the last plan, by id.
+	Updated []string
+	// Estimates are derived from all samples of this leader; nil for none.
+	Estimates *Estimates
+	// Evictions are the times of the evictions by interference of the last
+	// minute, in Unix milliseconds.
+	Evictions []int64
+}
+
+// WorkerObservation is what is known of one worker.
+type WorkerObservation struct {
+	Sample *WorkerSample
+	// Above and Below count the samples in a row, taken after the last action
+	// had time to take effect, in which the slowest replica was above the
+	// limit or well below it.
+	Above int
+	Below int
+	// ActedAt is when the last response to interference was committed, in Unix
+	// milliseconds; 0 if never.
+	ActedAt int64
+	// ReleasedAt is when a throttle was last lowered, in Unix milliseconds.
+	ReleasedAt int64
+	// Hold is the number of samples below that the next release waits for. It
+	// doubles when a release turned out to be too early.
+	Hold int
 }
 
 // InterferencePolicy selects the response to interference.
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -28,6 +28,9 @@
 	// MaxPreemptions bounds the tasks that one plan evicts for tasks of a
 	// higher rank; DefaultMaxPreemptions if 0.
 	MaxPreemptions int
+	// EvictionsPerMinute bounds the evictions by interference in the whole
+	// cluster; DefaultEvictionsPerMinute if 0.
+	EvictionsPerMinute int
 }
 
 // Defaults of Options.
@@ -56,6 +59,9 @@
 	if o.MaxPreemptions == 0 {
 		o.MaxPreemptions = DefaultMaxPreemptions
 	}
+	if o.EvictionsPerMinute == 0 {
+		o.EvictionsPerMinute = DefaultEvictionsPerMinute
+	}
 	return &Planner{options: o}
 }
 
@@ -75,6 +81,7 @@
 	pl.services()
 	pl.drainZones()
 	pl.quarantine()
+	pl.interference()
 	pl.placePending()
 	return pl.commands()
 }
@@ -94,11 +101,14 @@
 	placements []state.Placement
 
 	spreads     map[string]*spread // by service
+	hosted      [][]string         // services with replicas, by index of the worker
+	harmed      map[string]bool    // services for which a harmful class is known
 	residentsOf [][]resident       // by index of the worker; nil until needed
 	noRoom      []state.Resources  // sizes for which no worker has enough left
 	scanned     int
 	blocked     int
 	preempted   int
+	evicted     int // by interference
 }
 
 func (p *plan) stop(t *state.Task, why state.StopReason, reason string) {
--- a/placement/room.go
+++ b/placement/room.go
@@ -207,13 +207,19 @@
 
 // runTime returns the expected run time of a task in milliseconds.
 func (p *plan) runTime(t *state.Task) int64 {
-	if t.ExpectedSeconds > 0 {
-		return t.ExpectedSeconds * 1000
+	if d := p.obs.Estimates.RunTime(t); d > 0 {
+		return d
 	}
 	return unknownRunTime
 }
 
-// size returns the resources to plan with.
+// size returns the resources to plan with. A corrected size that no worker
+// could hold would keep the task waiting forever, so then the declared one is
+// used.
 func (p *plan) size(t *state.Task) state.Resources {
+	size := p.obs.Estimates.Size(t)
+	if size == t.Resources || size.Fits(p.view.largest) {
+		return size
+	}
 	return t.Resources
 }
--- a/placement/view.go
+++ b/placement/view.go
@@ -29,6 +29,8 @@
 	byID     map[string]int
 	zones    []zoneView
 	capacity state.Resources // of the usable workers
+	// largest is the largest capacity of a usable worker in each dimension.
+	largest state.Resources
 }
 
 // suspectOwners is the number of different jobs whose tasks fail on a worker
@@ -49,7 +51,9 @@
 		p.view.byID[w.ID] = len(p.view.workers)
 		p.view.workers = append(p.view.workers, p.viewOf(w, z))
 	}
+	p.hosted = make([][]string, n)
 	p.boundRefill()
+	p.countOveruse()
 }
 
 func (p *plan) viewOf(w *state.Worker, zone int) workerView {
@@ -59,6 +63,7 @@
 	v.single = suspect
 	if v.usable && !suspect {
 		p.view.capacity = p.view.capacity.Add(w.Capacity)
+		p.view.largest = p.view.largest.Max(w.Capacity)
 	}
 	if v.single && (!w.Reserved.IsZero() || !p.probeDue(w)) {
 		v.usable = false
@@ -77,3 +82,45 @@
 		z.allowance--
 	}
 }
+
+// countOveruse takes from the workers what their tasks use beyond what they
+// declare. For a task that the last sample does not show, the statistics of
+// its class are used.
+func (p *plan) countOveruse() {
+	if !p.obs.Estimates.Oversized() {
+		return
+	}
+	for i := range p.view.workers {
+		w := &p.view.workers[i]
+		if w.worker.Reserved.IsZero() {
+			continue
+		}
+		sampled := sampledUse(p.obs.Workers[w.worker.ID])
+		var over state.Resources
+		for t := range p.s.TasksOnWorker(w.worker.ID) {
+			used, ok := sampled[sampledTask{t.ID, t.Incarnation}]
+			if !ok {
+				used = p.obs.Estimates.Size(t)
+			}
+			over = over.Add(used.Sub(t.Resources))
+		}
+		w.free = w.free.Sub(over.Positive())
+	}
+}
+
+// sampledTask names one incarnation of a task in a sample.
+type sampledTask struct {
+	task        string
+	incarnation uint64
+}
+
+func sampledUse(o *WorkerObservation) map[sampledTask]state.Resources {
+	if o == nil || o.Sample == nil {
+		return nil
+	}
+	use := make(map[sampledTask]state.Resources, len(o.Sample.Tasks))
+	for _, t := range o.Sample.Tasks {
+		use[sampledTask{t.Task, t.Incarnation}] = t.Used
+	}
+	return use
+}
--- a/state/resources.go
+++ b/state/resources.go
@@ -35,6 +35,16 @@
 	return r == Resources{}
 }
 
+// Positive returns r with 0 in place of negative amounts.
+func (r Resources) Positive() Resources {
+	return Resources{max(0, r.MilliCPU), max(0, r.MemoryMiB), max(0, r.Accelerators)}
+}
+
+// Max returns the larger amount of r and o in each dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMiB, o.MemoryMiB), max(r.Accelerators, o.Accelerators)}
+}
+
 // Within reports whether r is at most quota in each dimension in which the
 // quota sets a limit. 0 is no limit.
 func (r Resources) Within(quota Resources) bool {
