ledger: follow epochs without gaps

A holder that sees several changes of a bucket at once could keep a copy that misses claims, or take a new bucket for a lost one. LedgerBucket.Inherited names the epoch whose copy the primary took over, and a copy is dropped if the holder did not follow it. Observed: the ledger tests pass with -race twice in 15 s; they include restarts of either holder, two lost primaries in a row, a replaced primary with an old state and a backup that returns.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -167,7 +167,7 @@
 		old, _ := s.Buckets.Get(state.BucketKey(number))
 		next := &state.LedgerBucket{
 			Number: number, Primary: primary, Backup: backup,
-			Epoch: s.Index, First: old.First, Previous: old.Epoch,
+			Epoch: s.Index, First: old.First, Previous: old.Epoch, Inherited: old.Epoch,
 		}
 		s.Buckets = s.Buckets.Put(state.BucketKey(number), next)
 	})
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -153,8 +153,7 @@
 	}
 	next := l.roleIn(spec)
 	if spec.Epoch != b.epoch {
-		if spec.Previous != b.epoch {
-			// Another instance may have granted claims in an epoch between.
+		if !followed(b, spec, next) {
 			l.clear(b)
 		}
 		b.epoch = spec.Epoch
@@ -171,6 +170,15 @@
 	}
 }
 
+// followed reports whether no other instance can have granted claims that
+// this copy lacks since the epoch that it reflects; b.mu is held.
+func followed(b *bucket, spec *state.LedgerBucket, next role) bool {
+	if spec.Previous == b.epoch {
+		return true
+	}
+	return next == rolePrimary && b.epoch != 0 && b.epoch >= max(spec.First, spec.Inherited)
+}
+
 func (l *Ledger) roleIn(spec *state.LedgerBucket) role {
 	switch l.opts.Self {
 	case spec.Primary:
@@ -204,13 +212,13 @@
 	}
 }
 
-// complete makes the copy whole. The first holders start empty. Otherwise a
+// complete makes the copy whole. The first primary starts empty. Otherwise a
 // process that has no copy of its own takes that of the backup; without one,
 // entries are missing for the retention time.
 func (l *Ledger) complete(ctx context.Context, b *bucket, spec *state.LedgerBucket) {
 	b.mu.Lock()
 	whole := b.complete
-	if !whole && spec.Epoch == spec.First && spec.Epoch > l.registered.Load() {
+	if !whole && spec.Inherited == 0 && spec.First > l.registered.Load() {
 		b.complete, whole = true, true
 	}
 	b.mu.Unlock()
@@ -241,3 +249,6 @@
 	case <-timer.Chan():
 	}
 }
+
+// AnswerBytes returns the memory of the recorded answers.
+func (l *Ledger) AnswerBytes() int64 { return l.answerBytes.Load() }
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,311 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"apricotrouter/ledger"
+	"apricotrouter/replica"
+	"apricotrouter/standin/statelog"
+	"apricotrouter/state"
+	"apricotrouter/transport"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+var key = ledger.Key{Service: "receipts", RequestID: "gift-1"}
+
+// group is a few instances that keep the bucket of key.
+type group struct {
+	t   *testing.T
+	g   *WithT
+	log *statelog.Log
+	net *transport.Local
+	// clock drives the retention only; calls use real time.
+	clock clockwork.Clock
+	opts  ledger.Options
+	nodes map[string]*node
+}
+
+type node struct {
+	ledger *ledger.Ledger
+	log    *nodeLog
+	stop   func()
+}
+
+// nodeLog is the shared log, or an older one that a node is left with.
+type nodeLog struct {
+	source atomic.Pointer[statelog.Log]
+}
+
+func (l *nodeLog) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	return l.source.Load().Propose(ctx, c)
+}
+func (l *nodeLog) State() *state.State            { return l.source.Load().State() }
+func (l *nodeLog) Fresh() bool                    { return true }
+func (l *nodeLog) Changed() <-chan struct{}       { return l.source.Load().Changed() }
+func (l *nodeLog) Leadership() replica.Leadership { return l.source.Load().Leadership() }
+
+func newGroup(t *testing.T, opts ledger.Options) *group {
+	gr := &group{
+		t: t, g: NewWithT(t), log: statelog.New(), net: transport.NewLocal(),
+		clock: clockwork.NewRealClock(), opts: opts, nodes: make(map[string]*node),
+	}
+	t.Cleanup(func() {
+		for _, n := range gr.nodes {
+			n.stop()
+		}
+	})
+	for _, id := range []string{"a", "b", "c"} {
+		gr.start(id)
+	}
+	return gr
+}
+
+// start starts a process of an instance, which registers now.
+func (gr *group) start(id string) {
+	if old := gr.nodes[id]; old != nil {
+		old.stop()
+	}
+	mux := transport.NewMux()
+	opts := gr.opts
+	n := &node{log: new(nodeLog)}
+	n.log.source.Store(gr.log)
+	opts.Self, opts.Log, opts.Mux, opts.Clock = id, n.log, mux, gr.clock
+	opts.Peers = gr.net.Join(id, mux)
+	n.ledger = ledger.New(opts)
+	gr.log.Update(func(s *state.State) {
+		s.Instances = s.Instances.Put(id, &state.Instance{ID: id})
+		n.ledger.SetRegistered(s.Index)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.ledger.Run(ctx) })
+	n.stop = sync.OnceFunc(func() { cancel(); wg.Wait() })
+	gr.nodes[id] = n
+}
+
+// hold gives the bucket to its holders, with the rules of state.
+func (gr *group) hold(primary, backup string) {
+	gr.log.Update(func(s *state.State) {
+		b := state.LedgerBucket{Number: key.Bucket(), Primary: primary, Backup: backup}
+		if old, ok := s.Buckets.Get(state.BucketKey(b.Number)); ok {
+			b.Epoch = old.Epoch
+		}
+		next, result := s.Apply(s.Index, state.NewCommand(state.SetLedgerBuckets{Buckets: []state.LedgerBucket{b}}))
+		gr.g.Expect(result.Code).To(Equal(state.CodeOK))
+		*s = *next
+	})
+}
+
+func (gr *group) claim(through string) (*ledger.Claim, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	return gr.nodes[through].ledger.Claim(ctx, key, 1)
+}
+
+// verdict returns the verdict of a claim, or "refused".
+func (gr *group) verdict(through string) ledger.Verdict {
+	c, err := gr.claim(through)
+	if err != nil {
+		return ledger.VerdictRefused
+	}
+	return c.Verdict
+}
+
+// granted claims the key until that is granted and returns the claim.
+func (gr *group) granted(through string) *ledger.Claim {
+	var c *ledger.Claim
+	gr.g.Eventually(func() bool {
+		var err error
+		c, err = gr.claim(through)
+		return err == nil && c.Verdict == ledger.VerdictGranted
+	}, 5*time.Second).Should(BeTrue())
+	return c
+}
+
+func (gr *group) eventually(through string, v ledger.Verdict) {
+	gr.t.Helper()
+	gr.g.Eventually(func() ledger.Verdict { return gr.verdict(through) }, 8*time.Second).Should(Equal(v))
+}
+
+// Guards against two grants of one request.
+func TestOneOfManyClaimsIsGranted(t *testing.T) {
+	gr := newGroup(t, ledger.Options{})
+	gr.hold("a", "b")
+	gr.granted("c")
+	var granted atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 30 {
+		wg.Go(func() {
+			if gr.verdict([]string{"a", "b", "c"}[i%3]) == ledger.VerdictGranted {
+				granted.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	gr.g.Expect(granted.Load()).To(BeZero())
+}
+
+// Guards against a request that never runs although it was released.
+func TestReleasedRequestMayRun(t *testing.T) {
+	gr := newGroup(t, ledger.Options{})
+	gr.hold("a", "b")
+	c := gr.granted("c")
+	gr.g.Expect(c.Release(context.Background())).To(Succeed())
+	again := gr.granted("b")
+	gr.g.Expect(c.Record(context.Background(), &ledger.Answer{Status: 200})).To(Succeed())
+	gr.g.Expect(gr.verdict("c")).To(Equal(ledger.VerdictUnknown), "the record of a released claim counts for nothing")
+	gr.g.Expect(again.Record(context.Background(), &ledger.Answer{Status: 200})).To(Succeed())
+	gr.g.Expect(gr.verdict("c")).To(Equal(ledger.VerdictRecorded))
+}
+
+// Guards against a second grant after the loss of the primary, and after the
+// loss of the new one too.
+func TestBackupTakesOverTwice(t *testing.T) {
+	gr := newGroup(t, ledger.Options{})
+	gr.hold("a", "b")
+	c := gr.granted("c")
+	gr.g.Expect(c.Record(context.Background(), &ledger.Answer{Status: 201, Body: []byte("receipt")})).To(Succeed())
+	gr.nodes["a"].stop()
+	gr.hold("b", "c")
+	gr.eventually("c", ledger.VerdictRecorded)
+	gr.nodes["b"].stop()
+	gr.hold("c", "")
+	gr.eventually("c", ledger.VerdictRecorded)
+	last, err := gr.claim("c")
+	gr.g.Expect(err).NotTo(HaveOccurred())
+	gr.g.Expect(string(last.Answer.Body)).To(Equal("receipt"))
+}
+
+// Guards against grants by a primary that was replaced and does not know it.
+func TestReplacedPrimaryCannotGrant(t *testing.T) {
+	gr := newGroup(t, ledger.Options{})
+	gr.hold("a", "b")
+	first := gr.granted("c")
+	gr.g.Expect(first.Release(context.Background())).To(Succeed())
+	// a and the claiming instance still see the old epoch; b does not.
+	old := statelog.New()
+	old.Update(func(s *state.State) { *s = *gr.log.State() })
+	gr.nodes["a"].log.source.Store(old)
+	gr.hold("b", "c")
+	gr.granted("c")
+	gr.nodes["c"].log.source.Store(old)
+	gr.g.Expect(gr.verdict("c")).NotTo(Equal(ledger.VerdictGranted))
+}
+
+// Guards against a restarted primary that has forgotten its claims.
+func TestRestartedPrimaryTakesTheCopyOfItsBackup(t *testing.T) {
+	gr := newGroup(t, ledger.Options{})
+	gr.hold("a", "b")
+	gr.granted("c")
+	gr.start("a")
+	gr.eventually("c", ledger.VerdictUnknown)
+}
+
+// Guards against a restarted backup that takes over with a part of the bucket.
+func TestRestartedBackupIsFilledAgain(t *testing.T) {
+	gr := newGroup(t, ledger.Options{})
+	gr.hold("a", "b")
+	gr.granted("c")
+	gr.start("b")
+	other := ledger.Key{Service: key.Service}
+	for n := 0; other.Bucket() != key.Bucket() || other.RequestID == ""; n++ {
+		other.RequestID = fmt.Sprint(n)
+	}
+	gr.g.Eventually(func() error {
+		_, err := gr.nodes["a"].ledger.Claim(context.Background(), other, 1)
+		return err
+	}, 5*time.Second).Should(Succeed())
+	gr.nodes["a"].stop()
+	gr.hold("b", "c")
+	gr.eventually("c", ledger.VerdictUnknown)
+}
+
+// Guards against a holder that takes over with a copy of before its absence.
+func TestReturningBackupDoesNotUseItsOldCopy(t *testing.T) {
+	gr := newGroup(t, ledger.Options{})
+	gr.hold("a", "b")
+	c := gr.granted("c")
+	gr.g.Expect(c.Release(context.Background())).To(Succeed())
+	behind := statelog.New()
+	behind.Update(func(s *state.State) { *s = *gr.log.State() })
+	gr.nodes["b"].log.source.Store(behind)
+	gr.hold("a", "c")
+	gr.granted("c")
+	// b sees the two changes at once, and a is lost before it has sent a copy.
+	gr.nodes["a"].stop()
+	gr.net.SetRule(func(_, to string, kind transport.Kind) transport.Fate {
+		return transport.Fate{Drop: kind == transport.KindLedgerReplicate && to == "b"}
+	})
+	gr.hold("a", "b")
+	gr.hold("b", "")
+	gr.nodes["b"].log.source.Store(gr.log)
+	behind.Update(func(*state.State) {})
+	gr.eventually("c", ledger.VerdictUnknown)
+}
+
+// Guards against a second grant after both copies were lost, and against a
+// bucket that stays closed for ever.
+func TestBothCopiesLost(t *testing.T) {
+	gr := newGroup(t, ledger.Options{Retention: 3 * time.Second})
+	gr.hold("a", "b")
+	gr.granted("c")
+	gr.nodes["a"].stop()
+	gr.nodes["b"].stop()
+	gr.hold("c", "")
+	gr.eventually("c", ledger.VerdictUnknown)
+	gr.granted("c")
+}
+
+// Guards against first holders that take the missing entries of a new bucket
+// for lost ones, although they see several changes at once.
+func TestFirstHoldersServeAtOnce(t *testing.T) {
+	gr := newGroup(t, ledger.Options{})
+	ahead := gr.log
+	behind := statelog.New()
+	for _, n := range gr.nodes {
+		n.log.source.Store(behind)
+	}
+	gr.hold("a", "")
+	gr.hold("a", "b")
+	gr.hold("a", "c")
+	for _, n := range gr.nodes {
+		n.log.source.Store(ahead)
+	}
+	behind.Update(func(*state.State) {})
+	gr.g.Expect(gr.granted("b")).NotTo(BeNil())
+}
+
+// Guards against memory that grows without bound.
+func TestLedgerIsBounded(t *testing.T) {
+	gr := newGroup(t, ledger.Options{MaxEntries: 10, MaxAnswerBytes: 1000})
+	for i := range state.LedgerBuckets {
+		gr.log.Update(func(s *state.State) {
+			s.Buckets = s.Buckets.Put(state.BucketKey(i), &state.LedgerBucket{Number: i, Primary: "a", Epoch: s.Index, First: s.Index})
+		})
+	}
+	ctx := context.Background()
+	gr.granted("a")
+	refused := 0
+	for i := range 20 {
+		c, err := gr.nodes["a"].ledger.Claim(ctx, ledger.Key{Service: "receipts", RequestID: fmt.Sprint(i)}, 1)
+		if err != nil {
+			refused++
+			continue
+		}
+		gr.g.Expect(c.Record(ctx, &ledger.Answer{Status: 200, Body: make([]byte, 900)})).To(Succeed())
+	}
+	gr.g.Expect(refused).To(Equal(11))
+	gr.g.Expect(gr.nodes["a"].ledger.AnswerBytes()).To(BeNumerically("<=", 1000))
+}
--- a/state/apply_member.go
+++ b/state/apply_member.go
@@ -280,10 +280,13 @@
 		return false
 	}
 	var epoch uint64
-	b.First, b.Previous = tx.index, 0
+	b.First, b.Previous, b.Inherited = tx.index, 0, 0
 	if old, ok := tx.Buckets.Get(BucketKey(b.Number)); ok {
 		epoch = old.Epoch
-		b.First, b.Previous = old.First, old.Epoch
+		b.First, b.Previous, b.Inherited = old.First, old.Epoch, old.Inherited
+		if b.Primary != old.Primary {
+			b.Inherited = old.Epoch
+		}
 		b.LostAt = max(b.LostAt, old.LostAt)
 	}
 	if epoch != b.Epoch {
--- a/state/types.go
+++ b/state/types.go
@@ -258,6 +258,9 @@
 	// Previous is the epoch that this one replaced. A holder that did not
 	// follow it may have missed entries.
 	Previous uint64 `cbor:"7,keyasint,omitempty"`
+	// Inherited is the epoch whose copy the primary took over. It changes only
+	// with the primary and is 0 for the first one.
+	Inherited uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // RequestResult is the first result of an operator's request.
