--- a/cli/cluster.go
+++ b/cli/cluster.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"runtime/debug"
+	"runtime"
 	"strings"
 	"time"
 
@@ -11,6 +11,7 @@
 
 	"apricotrouter/config"
 	gen "apricotrouter/gen/operator"
+	"apricotrouter/version"
 )
 
 func (o *options) initCommand() *cobra.Command {
@@ -200,11 +201,7 @@
 		Short: "Print the version of this program",
 		Args:  noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			version, goVersion := "unknown", "unknown"
-			if info, ok := debug.ReadBuildInfo(); ok {
-				version, goVersion = info.Main.Version, info.GoVersion
-			}
-			_, err := fmt.Fprintf(cmd.OutOrStdout(), "apricotrouter %s, %s\n", version, goVersion)
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "apricotrouter %s, %s\n", version.Version, runtime.Version())
 			return err
 		},
 	}
