worker: send usage to the leader, and stop acting once handed over

The leader needs lagging usage samples of each worker to judge interference: each session samples every 2 s and the Manager sends one notice with all samples. An instance that hands over its assignments no longer renews or starts, as state.HandOver says; TestNothingAfterHandOver checks it.

go test -race ./worker passes.

--- a/worker/manager.go
+++ b/worker/manager.go
@@ -49,6 +49,8 @@
 	o       Options
 	metrics *metrics
 	wg      sync.WaitGroup
+	// observed is nil if no observations are sent.
+	observed *observations
 	// running holds the sessions by worker. Only Run uses it.
 	running map[string]runningSession
 }
@@ -67,7 +69,11 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
-	return &Manager{o: o, metrics: newMetrics(o.Registerer), running: make(map[string]runningSession)}
+	m := &Manager{o: o, metrics: newMetrics(o.Registerer), running: make(map[string]runningSession)}
+	if o.Peers != nil {
+		m.observed = &observations{}
+	}
+	return m
 }
 
 // Run holds the sessions until ctx ends. When it returns, no call to a worker
@@ -76,6 +82,9 @@
 	defer m.wg.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if m.observed != nil {
+		m.wg.Go(func() { m.sendObservations(ctx) })
+	}
 	var seen state.Table[*state.Assignment]
 	for {
 		changed := m.o.Log.Changed()
@@ -114,6 +123,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	m.running[id] = runningSession{fence: fence, cancel: cancel}
 	s := newSession(m.o, m.metrics, id, fence)
+	s.observed = m.observed
 	m.wg.Add(1)
 	m.metrics.sessions.Inc()
 	event.Log(m.o.Logger, event.WorkerSessionStarted, slog.String("worker", id), slog.Uint64("fence", fence))
--- a/worker/manager_test.go
+++ b/worker/manager_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -11,9 +10,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/goleak"
 
+	"apricotrouter/placement"
 	"apricotrouter/replica"
 	workerstandin "apricotrouter/standin/worker"
 	"apricotrouter/state"
+	"apricotrouter/transport"
 	"apricotrouter/worker"
 )
 
@@ -38,14 +39,22 @@
 
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
-	m := worker.NewManager(worker.Options{Self: "a", Log: log, Registerer: prometheus.NewRegistry(), Logger: slog.Default()})
+	samples := make(chan string, 16)
+	mux := transport.NewMux()
+	transport.OnNotice(mux, transport.KindObservations, func(_ string, n *placement.ObservationsNotice) {
+		samples <- n.Workers[0].Tasks[0].Task
+	})
+	m := worker.NewManager(worker.Options{
+		Self: "a", Log: log, Registerer: prometheus.NewRegistry(),
+		Peers: transport.NewLocal().Join("memory", mux),
+	})
 	go func() { done <- m.Run(ctx) }()
 	defer func() { cancel(); g.Expect(<-done).To(Succeed()) }()
 
 	propose(state.Assign{Changes: []state.OwnerChange{{Kind: state.AssignWorker, ID: "w1", To: "a"}}})
 	propose(state.SubmitJob{Spec: state.JobSpec{
 		ID: "job", Class: "c", Priority: state.PriorityNormal, Tasks: 1,
-		Resources: state.Resources{MilliCPU: 3000}, ExpectedSeconds: 1,
+		Resources: state.Resources{MilliCPU: 3000}, ExpectedSeconds: 6,
 	}})
 	propose(state.PlaceTasks{Placements: []state.Placement{{Task: task, Incarnation: 1, Worker: "w1"}}})
 	w.LoseAnswers(workerstandin.MethodStart, 1)
@@ -55,5 +64,6 @@
 	w.SetSilent(false)
 	g.Eventually(func() state.TaskPhase { return log.State().Task(task).Phase }, "20s").
 		Should(Equal(state.PhaseCompleted))
+	g.Expect(samples).To(Receive(Equal(task)))
 	g.Expect(w.Records()).To(HaveExactElements(HaveField("End", workerstandin.EndExited)))
 }
--- a/worker/session.go
+++ b/worker/session.go
@@ -34,6 +34,8 @@
 	bootID      string    // of the last list; empty before the first
 	ended       []TaskKey // tasks that the last list showed as ended
 	lost        lostWorker
+	observed    *observations // nil to take no samples
+	lastSample  time.Time
 	reconciled  bool // the tasks were reconciled once
 
 	ops sync.WaitGroup // calls and proposals in the background
@@ -67,12 +69,17 @@
 	s.disconnect()
 }
 
-// held reports whether this session may act on the worker now.
+// held reports whether this session may act on the worker now. An instance that
+// leaves gives up its assignments when it says so.
 func (s *session) held() bool {
 	if !s.Log.Fresh() {
 		return false
 	}
-	a := s.Log.State().Assignment(state.AssignWorker, s.worker)
+	st := s.Log.State()
+	if self, ok := st.Instances.Get(s.Self); ok && self.Leaving {
+		return false
+	}
+	a := st.Assignment(state.AssignWorker, s.worker)
 	return a != nil && a.Owner == s.Self && a.Fence == s.fence
 }
 
@@ -104,6 +111,7 @@
 	}
 	s.lastContact = s.Clock.Now()
 	s.reconcile(ctx, st, l)
+	s.observe(ctx)
 }
 
 // list connects if necessary and lists the worker.
--- a/worker/start_test.go
+++ b/worker/start_test.go
@@ -95,6 +95,18 @@
 	f.Expect(f.w1.renewals).To(Equal(renewals))
 }
 
+// Guards against starts and renewals by an instance that has handed its
+// assignments over.
+func TestNothingAfterHandOver(t *testing.T) {
+	f := newFixture(t)
+	f.place("w1")
+	renewals := f.w1.renewals
+	f.propose(state.HandOver{Instance: "a", InstanceStart: 1})
+	f.rounds(2*time.Second, f.s1)
+	f.Expect(f.records()).To(BeEmpty())
+	f.Expect(f.w1.renewals).To(Equal(renewals))
+}
+
 // Guards against a restarted process that takes a start of its predecessor
 // under the same fence for void while it is on its way.
 func TestRestartedProcessWaitsForEarlierStart(t *testing.T) {
