daemon: run the request ledger

A ledger may serve its buckets only once this start of the process is registered, so the instance's record now carries the log index of that. The daemon waits for it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"apricotrouter/control"
 	"apricotrouter/dispatch"
 	"apricotrouter/event"
+	"apricotrouter/ledger"
 	"apricotrouter/operator"
 	"apricotrouter/registry"
 	"apricotrouter/replica"
@@ -163,6 +164,8 @@
 	d.run(ctx, d.control.Run)
 	d.run(ctx, d.workers.Run)
 	d.run(ctx, d.registry.Run)
+	d.run(ctx, d.ledger.Run)
+	d.run(ctx, d.openLedger)
 	d.run(ctx, d.dispatch.Run)
 	d.run(ctx, func(ctx context.Context) error {
 		tlsConfig, err := d.cfg.TLS.OperatorServer()
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"apricotrouter/dispatch"
+	"apricotrouter/ledger"
 	"apricotrouter/operator"
 	"apricotrouter/registry"
 	"apricotrouter/replica"
@@ -51,14 +52,37 @@
 		Log: d.replica, Peers: d.mesh, Mux: d.messages,
 		Clock: d.clock, Logger: d.logger, Registerer: d.metrics,
 	})
+	d.ledger = ledger.New(ledger.Options{
+		Self: d.cfg.Instance.ID, Log: d.replica, Peers: d.mesh, Mux: d.messages,
+		Clock: d.clock, Logger: d.logger, Registerer: d.metrics,
+	})
 	d.dispatch = dispatch.New(dispatch.Options{
-		Registry: d.registry, Log: d.replica,
+		Registry: d.registry, Ledger: d.ledger, Log: d.replica,
 		ForwardAddress: func(instance string) string { return d.peerAddresses[instance] },
 		Clock:          d.clock, Logger: d.logger, Registerer: d.metrics,
 		Timeout: d.cfg.Dispatch.DefaultTimeout, MaxBodyBytes: d.cfg.Dispatch.MaxBodyBytes,
 	})
 }
 
+// openLedger lets the ledger serve once this start of the process is
+// registered: buckets that were given to the instance earlier were kept by an
+// earlier process.
+func (d *Daemon) openLedger(ctx context.Context) error {
+	for {
+		changed := d.replica.Changed()
+		self, ok := d.replica.State().Instances.Get(d.cfg.Instance.ID)
+		if ok && self.InstanceStart == d.replica.Start() {
+			d.ledger.SetRegistered(self.RegisteredIndex)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
 // group offers the replica to the operator service.
 type group struct {
 	self    string
--- a/state/apply_member.go
+++ b/state/apply_member.go
@@ -196,9 +196,9 @@
 	old, ok := tx.Instances.Get(in.ID)
 	switch {
 	case ok && old.InstanceStart == in.InstanceStart:
-		in.Leaving, in.RegisteredAt = old.Leaving, old.RegisteredAt
+		in.Leaving, in.RegisteredAt, in.RegisteredIndex = old.Leaving, old.RegisteredAt, old.RegisteredIndex
 	default:
-		in.Leaving, in.RegisteredAt = false, tx.now
+		in.Leaving, in.RegisteredAt, in.RegisteredIndex = false, tx.now, tx.index
 		if ok {
 			tx.restarted(in.ID)
 		}
--- a/state/types.go
+++ b/state/types.go
@@ -226,15 +226,18 @@
 
 // Instance is an entry instance of the system.
 type Instance struct {
-	ID             string `cbor:"1,keyasint"`
-	PeerAddress    string `cbor:"2,keyasint"`
-	Zone           string `cbor:"3,keyasint"`
-	ReplicaID      uint64 `cbor:"4,keyasint,omitempty"` // 0 if it has no disk
-	Leaving        bool   `cbor:"5,keyasint,omitempty"` // hands its assignments over
-	RegisteredAt   int64  `cbor:"6,keyasint"`           // Unix milliseconds
-	InstanceStart  uint64 `cbor:"7,keyasint"`           // random number of this start of the process
-	EntryAddress   string `cbor:"8,keyasint,omitempty"`
-	OperatorServer string `cbor:"9,keyasint,omitempty"`
+	ID            string `cbor:"1,keyasint"`
+	PeerAddress   string `cbor:"2,keyasint"`
+	Zone          string `cbor:"3,keyasint"`
+	ReplicaID     uint64 `cbor:"4,keyasint,omitempty"` // 0 if it has no disk
+	Leaving       bool   `cbor:"5,keyasint,omitempty"` // hands its assignments over
+	RegisteredAt  int64  `cbor:"6,keyasint"`           // Unix milliseconds
+	InstanceStart uint64 `cbor:"7,keyasint"`           // random number of this start of the process
+	EntryAddress  string `cbor:"8,keyasint,omitempty"`
+	// RegisteredIndex is the log index at which this start of the process
+	// registered itself.
+	RegisteredIndex uint64 `cbor:"10,keyasint,omitempty"`
+	OperatorServer  string `cbor:"9,keyasint,omitempty"`
 }
 
 // Team is a group of users with a share and a quota.
