--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -60,6 +60,7 @@
 	control       *control.Control
 	workers       *worker.Manager
 	registry      *registry.Registry
+	ledger        *ledger.Ledger
 	dispatch      *dispatch.Dispatcher
 	operator      *operator.Service
 
