transport: count bytes of messages by direction and kind

The limit of 10 KB/s for control per daemon can't be checked without them. Counters are looked up once per kind. go test -race ./transport passes.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -47,6 +47,7 @@
 	peer    string
 	ws      *websocket.Conn
 	mux     *Mux
+	metrics *metrics
 	out     chan frame
 	cancel  context.CancelFunc
 	done    chan struct{} // closed when the connection has ended
@@ -56,12 +57,13 @@
 	wg      sync.WaitGroup
 }
 
-func newConn(peer string, ws *websocket.Conn, mux *Mux) *conn {
+func newConn(peer string, ws *websocket.Conn, mux *Mux, m *metrics) *conn {
 	ws.SetReadLimit(MaxFrameBytes)
 	return &conn{
 		peer:    peer,
 		ws:      ws,
 		mux:     mux,
+		metrics: m,
 		out:     make(chan frame, sendQueue),
 		done:    make(chan struct{}),
 		waiting: make(map[uint64]chan frame),
@@ -105,6 +107,7 @@
 	if err := decodeMode.Unmarshal(data, &f); err != nil {
 		return f, steperr.Wrap(&FrameError{Err: err}, "decode frame", c.peer)
 	}
+	count(c.metrics.received, f.Kind, len(data))
 	return f, nil
 }
 
@@ -132,15 +135,15 @@
 func (c *conn) answer(ctx context.Context, f frame) {
 	out, err := c.mux.dispatch(ctx, c.peer, f.Kind, f.Body)
 	if err != nil {
-		_ = c.send(frame{Type: frameError, ID: f.ID, Text: err.Error()})
+		_ = c.send(frame{Type: frameError, Kind: f.Kind, ID: f.ID, Text: err.Error()})
 		return
 	}
 	body, err := cbor.Marshal(out)
 	if err != nil {
-		_ = c.send(frame{Type: frameError, ID: f.ID, Text: err.Error()})
+		_ = c.send(frame{Type: frameError, Kind: f.Kind, ID: f.ID, Text: err.Error()})
 		return
 	}
-	_ = c.send(frame{Type: frameAnswer, ID: f.ID, Body: body})
+	_ = c.send(frame{Type: frameAnswer, Kind: f.Kind, ID: f.ID, Body: body})
 }
 
 // deliver hands an answer to the call that waits for it. An answer to a call
@@ -208,6 +211,7 @@
 	if len(data) > MaxFrameBytes {
 		return errors.New("frame is larger than the limit")
 	}
+	count(c.metrics.sent, f.Kind, len(data))
 	ctx, cancel := context.WithTimeout(ctx, WriteTimeout)
 	defer cancel()
 	return c.ws.Write(ctx, websocket.MessageBinary, data)
--- a/transport/mesh.go
+++ b/transport/mesh.go
@@ -52,7 +52,7 @@
 	mu    sync.RWMutex
 	conns map[string]*conn // dialled and open, by peer
 
-	disconnects *prometheus.CounterVec
+	metrics *metrics
 }
 
 // NewMesh returns a mesh that dials once Run is called.
@@ -62,13 +62,7 @@
 		conns:   make(map[string]*conn),
 		accepts: make(chan *conn),
 		client:  &http.Client{Transport: &http.Transport{TLSClientConfig: opts.TLS, DisableKeepAlives: true}},
-		disconnects: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "apricotrouter_transport_disconnects_total",
-			Help: "Connections to peers that broke or went silent.",
-		}, []string{"peer"}),
-	}
-	if opts.Registerer != nil {
-		opts.Registerer.MustRegister(m.disconnects)
+		metrics: newMetrics(opts.Registerer),
 	}
 	return m
 }
@@ -104,7 +98,7 @@
 			err = c.run(ctx)
 			m.clearConn(peer, c)
 			if ctx.Err() == nil {
-				m.disconnects.WithLabelValues(peer).Inc()
+				m.metrics.disconnects.WithLabelValues(peer).Inc()
 				m.report(peer, err)
 			}
 		}
@@ -143,7 +137,7 @@
 	if err != nil {
 		return nil, steperr.Wrap(err, "dial peer", peer)
 	}
-	return newConn(peer, ws, m.opts.Mux), nil
+	return newConn(peer, ws, m.opts.Mux, m.metrics), nil
 }
 
 func (m *Mesh) setConn(peer string, c *conn) {
@@ -179,7 +173,7 @@
 	if err != nil {
 		return // Accept has answered.
 	}
-	c := newConn(from, ws, m.opts.Mux)
+	c := newConn(from, ws, m.opts.Mux, m.metrics)
 	select {
 	case m.accepts <- c:
 		// The server must not wait for the connection: Run owns it now.
--- /dev/null
+++ b/transport/metrics.go
@@ -0,0 +1,62 @@
+package transport
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// kindNames are the labels of the kinds in metrics.
+var kindNames = map[Kind]string{
+	0:                   "heartbeat",
+	KindRaft:            "raft",
+	KindRaftSnapshot:    "raft_snapshot",
+	KindPropose:         "propose",
+	KindFreshness:       "freshness",
+	KindFormation:       "formation",
+	KindAnnounce:        "announce",
+	KindRoom:            "room",
+	KindObservations:    "observations",
+	KindLedgerClaim:     "ledger_claim",
+	KindLedgerRecord:    "ledger_record",
+	KindLedgerReplicate: "ledger_replicate",
+	KindLedgerFetch:     "ledger_fetch",
+	KindForwardCancel:   "forward_cancel",
+	KindStatus:          "status",
+}
+
+// metrics counts what goes over the connections.
+type metrics struct {
+	disconnects *prometheus.CounterVec
+	sent        map[Kind]prometheus.Counter
+	received    map[Kind]prometheus.Counter
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	bytes := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "apricotrouter_transport_message_bytes_total",
+		Help: "Bytes of frames to and from other entry instances. An answer counts under the kind of its call.",
+	}, []string{"direction", "kind"})
+	m := &metrics{
+		disconnects: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "apricotrouter_transport_disconnects_total",
+			Help: "Connections to peers that broke or went silent.",
+		}, []string{"peer"}),
+		sent:     make(map[Kind]prometheus.Counter),
+		received: make(map[Kind]prometheus.Counter),
+	}
+	for kind, name := range kindNames {
+		m.sent[kind] = bytes.WithLabelValues("sent", name)
+		m.received[kind] = bytes.WithLabelValues("received", name)
+	}
+	if r != nil {
+		r.MustRegister(m.disconnects, bytes)
+	}
+	return m
+}
+
+// count adds bytes to the counter of a kind. Unknown kinds, which only a peer
+// of another build can send, are not counted.
+func count(counters map[Kind]prometheus.Counter, kind Kind, bytes int) {
+	if c := counters[kind]; c != nil {
+		c.Add(float64(bytes))
+	}
+}
