--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -69,6 +70,9 @@
 		}
 		_, _ = w.Write([]byte("ready\n"))
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.metrics, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -37,7 +37,7 @@
 // cluster is a control group of processes with stand-ins.
 type cluster struct {
 	Gomega
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	network   *integration.Network
 	processes []*process
@@ -49,7 +49,7 @@
 
 // newCluster starts disks instances with data folders, of which the first
 // three vote, forms the group, and waits until all are ready.
-func newCluster(t *testing.T, disks int) *cluster {
+func newCluster(t testing.TB, disks int) *cluster {
 	c := &cluster{
 		Gomega: NewWithT(t), t: t, dir: t.TempDir(),
 		network: integration.NewNetwork(), workerIn: make(map[*workerstandin.Worker]string),
