--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -168,4 +168,3 @@
 	}
 	return out
 }
-
