worker: wait for the registration of this start before renewing leases

Cause: a process that restarts under the same fence could renew a worker's lease while its predecessor's report that the worker is lost was on its way. The leader counts 10.1 s from that report, the lease could end up to 1.5 s later, and the tasks could run in two places. Found by reading; not seen in a run.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -108,7 +108,7 @@
 		Log: d.replica, Leases: d.replica, Mux: d.messages, Clock: d.clock, Logger: d.logger, Registerer: d.metrics,
 	})
 	d.workers = worker.NewManager(worker.Options{
-		Self: d.cfg.Instance.ID, Log: d.replica, Dial: worker.Dial, Peers: d.mesh,
+		Self: d.cfg.Instance.ID, Start: d.replica.Start(), Log: d.replica, Dial: worker.Dial, Peers: d.mesh,
 		Clock: d.clock, Logger: d.logger, Registerer: d.metrics,
 	})
 	d.wireDispatch()
--- a/worker/manager.go
+++ b/worker/manager.go
@@ -35,7 +35,10 @@
 // Options are what a Manager needs.
 type Options struct {
 	Self string // instance id
-	Log  replica.Log
+	// Start is the InstanceStart of this process. Nothing is sent to workers
+	// before it is registered; 0 does not check that.
+	Start uint64
+	Log   replica.Log
 	// Dial connects to a worker; nil means Dial of this package.
 	Dial       func(address string) (API, io.Closer, error)
 	Peers      transport.Peers // nil sends no observations
--- a/worker/session.go
+++ b/worker/session.go
@@ -76,9 +76,13 @@
 		return false
 	}
 	st := s.Log.State()
-	if self, ok := st.Instances.Get(s.Self); ok && self.Leaving {
+	self, ok := st.Instances.Get(s.Self)
+	if ok && self.Leaving {
 		return false
 	}
+	if s.Start != 0 && (!ok || self.InstanceStart != s.Start) {
+		return false // The fence is that of an earlier process.
+	}
 	a := st.Assignment(state.AssignWorker, s.worker)
 	return a != nil && a.Owner == s.Self && a.Fence == s.fence
 }
