--- a/raft/core_test.go
+++ b/raft/core_test.go
@@ -114,6 +114,8 @@
 	s.process(leader, false, false)
 	s.run(10)
 	g.Expect(leader.core.ProposeMembers(leader.core.members.With(Member{ID: 101}))).To(Succeed())
+	s.process(leader, false, false)
+	s.run(10)
 
 	leader.core.becomeFollower(leader.core.term, None)
 	leader.core.campaign(false, true)
@@ -181,6 +183,35 @@
 	})
 	g.Expect(c.log.lastIndex()).To(Equal(uint64(4)))
 	g.Expect(c.commit).To(Equal(uint64(3)))
+	c.Take()
+	c.Compact(3)
+	c.Step(Message{
+		Type: MsgSnapshot, From: 2, To: 1, Term: 2,
+		Snapshot: &Position{Index: 2, Term: 2, Members: m},
+	})
+	g.Expect(c.Take().Snapshot).To(BeNil(), "an older snapshot")
+}
+
+// Guards against a replica that votes for two candidates of one term because
+// it forgot its vote in a restart.
+func TestVoteSurvivesRestart(t *testing.T) {
+	g := NewWithT(t)
+	s := newSim(t, 3)
+	n := s.nodes[1]
+	for range n.core.opts.ElectionTicks {
+		n.core.electionElapsed = 0
+		n.core.Tick()
+	}
+	ask := func(from ID) {
+		n.core.Step(Message{Type: MsgVote, From: from, To: 1, Term: 5, Index: 100, LogTerm: 100, Force: true})
+		s.process(n, false, false)
+	}
+	ask(2)
+	s.restart(n)
+	ask(3)
+	g.Expect(s.queue).To(HaveLen(2))
+	g.Expect(s.queue[0].Reject).To(BeFalse())
+	g.Expect(s.queue[1].Reject).To(BeTrue())
 }
 
 // Guards against a leader that sends without limit to a replica that does not
