--- a/control/control.go
+++ b/control/control.go
@@ -27,7 +27,7 @@
 	// has certainly ended: clocks may differ in rate by at most 1%.
 	WorkerLeaseEnd = WorkerLease * 101 / 100
 	// DefaultInterval is the pause between two decisions.
-	DefaultInterval = 100 * time.Millisecond
+	DefaultInterval = 200 * time.Millisecond
 	// idleInterval is the longest time between two decisions without a change.
 	idleInterval = 500 * time.Millisecond
 	// proposeTimeout is how long the loop waits for the outcome of a proposal.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -64,7 +64,7 @@
 		return false
 	case w.reserved != nil && !w.reserved.admits(p, t, size):
 		return false
-	case t.Kind == state.KindBatch && len(p.hosted[i]) > 0 && p.now-t.QueuedAt < avoidTime:
+	case t.Kind == state.KindBatch && p.now-t.QueuedAt < avoidTime:
 		return p.rise(t, i, size) <= avoidRise
 	}
 	return true
@@ -88,13 +88,11 @@
 	if w.single {
 		score += scoreProbe
 	}
-	if len(p.hosted[i]) > 0 {
-		score += scoreRise * p.rise(t, i, size)
-	}
-	return score
+	return score + scoreRise*p.rise(t, i, size)
 }
 
 func (p *plan) spreadScore(service string, i int) float64 {
+	p.countReplicas()
 	s := p.spreads[service]
 	if s == nil {
 		return 0
@@ -103,6 +101,22 @@
 	return float64(scoreSameWorker*s.workers[i] + scoreSameZone*s.zones[w.zone] + scoreSameRack*s.racks[w.worker.Rack])
 }
 
+// countReplicas counts where the replicas are, once per plan.
+func (p *plan) countReplicas() {
+	if p.spreads != nil {
+		return
+	}
+	p.spreads = make(map[string]*spread)
+	p.hosted = make([][]string, len(p.view.workers))
+	for _, set := range p.sets {
+		for _, t := range set.ordered {
+			if i, ok := p.view.byID[t.Worker]; ok {
+				p.noteReplica(t.Owner, i)
+			}
+		}
+	}
+}
+
 // noteReplica counts a replica on a worker.
 func (p *plan) noteReplica(service string, i int) {
 	s := p.spreads[service]
@@ -120,7 +134,7 @@
 }
 
 func (p *plan) notePlaced(t *state.Task, i int) {
-	if t.Kind == state.KindLatencyCritical {
+	if t.Kind == state.KindLatencyCritical && p.spreads != nil {
 		p.noteReplica(t.Owner, i)
 	}
 }
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -232,17 +232,18 @@
 	return declared
 }
 
-// Harmed reports whether any class is known to slow the service down.
-func (e *Estimates) Harmed(service string) bool {
+// harmfulPairs returns the pairs with a confident effect, in no order.
+func (e *Estimates) harmfulPairs() []pair {
 	if e == nil {
-		return false
+		return nil
 	}
+	var all []pair
 	for key := range e.pairs {
-		if key.service == service && key.class != "" && e.Effect(service, key.class).Lower > 0 {
-			return true
+		if key.class != "" && e.Effect(key.service, key.class).Lower > 0 {
+			all = append(all, key)
 		}
 	}
-	return false
+	return all
 }
 
 // Oversized reports whether any class uses more than it declares.
--- a/placement/interfere.go
+++ b/placement/interfere.go
@@ -185,6 +185,10 @@
 
 // rise returns how much the task would slow down the replicas on a worker.
 func (p *plan) rise(t *state.Task, i int, size state.Resources) float64 {
+	if !p.isHarmful(t.Class) {
+		return 0
+	}
+	p.countReplicas()
 	share := ratio(size.MilliCPU, p.view.workers[i].worker.Capacity.MilliCPU)
 	worst := 0.0
 	for _, service := range p.hosted[i] {
@@ -193,16 +197,28 @@
 	return worst
 }
 
+// isHarmful reports whether the class is known to slow down any service.
+func (p *plan) isHarmful(class string) bool {
+	p.findHarm()
+	return p.harmful[class]
+}
+
+// isHarmed reports whether any class is known to slow the service down.
 func (p *plan) isHarmed(service string) bool {
-	harmed, known := p.harmed[service]
-	if !known {
-		harmed = p.obs.Estimates.Harmed(service)
-		if p.harmed == nil {
-			p.harmed = make(map[string]bool)
-		}
-		p.harmed[service] = harmed
+	p.findHarm()
+	return p.harmed[service]
+}
+
+// findHarm lists the harmful pairs, once per plan.
+func (p *plan) findHarm() {
+	if p.harmed != nil {
+		return
+	}
+	p.harmed, p.harmful = make(map[string]bool), make(map[string]bool)
+	for _, k := range p.obs.Estimates.harmfulPairs() {
+		p.harmed[k.service] = true
+		p.harmful[k.class] = true
 	}
-	return harmed
 }
 
 // riseFrom returns how much the tasks on a worker would slow down a replica.
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -76,7 +76,7 @@
 // Plan returns the commands to propose. It reads nothing but its arguments.
 // now is in Unix milliseconds.
 func (p *Planner) Plan(s *state.State, obs Observations, now int64) []state.Body {
-	pl := &plan{Options: p.options, s: s, obs: obs, now: now, spreads: map[string]*spread{}}
+	pl := &plan{Options: p.options, s: s, obs: obs, now: now}
 	pl.buildView()
 	pl.services()
 	pl.drainZones()
@@ -100,9 +100,11 @@
 	stopped    map[string]bool // tasks in stops
 	placements []state.Placement
 
-	spreads     map[string]*spread // by service
+	sets        []*replicaSet
+	spreads     map[string]*spread // by service; nil until needed
 	hosted      [][]string         // services with replicas, by index of the worker
-	harmed      map[string]bool    // services for which a harmful class is known
+	harmed      map[string]bool    // services of harmful pairs; nil until needed
+	harmful     map[string]bool    // classes of harmful pairs
 	residentsOf [][]resident       // by index of the worker; nil until needed
 	noRoom      []state.Resources  // sizes for which no worker has enough left
 	scanned     int
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -115,7 +115,7 @@
 	g := NewWithT(t)
 	c := newCluster(g)
 	for i := range 4 {
-		c.worker(fmt.Sprint("w", i), []string{"a", "b"}[i%2], cores(8))
+		c.worker(fmt.Sprint("w", i), []string{"a", "b"}[i%2], cores([]int64{64, 8, 8, 8}[i]))
 	}
 	c.ok(state.ApplyService{Spec: state.ServiceSpec{Name: "s", Replicas: 4, Resources: cores(2)}})
 	c.rounds(2)
--- a/placement/services.go
+++ b/placement/services.go
@@ -24,6 +24,7 @@
 func (p *plan) services() {
 	for _, svc := range p.s.Services.All() {
 		set := p.replicaSet(svc)
+		p.sets = append(p.sets, set)
 		p.fill(set)
 		for _, t := range set.ordered {
 			p.replaceReplica(set, t)
@@ -37,9 +38,6 @@
 		if t.Staying() {
 			set.staying[t.ID] = t
 			set.ordered = append(set.ordered, t)
-			if i, ok := p.view.byID[t.Worker]; ok {
-				p.noteReplica(t.Owner, i)
-			}
 		}
 	}
 	for _, t := range set.ordered {
--- a/placement/view.go
+++ b/placement/view.go
@@ -51,7 +51,6 @@
 		p.view.byID[w.ID] = len(p.view.workers)
 		p.view.workers = append(p.view.workers, p.viewOf(w, z))
 	}
-	p.hosted = make([][]string, n)
 	p.boundRefill()
 	p.countOveruse()
 }
--- a/placement/zone_test.go
+++ b/placement/zone_test.go
@@ -66,3 +66,50 @@
 	g.Expect(c.tasks(state.PhasePending)).To(BeEmpty())
 	g.Expect(c.Tasks.Len()).To(Equal(12))
 }
+
+// Guards against replacements that are left over when a zone comes back before
+// there was room for them.
+func TestReturnOfZoneEndsWaitingReplacements(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(g)
+	c.worker("a1", "a", cores(8))
+	c.ok(state.ApplyService{Spec: state.ServiceSpec{Name: "s", Replicas: 4, Resources: cores(2)}})
+	c.rounds(2)
+	c.zone("a", true)
+	c.rounds(3)
+	g.Expect(c.tasks(state.PhasePending)).To(HaveLen(4))
+	c.zone("a", false)
+	c.rounds(30)
+	g.Expect(c.tasks(state.PhaseRunning)).To(HaveLen(4))
+	g.Expect(c.Tasks.Len()).To(Equal(4))
+	for _, task := range c.tasks(state.PhaseRunning) {
+		g.Expect(task.Incarnation).To(BeEquivalentTo(1))
+	}
+}
+
+// Guards against a replica that starts in a zone after it was taken out, and
+// against replicas that are not removed when a service asks for fewer.
+func TestStartsInLeavingZoneAreVoidAndExcessIsRemoved(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(g)
+	c.worker("a1", "a", cores(8))
+	spec := state.ServiceSpec{Name: "s", Replicas: 3, Resources: cores(2)}
+	c.ok(state.ApplyService{Spec: spec})
+	c.plan()
+	c.plan()
+	g.Expect(c.tasks(state.PhaseStarting)).To(HaveLen(3))
+	c.zone("a", true)
+	c.worker("b1", "b", cores(8))
+	c.plan()
+	g.Expect(c.tasks(state.PhaseStopping)).To(HaveLen(3))
+	for _, task := range c.tasks(state.PhaseStopping) {
+		c.report(task, state.EventNotStarted)
+	}
+	c.rounds(2)
+	g.Expect(c.runningIn("b", state.KindLatencyCritical)).To(Equal(3))
+	s, _ := c.Services.Get("s")
+	spec.Replicas = 1
+	c.ok(state.ApplyService{Spec: spec, ExpectedVersion: s.Version})
+	c.rounds(2)
+	g.Expect(c.Tasks.Len()).To(Equal(1))
+}
--- a/state/apply_task.go
+++ b/state/apply_task.go
@@ -30,8 +30,10 @@
 		tx.tasksByWorker.delete(key(old.Worker, old.ID))
 		tx.reserve(old, Resources{}.Sub(old.Resources))
 	}
+	if t.Holds() {
+		tx.tasksByWorker.put(key(t.Worker, t.ID), t)
+	}
 	if t.Holds() && (old == nil || !old.Holds()) {
-		tx.tasksByWorker.put(key(t.Worker, t.ID), struct{}{})
 		tx.reserve(t, t.Resources)
 	}
 	tx.tasks.put(t.ID, t)
--- a/state/query.go
+++ b/state/query.go
@@ -31,7 +31,7 @@
 
 // TasksOnWorker yields the tasks that hold a reservation on a worker.
 func (s *State) TasksOnWorker(id string) iter.Seq[*Task] {
-	return s.tasksIn(s.tasksByWorker, key(id, ""))
+	return s.tasksByWorker.valuesWithPrefix(key(id, ""))
 }
 
 // TasksOf yields the tasks of a service or job, ended ones included.
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -116,7 +116,7 @@
 		if !t.Holds() {
 			continue
 		}
-		tx.tasksByWorker.put(key(t.Worker, t.ID), struct{}{})
+		tx.tasksByWorker.put(key(t.Worker, t.ID), t)
 		if t.Kind == KindBatch && t.Team != "" {
 			used, _ := tx.teamUsed.get(t.Team)
 			tx.teamUsed.put(t.Team, used.Add(t.Resources))
--- a/state/state.go
+++ b/state/state.go
@@ -26,7 +26,7 @@
 
 	// Secondary indexes, rebuilt from the tables above when a snapshot is
 	// decoded. The parts of a key are separated by keySeparator.
-	tasksByWorker Table[struct{}]  // WORKER, TASK of tasks that hold a reservation
+	tasksByWorker Table[*Task]     // WORKER, TASK of tasks that hold a reservation
 	tasksByOwner  Table[struct{}]  // KIND, OWNER, TASK of all tasks
 	pending       Table[struct{}]  // queueKey of pending tasks
 	byOwner       Table[struct{}]  // INSTANCE, KIND/ID of assignments
--- a/state/table.go
+++ b/state/table.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// valuesWithPrefix yields the values whose ids start with prefix, in order.
+func (t Table[T]) valuesWithPrefix(prefix string) iter.Seq[T] {
+	return func(yield func(T) bool) {
+		if t.tree == nil {
+			return
+		}
+		it := t.tree.Root().Iterator()
+		it.SeekPrefix([]byte(prefix))
+		for _, v, ok := it.Next(); ok; _, v, ok = it.Next() {
+			if !yield(v) {
+				return
+			}
+		}
+	}
+}
+
 // lowerBound returns the first id that is not before from.
 func (t Table[T]) lowerBound(from string) (string, bool) {
 	if t.tree == nil {
--- a/state/txn.go
+++ b/state/txn.go
@@ -32,7 +32,7 @@
 	jobs          edit[*Job]
 	workers       edit[*Worker]
 	assignments   edit[*Assignment]
-	tasksByWorker edit[struct{}]
+	tasksByWorker edit[*Task]
 	tasksByOwner  edit[struct{}]
 	pending       edit[struct{}]
 	byOwner       edit[struct{}]
@@ -61,7 +61,7 @@
 		jobs:          edit[*Job]{table: &s.Jobs},
 		workers:       edit[*Worker]{table: &s.Workers},
 		assignments:   edit[*Assignment]{table: &s.Assignments},
-		tasksByWorker: edit[struct{}]{table: &s.tasksByWorker},
+		tasksByWorker: edit[*Task]{table: &s.tasksByWorker},
 		tasksByOwner:  edit[struct{}]{table: &s.tasksByOwner},
 		pending:       edit[struct{}]{table: &s.pending},
 		byOwner:       edit[struct{}]{table: &s.byOwner},
