--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -78,7 +78,9 @@
 
 // send notes that a body was sent that can't be sent again.
 func (d *Dispatcher) send(ctx context.Context, c *conn, rq *request, out *outgoing) (*exchange, error) {
-	rq.bodySent = true
+	if !rq.body.replayable() {
+		rq.bodySent = true
+	}
 	return send(ctx, c, out, rq.deadline)
 }
 
