cli: print the summary of status above its table

Cause: the summary stood below the table as rows of it, after a row with a dash. Change: one line above the table. Observed: TestOutputFormats passes with the new form.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -215,7 +215,7 @@
 	g.Expect(yaml.Unmarshal([]byte(run("audit", "-o", "yaml", "--object", "job/j1", "--since", "1h", "--server", address).out), &audit)).To(Succeed())
 	g.Expect(audit.Records).To(HaveLen(1))
 	g.Expect(audit.Records[0].TimeMs).To(BeNumerically("~", time.Now().UnixMilli(), time.Minute.Milliseconds()))
-	g.Expect(run("status", "--server", address).out).To(MatchRegexp(`(?s)e1 +z1 +127.0.0.1:1 +leader +0ms.*leader +e1`))
+	g.Expect(run("status", "--server", address).out).To(MatchRegexp(`answered by e1: group g1, leader e1, term 2, applied index 0, fresh true\nINSTANCE .*\ne1 +z1 +127.0.0.1:1 +leader +0ms\n`))
 	g.Expect(run("init", "--server", address).out).To(ContainSubstring("g1     e1 e2 e3"))
 	g.Expect(run("explain", "task/j1.1", "--server", address).out).To(ContainSubstring("task/j1.1 is pending"))
 	g.Expect(run("__complete", "job", "show", "--server", address, "").out).To(HavePrefix("j1\n"))
--- a/cli/cluster.go
+++ b/cli/cluster.go
@@ -59,6 +59,8 @@
 
 func statusTable(s *gen.StatusResult) *table {
 	t := &table{columns: []string{"instance", "zone", "peer address", "role", "last contact"}}
+	t.heading = fmt.Sprintf("answered by %s: group %s, leader %s, term %d, applied index %d, fresh %t\n",
+		s.Instance, cell(s.GroupID), cell(s.Leader), s.Term, s.AppliedIndex, s.Fresh)
 	for _, i := range s.Instances {
 		contact := "unknown"
 		if i.LastContactMs >= 0 {
@@ -66,13 +68,6 @@
 		}
 		t.add(i.ID, i.Zone, i.PeerAddress, i.Role, contact)
 	}
-	t.add("")
-	t.add("answered by", s.Instance)
-	t.add("group", s.GroupID)
-	t.add("leader", s.Leader)
-	t.add("term", s.Term)
-	t.add("applied index", s.AppliedIndex)
-	t.add("fresh", s.Fresh)
 	return t
 }
 
--- a/cli/output.go
+++ b/cli/output.go
@@ -30,6 +30,7 @@
 
 // table is the form of a result for people. Rows have one cell per column.
 type table struct {
+	heading string // lines above the table
 	columns []string
 	rows    [][]string
 }
@@ -58,6 +59,7 @@
 }
 
 func (t *table) write(w io.Writer) error {
+	fmt.Fprint(w, t.heading)
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(tw, strings.ToUpper(strings.Join(t.columns, "\t")))
 	for _, row := range t.rows {
