dispatch: take hops to peers over TLS

Cause: with TLS in the settings the peer port uses TLS, but the request path connected to it without. Each request that needed a hop was answered 502 "peer did not answer in full", seen on 8 daemons with the sample settings after a zone was taken out. Change: Options.PeerTLS, which the daemon sets; an idle connection is looked at below TLS, so that it is used again. Stand-in authority for certificates.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"net"
@@ -55,6 +56,7 @@
 	messages *transport.Mux
 	// peerAddresses gives the peer port of each entry instance.
 	peerAddresses map[string]string
+	peerTLS       *tls.Config // nil without TLS
 	replica       *replica.Replica
 	control       *control.Control
 	workers       *worker.Manager
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -32,6 +32,7 @@
 	})
 	d.peerAddresses = addresses
 	d.messages = mux
+	d.peerTLS = peerTLS
 	d.replica, err = replica.New(replica.Options{
 		Self: d.cfg.Instance.ID, Zone: d.cfg.Instance.AvailabilityZone,
 		PeerAddress: addresses[d.cfg.Instance.ID], EntryAddress: d.Addresses().Entry, OperatorServer: d.Addresses().Operator,
@@ -54,6 +55,7 @@
 	d.dispatch = dispatch.New(dispatch.Options{
 		Registry: d.registry, Log: d.replica,
 		ForwardAddress: func(instance string) string { return d.peerAddresses[instance] },
+		PeerTLS:        d.peerTLS,
 		Clock:          d.clock, Logger: d.logger, Registerer: d.metrics,
 		Timeout: d.cfg.Dispatch.DefaultTimeout, MaxBodyBytes: d.cfg.Dispatch.MaxBodyBytes,
 	})
--- a/dispatch/conn.go
+++ b/dispatch/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"math"
 	"net"
@@ -39,6 +40,7 @@
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
+	socket net.Conn // below TLS; otherwise the same as Conn
 	br     *bufio.Reader
 	bw     *bufio.Writer
 	pool   *connPool
@@ -80,7 +82,7 @@
 // quiet reports whether nothing can be read from an idle connection: neither
 // its end nor a late answer to an earlier request.
 func (c *conn) quiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.socket.(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -105,6 +107,7 @@
 	limit   func() int64
 	clock   clockwork.Clock
 	dialer  *net.Dialer
+	tls     *tls.Config // nil for connections without TLS
 
 	mu     sync.Mutex
 	idle   []*conn // the one used last at the end
@@ -136,17 +139,35 @@
 	if !p.reserve() {
 		return nil, errConnLimit
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	c, err := p.dial(ctx)
 	if err != nil {
 		p.ended()
 		return nil, err
 	}
-	c := &conn{Conn: nc, pool: p}
 	c.br = bufio.NewReaderSize(c, connBufferBytes)
 	c.bw = bufio.NewWriterSize(c, connBufferBytes)
 	return c, nil
 }
 
+// dial opens a connection, with TLS if the pool has it.
+func (p *connPool) dial(ctx context.Context) (*conn, error) {
+	socket, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil || p.tls == nil {
+		return &conn{Conn: socket, socket: socket, pool: p}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	host, _, _ := net.SplitHostPort(p.address)
+	config := p.tls.Clone()
+	config.ServerName = host
+	secure := tls.Client(socket, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
+	return &conn{Conn: secure, socket: socket, pool: p}, nil
+}
+
 // takeIdle returns the idle connection used last if it is known to be alive.
 func (p *connPool) takeIdle() *conn {
 	for {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"strconv"
@@ -50,9 +51,11 @@
 	// ForwardAddress returns host:port of the ForwardHandler of an entry
 	// instance, or "" if it is not known.
 	ForwardAddress func(instance string) string
-	Clock          clockwork.Clock
-	Logger         *slog.Logger
-	Registerer     prometheus.Registerer
+	// PeerTLS is used to connect to peers; nil connects without TLS.
+	PeerTLS    *tls.Config
+	Clock      clockwork.Clock
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
 
 	Timeout      time.Duration // of requests that name none
 	MaxTimeout   time.Duration
@@ -188,6 +191,7 @@
 		limit:   func() int64 { return d.opts.PeerConns },
 		clock:   d.opts.Clock,
 		dialer:  d.dialer,
+		tls:     d.opts.PeerTLS,
 	}
 	if old, ok := d.peers.Swap(instance, p); ok {
 		old.(*connPool).closeIdle(true)
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -2,18 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
-	"os"
-	"path/filepath"
 	"testing"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
@@ -26,58 +16,21 @@
 	operatorpb "apricotrouter/gen/grpc/operator/pb"
 	"apricotrouter/operator"
 	"apricotrouter/replica"
+	"apricotrouter/standin/authority"
 	"apricotrouter/state"
 )
 
-// authority issues certificates into files of one folder.
-type authority struct {
-	t      *testing.T
-	folder string
-	cert   *x509.Certificate
-	key    *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	tmpl := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
-	a := &authority{t: t, folder: t.TempDir(), cert: tmpl, key: key}
-	a.write("ca", tmpl, key)
+// newAuthority returns an authority whose files are removed after the test.
+func newAuthority(t *testing.T) *authority.Authority {
+	a, err := authority.New(t.TempDir())
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	return a
 }
 
-// issue returns the files of a certificate and its key.
-func (a *authority) issue(name string) (certificate, key string) {
-	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	tmpl := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
-	a.write(name, tmpl, k)
-	return a.file(name + ".pem"), a.file(name + ".key")
-}
-
-func (a *authority) file(name string) string { return filepath.Join(a.folder, name) }
-
-func (a *authority) write(name string, tmpl *x509.Certificate, key *ecdsa.PrivateKey) {
-	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, key.Public(), a.key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		a.t.Fatal(err)
-	}
-	for file, block := range map[string]*pem.Block{
-		name + ".pem": {Type: "CERTIFICATE", Bytes: der},
-		name + ".key": {Type: "EC PRIVATE KEY", Bytes: keyDER},
-	} {
-		if err := os.WriteFile(a.file(file), pem.EncodeToMemory(block), 0o600); err != nil {
-			a.t.Fatal(err)
-		}
-	}
+func issue(t *testing.T, a *authority.Authority, name string) (certificate, key string) {
+	certificate, key, err := a.Issue(name)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return certificate, key
 }
 
 func serve(t *testing.T, s *operator.Service, tls config.TLS) (address string) {
@@ -112,18 +65,18 @@
 	g := NewWithT(t)
 	log := replica.NewMemory(clockwork.NewFakeClockAt(start))
 	ours, theirs := newAuthority(t), newAuthority(t)
-	serverCert, serverKey := ours.issue("e1")
-	address := serve(t, newService(log), config.TLS{Certificate: serverCert, Key: serverKey, ClientCA: ours.file("ca.pem")})
+	serverCert, serverKey := issue(t, ours, "e1")
+	address := serve(t, newService(log), config.TLS{Certificate: serverCert, Key: serverKey, ClientCA: ours.File()})
 
 	g.Expect(call(t, address, insecure.NewCredentials(), "ana")).NotTo(Succeed())
-	cert, key := theirs.issue("mallory")
-	stranger, err := config.ClientTLS(cert, key, ours.file("ca.pem"))
+	cert, key := issue(t, theirs, "mallory")
+	stranger, err := config.ClientTLS(cert, key, ours.File())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(call(t, address, credentials.NewTLS(stranger), "ana")).NotTo(Succeed())
 	g.Expect(log.State().Index).To(BeZero())
 
-	cert, key = ours.issue("ana")
-	known, err := config.ClientTLS(cert, key, ours.file("ca.pem"))
+	cert, key = issue(t, ours, "ana")
+	known, err := config.ClientTLS(cert, key, ours.File())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(call(t, address, credentials.NewTLS(known), "ben")).To(Succeed())
 	var actors []string
