--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -98,6 +98,9 @@
 }
 
 func (c *cluster) stop() {
+	if c.t.Failed() {
+		c.describe()
+	}
 	for _, p := range c.processes {
 		if p.ended != nil {
 			p.kill()
@@ -110,10 +113,16 @@
 		w.Close()
 	}
 	c.network.Close()
-	if c.t.Failed() {
-		for _, p := range c.processes {
-			c.t.Logf("end of the output of %s:\n%s", p.ID, p.tail())
+}
+
+// describe logs how each instance sees the group, and the end of its output.
+func (c *cluster) describe() {
+	for _, p := range c.processes {
+		if p.ended == nil {
+			continue
 		}
+		s, err := c.status(p)
+		c.t.Logf("%s: running %t, status %+v, %v, end of its output:\n%s", p.ID, p.running(), s, err, p.tail())
 	}
 }
 
