replica: test failures of disks, networks, leaders and leases

The tests bring about what the design says can fail: emptied and failing disks, a second loss after a repair, a leader cut off, lost, repeated and reordered messages, late learners, restarts after 1,200 changes, a zone taken out, racing and repeated init.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"apricotrouter/disk"
 	"apricotrouter/replica"
 	"apricotrouter/state"
 	"apricotrouter/transport"
@@ -128,6 +129,32 @@
 	}
 }
 
+// leader waits for a confirmed leader.
+func (c *cluster) leader() *node {
+	var found *node
+	c.g.Eventually(func() bool {
+		for _, n := range c.nodes {
+			if n.Leadership().Self {
+				found = n
+			}
+		}
+		return found != nil
+	}, patience, "5ms").Should(BeTrue(), "there is a leader")
+	return found
+}
+
+// follower returns an instance with a disk that does not lead.
+func (c *cluster) follower() *node {
+	leader := c.leader()
+	for _, id := range c.voters {
+		if n := c.nodes[id]; n != nil && n != leader {
+			return n
+		}
+	}
+	c.t.Fatal("no follower")
+	return nil
+}
+
 func team(name string) state.Command {
 	return state.NewRequest("put-"+name, "test", state.ApplyTeam{Name: name, Weight: 1})
 }
@@ -144,3 +171,43 @@
 	_, ok := n.State().Teams.Get(name)
 	return ok
 }
+
+// cut drops all messages between the instances and the rest.
+func (c *cluster) cut(ids ...string) {
+	inside := make(map[string]bool)
+	for _, id := range ids {
+		inside[id] = true
+	}
+	c.net.SetRule(func(from, to string, _ transport.Kind) transport.Fate {
+		return transport.Fate{Drop: inside[from] != inside[to]}
+	})
+}
+
+// faultyFS fails syncs once told to.
+type faultyFS struct {
+	disk.FS
+	fail func(name string) error
+}
+
+type faultyFile struct {
+	disk.File
+	name string
+	fs   *faultyFS
+}
+
+func (f *faultyFS) Create(name string) (disk.File, error) {
+	file, err := f.FS.Create(name)
+	return &faultyFile{file, name, f}, err
+}
+
+func (f *faultyFS) Append(name string) (disk.File, error) {
+	file, err := f.FS.Append(name)
+	return &faultyFile{file, name, f}, err
+}
+
+func (f *faultyFile) Sync() error {
+	if err := f.fs.fail(f.name); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
--- /dev/null
+++ b/replica/failure_test.go
@@ -0,0 +1,373 @@
+package replica_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/disk"
+	"apricotrouter/replica"
+	"apricotrouter/state"
+	"apricotrouter/transport"
+)
+
+var errDisk = errors.New("input/output error")
+
+// watch fails the test if the applied index of the instance ever decreases.
+func (c *cluster) watch(n *node) {
+	var last uint64
+	done := make(chan struct{})
+	stop := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			if index := n.State().Index; index < last {
+				c.t.Errorf("instance %s went back from %d to %d", n.id, last, index)
+			} else {
+				last = index
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}()
+	c.t.Cleanup(func() { close(stop); <-done })
+}
+
+// Guards against two groups: init is sent to several instances at the same
+// time, again, and after a first attempt that could not reach a voter.
+func TestInitIsIdempotent(t *testing.T) {
+	c := newCluster(t, 4, 3, 3, nil)
+	c.cut("e3")
+	short, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, _, err := c.nodes["e1"].Init(short)
+	c.g.Expect(err).To(HaveOccurred(), "voter e3 did not answer")
+	c.net.SetRule(nil)
+	var wg sync.WaitGroup
+	groups := make([]string, len(c.ids))
+	for i, id := range c.ids {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			groups[i], _, _ = c.nodes[id].Init(ctx)
+		}()
+	}
+	wg.Wait()
+	for _, group := range groups {
+		c.g.Expect(group).To(Equal(groups[0]))
+	}
+	c.g.Expect(c.form("e4")).To(Equal(groups[0]))
+	c.g.Expect(c.nodes["e2"].Status().GroupID).To(Equal(groups[0]))
+}
+
+// Guards against an emptied data folder that votes in the place of the old
+// one, and against a group that does not take it back as a new voter.
+func TestEmptiedDiskHasNoVoteUntilAdded(t *testing.T) {
+	var repair atomic.Int64
+	repair.Store(int64(time.Hour))
+	c := newCluster(t, 4, 3, 3, func(o *replica.Options) { o.RepairAfter = time.Duration(repair.Load()) })
+	c.form("e1")
+	lost := c.follower()
+	old := c.stop(lost.id)
+	c.g.Expect(os.RemoveAll(old.dir)).To(Succeed())
+	n := c.start(old.id, old.dir)
+	c.waitFresh()
+	c.g.Expect(n.Status().Voter).To(BeFalse())
+	// With the emptied voter, 2 of 3 are there; without its vote, 1 of 3.
+	other := c.leader()
+	c.stop(other.id)
+	c.g.Consistently(func() bool {
+		for _, n := range c.nodes {
+			if n.Leadership().Self {
+				return true
+			}
+		}
+		return false
+	}, "1200ms", "10ms").Should(BeFalse(), "a majority needs the emptied disk")
+	repair.Store(int64(100 * time.Millisecond))
+	c.start(other.id, other.dir)
+	for _, id := range c.voters { // with the new RepairAfter
+		if id != old.id && id != other.id {
+			third := c.stop(id)
+			c.start(id, third.dir)
+		}
+	}
+	c.g.Eventually(func() bool { return c.nodes[old.id].Status().Voter }, patience, "10ms").Should(BeTrue())
+	c.put(c.nodes[old.id], "after")
+}
+
+// Guards against a repair that leaves the group without a majority when a
+// second instance is lost right after it.
+func TestSecondLossRightAfterRepair(t *testing.T) {
+	c := newCluster(t, 8, 6, 5, func(o *replica.Options) { o.RepairAfter = 200 * time.Millisecond })
+	c.form("e2")
+	c.put(c.nodes["e8"], "before")
+	first := c.follower()
+	c.stop(first.id)
+	c.g.Eventually(func() bool {
+		st := c.leader().Status()
+		voters := 0
+		for _, in := range st.Instances {
+			if in.Instance == first.id && in.Role != replica.RoleLearner {
+				return false
+			}
+			if in.Role != replica.RoleLearner {
+				voters++
+			}
+		}
+		return voters == 5
+	}, patience, "5ms").Should(BeTrue(), "the lost voter is replaced")
+	c.stop(c.follower().id)
+	c.stop(c.follower().id)
+	c.put(c.nodes["e8"], "after-two-losses")
+	c.g.Expect(has(c.nodes["e8"], "before")).To(BeTrue())
+}
+
+// Guards against a replica that answers for a disk whose sync failed, and
+// against an instance that stops serving because of it.
+func TestFailedSyncStopsTheReplicaOnly(t *testing.T) {
+	var broken atomic.Pointer[string]
+	c := newCluster(t, 3, 3, 3, func(o *replica.Options) {
+		self := "/" + o.Self + "/"
+		o.FS = &faultyFS{FS: disk.OS{}, fail: func(name string) error {
+			if b := broken.Load(); b != nil && *b == self && strings.Contains(name, self) {
+				return errDisk
+			}
+			return nil
+		}}
+	})
+	c.form("e1")
+	leader := c.leader()
+	c.watch(leader)
+	self := "/" + leader.id + "/"
+	broken.Store(&self)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := leader.Propose(ctx, team("unsynced"))
+	c.g.Expect(err).To(MatchError(replica.ErrOutcomeUnknown))
+	c.g.Eventually(func() bool { return leader.Status().Voter }, patience, "5ms").Should(BeFalse())
+	c.put(leader, "through-others")
+	c.g.Eventually(leader.Fresh, patience, "5ms").Should(BeTrue(), "it goes on as a learner")
+	c.g.Expect(c.leader().id).NotTo(Equal(leader.id))
+	c.g.Eventually(func() uint64 {
+		in, _ := leader.State().Instances.Get(leader.id)
+		return in.ReplicaID
+	}, patience, "5ms").Should(BeZero())
+}
+
+// Guards against a result for a change that is not committed: the leader is
+// cut off, others go on, and it returns.
+func TestCutOffLeaderGivesNoFalseResult(t *testing.T) {
+	c := newCluster(t, 5, 3, 3, nil)
+	c.form("e1")
+	for _, n := range c.nodes {
+		c.watch(n)
+	}
+	old := c.leader()
+	c.cut(old.id)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	_, err := old.Propose(ctx, team("cut-off"))
+	c.g.Expect(err).To(MatchError(replica.ErrOutcomeUnknown))
+	c.g.Expect(old.Leadership().Self).To(BeFalse())
+	c.g.Eventually(old.Fresh, patience, "5ms").Should(BeFalse())
+	delete(c.nodes, old.id)
+	next := c.leader()
+	c.put(next, "majority")
+	c.nodes[old.id] = old
+	c.net.SetRule(nil)
+	c.g.Eventually(func() bool { return has(old, "majority") }, patience, "5ms").Should(BeTrue())
+	c.g.Expect(has(old, "cut-off")).To(BeFalse())
+	c.g.Eventually(old.Fresh, patience, "5ms").Should(BeTrue())
+	c.g.Expect(next.Leadership().Self).To(BeTrue(), "the return of the old leader did not disturb")
+}
+
+// Guards against an instance without a disk that gets no state after the log
+// was compacted, or goes back when it follows another leader. The snapshot
+// takes several chunks.
+func TestLearnerStartsFromSnapshotAndNeverGoesBack(t *testing.T) {
+	c := newCluster(t, 5, 3, 3, func(o *replica.Options) { o.SnapshotEntries, o.TrailingEntries = 20, 4 })
+	c.form("e1")
+	c.stop("e4")
+	big := strings.Repeat("x", 200_000)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for i := range 60 {
+		cmd := state.NewRequest(fmt.Sprint("r", i), "test", state.SubmitJob{Spec: state.JobSpec{
+			ID: fmt.Sprint("job", i), Class: big, Priority: state.PriorityLow, Tasks: 1,
+			Resources: state.Resources{MilliCPU: 1, MemoryMiB: 1},
+		}})
+		_, err := c.nodes["e5"].Propose(ctx, cmd)
+		c.g.Expect(err).NotTo(HaveOccurred())
+	}
+	n := c.start("e4", "")
+	c.watch(n)
+	c.g.Eventually(n.Fresh, patience, "5ms").Should(BeTrue())
+	c.g.Expect(n.State().Index).To(BeNumerically(">=", 60))
+	for range 2 {
+		leader := c.leader()
+		c.g.Expect(leader.TransferLeadership(ctx)).To(Succeed())
+		c.g.Eventually(func() bool { return c.leader() != leader }, patience, "5ms").Should(BeTrue())
+		c.put(n, "after-"+leader.id+fmt.Sprint(c.leader().Leadership().Term))
+	}
+}
+
+// Guards against a restart that takes long or loses accepted changes.
+func TestRestartAfterManyChanges(t *testing.T) {
+	c := newCluster(t, 3, 3, 3, nil)
+	c.form("e1")
+	leader := c.leader()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	const changes = 1200
+	var wg sync.WaitGroup
+	for w := range 12 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range changes / 12 {
+				if _, err := leader.Propose(ctx, team(fmt.Sprintf("t%d-%d", w, i))); err != nil {
+					t.Error(err)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	c.put(leader, "last")
+	c.g.Eventually(func() bool { return has(c.nodes["e3"], "last") }, patience, "5ms").Should(BeTrue())
+	var stopped []*node
+	for _, id := range c.ids {
+		stopped = append(stopped, c.stop(id))
+	}
+	for _, n := range stopped {
+		begin := time.Now()
+		fresh := c.start(n.id, n.dir)
+		c.g.Expect(time.Since(begin)).To(BeNumerically("<", time.Second))
+		c.g.Expect(has(fresh, "last")).To(BeTrue(), "before any contact with the group")
+	}
+	c.put(c.leader(), "after")
+	c.g.Expect(c.leader().State().Teams.Len()).To(Equal(changes + 2))
+}
+
+// Guards against results that differ from the state, and states that differ,
+// while messages are lost, repeated and reordered.
+func TestBadNetwork(t *testing.T) {
+	c := newCluster(t, 5, 3, 3, nil)
+	c.form("e1")
+	rng := rand.New(rand.NewPCG(7, 7))
+	var mu sync.Mutex
+	c.net.SetRule(func(_, _ string, kind transport.Kind) transport.Fate {
+		if kind != transport.KindRaft {
+			return transport.Fate{}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		return transport.Fate{
+			Drop: rng.IntN(20) == 0, Duplicate: rng.IntN(5) == 0,
+			Delay: time.Duration(rng.IntN(15)) * time.Millisecond,
+		}
+	})
+	var wg sync.WaitGroup
+	var accepted sync.Map
+	for _, n := range c.nodes {
+		c.watch(n)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 30 {
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				name := fmt.Sprintf("%s-%d", n.id, i)
+				if result, err := n.Propose(ctx, team(name)); err == nil {
+					accepted.Store(name, result.Index)
+				}
+				cancel()
+			}
+		}()
+	}
+	wg.Wait()
+	c.net.SetRule(nil)
+	c.put(c.leader(), "end")
+	want, err := c.leader().State().EncodeSnapshot()
+	c.g.Expect(err).NotTo(HaveOccurred())
+	for _, n := range c.nodes {
+		c.g.Eventually(func() []byte { b, _ := n.State().EncodeSnapshot(); return b }, patience, "10ms").Should(Equal(want))
+	}
+	count := 0
+	accepted.Range(func(name, _ any) bool {
+		c.g.Expect(has(c.leader(), name.(string))).To(BeTrue(), "%s was accepted", name)
+		count++
+		return true
+	})
+	c.g.Expect(count).To(BeNumerically(">", 50))
+}
+
+// Guards against leadership and voters that stay on an availability zone that
+// operators took out while disks elsewhere allow to leave it.
+func TestZoneOutMovesLeadershipAndVoters(t *testing.T) {
+	c := newCluster(t, 6, 6, 3, func(o *replica.Options) {
+		o.PeerZone = func(string) string { return "" }
+	})
+	c.form("e1")
+	zone := c.zones[c.leader().id]
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	result, err := c.leader().Propose(ctx, state.NewRequest("out", "test", state.SetZone{Name: zone, Out: true}))
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(result.Code).To(Equal(state.CodeOK))
+	c.g.Eventually(func() int {
+		inside, voters := 0, 0
+		for _, in := range c.leader().Status().Instances {
+			if in.Role == replica.RoleLearner {
+				continue
+			}
+			voters++
+			if in.Zone == zone {
+				inside++
+			}
+		}
+		return 10*inside + voters
+	}, patience, "10ms").Should(Equal(3), "3 voters, none in the zone")
+	c.put(c.nodes["e1"], "after")
+}
+
+// Guards against an instance that serves on an old state: after a committed
+// change, one that has not got it stops being fresh within the lease, whether
+// it is cut off or only gets no entries.
+func TestInstanceWithoutTheChangeStopsBeingFresh(t *testing.T) {
+	c := newCluster(t, 5, 3, 3, nil)
+	c.form("e1")
+	c.net.SetRule(func(from, to string, kind transport.Kind) transport.Fate {
+		entries := kind == transport.KindRaft || kind == transport.KindRaftSnapshot
+		return transport.Fate{Drop: to == "e4" && entries || (to == "e5") != (from == "e5")}
+	})
+	c.put(c.leader(), "change")
+	committed := time.Now()
+	for time.Since(committed) < replica.DefaultFreshnessLease+700*time.Millisecond {
+		for _, id := range []string{"e4", "e5"} {
+			n := c.nodes[id]
+			old := time.Since(committed) > replica.DefaultFreshnessLease
+			c.g.Expect(old && n.Fresh()).To(BeFalse(), "%s is fresh without the change", id)
+			c.g.Expect(has(n, "change")).To(BeFalse())
+		}
+		time.Sleep(time.Millisecond)
+	}
+	c.g.Expect(c.leader().Fresh()).To(BeTrue())
+	c.net.SetRule(nil)
+	c.waitFresh()
+	c.g.Expect(has(c.nodes["e4"], "change")).To(BeTrue())
+	c.g.Expect(has(c.nodes["e5"], "change")).To(BeTrue())
+}
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -147,9 +147,15 @@
 		return rec, err
 	}
 	st.wal, err = wal.Open(wal.Options{Dir: st.path(walFolder), FS: st.fs}, rec.replay)
-	if err != nil || snapshot == nil {
+	if err != nil {
 		return rec, err
 	}
+	if snapshot == nil && rec.base.Index > 0 {
+		return rec, fmt.Errorf("log in %s starts at %d, but there is no snapshot", st.dir, rec.base.Index)
+	}
+	if snapshot == nil {
+		return rec, nil
+	}
 	if rec.base.Index > snapshot.Position.Index {
 		return rec, fmt.Errorf("log in %s starts at %d, after the snapshot at %d",
 			st.dir, rec.base.Index, snapshot.Position.Index)
--- /dev/null
+++ b/replica/storage_test.go
@@ -0,0 +1,104 @@
+package replica
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/disk"
+	"apricotrouter/raft"
+	"apricotrouter/state"
+)
+
+func entries(term uint64, from, to uint64) []raft.Entry {
+	var es []raft.Entry
+	for i := from; i <= to; i++ {
+		es = append(es, raft.Entry{Index: i, Term: term})
+	}
+	return es
+}
+
+func snapshotAt(g *WithT, index, term uint64) *snapshotRecord {
+	s := state.New()
+	s.Index = index
+	data, err := s.EncodeSnapshot()
+	g.Expect(err).NotTo(HaveOccurred())
+	return &snapshotRecord{Position: raft.Position{Index: index, Term: term}, State: data}
+}
+
+// Guards against a log and a snapshot that do not fit together after a crash
+// between saving a received snapshot and rewriting the log.
+func TestCrashBetweenSnapshotAndLog(t *testing.T) {
+	for name, tc := range map[string]struct {
+		snapshot, term uint64
+		base, left     uint64 // after the restart
+	}{
+		"log ends before the snapshot":  {snapshot: 10, term: 2, base: 10, left: 0},
+		"log differs from the snapshot": {snapshot: 4, term: 2, base: 4, left: 0},
+		"log goes on after it":          {snapshot: 4, term: 1, base: 0, left: 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			dir := t.TempDir()
+			st, _, _, err := openStorage(disk.OS{}, dir)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = st.write(&raft.HardState{Term: 1, Vote: 7}, entries(1, 1, 6), 3)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(st.sync()).To(Succeed())
+			g.Expect(st.saveSnapshot(snapshotAt(g, tc.snapshot, tc.term))).To(Succeed())
+			g.Expect(st.close()).To(Succeed())
+			_, _, rec, err := openStorage(disk.OS{}, dir)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(rec.base.Index).To(Equal(tc.base))
+			g.Expect(rec.entries).To(HaveLen(int(tc.left)))
+			g.Expect(rec.state.Index).To(Equal(tc.snapshot))
+			g.Expect(rec.hard).To(Equal(raft.HardState{Term: 1, Vote: 7}))
+		})
+	}
+}
+
+// Guards against a replica that votes under a new id with the old log, or
+// starts with a part of its files.
+func TestIncompleteDataFolderIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	st, id, _, err := openStorage(disk.OS{}, dir)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(st.saveSnapshot(snapshotAt(g, 5, 1))).To(Succeed())
+	g.Expect(st.rewrite(raft.Position{Index: 5, Term: 1}, raft.HardState{Term: 1}, 5, nil)).To(Succeed())
+	g.Expect(st.close()).To(Succeed())
+	_, again, _, err := openStorage(disk.OS{}, dir)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again).To(Equal(id))
+	g.Expect(os.Remove(filepath.Join(dir, identityFile))).To(Succeed())
+	_, _, _, err = openStorage(disk.OS{}, dir)
+	g.Expect(err).To(MatchError(ContainSubstring("no identity")))
+	g.Expect(st.saveIdentity(id)).To(Succeed())
+	g.Expect(os.Remove(filepath.Join(dir, snapshotFile))).To(Succeed())
+	_, _, _, err = openStorage(disk.OS{}, dir)
+	g.Expect(err).To(MatchError(ContainSubstring("no snapshot")))
+}
+
+// Guards against damage in the middle of the log that goes unnoticed at the
+// start of a replica.
+func TestDamagedLogIsRefusedByName(t *testing.T) {
+	g := NewWithT(t)
+	dir := t.TempDir()
+	st, _, _, err := openStorage(disk.OS{}, dir)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = st.write(&raft.HardState{Term: 1}, entries(1, 1, 20), 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(st.close()).To(Succeed())
+	files, err := filepath.Glob(filepath.Join(dir, walFolder, "*"))
+	g.Expect(err).NotTo(HaveOccurred())
+	data, err := os.ReadFile(files[0])
+	g.Expect(err).NotTo(HaveOccurred())
+	data[len(data)/2] ^= 0xff
+	g.Expect(os.WriteFile(files[0], data, 0o600)).To(Succeed())
+	_, _, _, err = openStorage(disk.OS{}, dir)
+	g.Expect(err).To(MatchError(And(ContainSubstring(files[0]), ContainSubstring("offset"))))
+	g.Expect(strings.Contains(err.Error(), "damaged")).To(BeTrue())
+}
