replica: leave a leader that no longer leads; less traffic; benchmarks

A learner stayed with the old leader until its election timeout, up to 2 s, because the new leader does not know of it until it asks. It now leaves a leader that says it does not lead or does not answer, takes the one that others name, and asks for its lease at once. A failed registration is repeated after 1 s even if nothing else changes.

Messages no longer repeat the ids that the packet has, group ids are 16 characters, and learners get every third heartbeat, as the instances have 10 KB/s for control.

--- a/raft/leader.go
+++ b/raft/leader.go
@@ -61,11 +61,18 @@
 	return n >= c.members.Majority()
 }
 
+// learnerRounds is how many rounds pass between two heartbeats to a learner,
+// whose answers confirm nothing.
+const learnerRounds = 3
+
 // heartbeat starts a new round.
 func (c *Core) heartbeat() {
 	c.heartbeatIn = c.opts.HeartbeatTicks
 	c.round++
 	for _, id := range c.peerIDs() {
+		if c.members.Voter(id) == nil && c.round%learnerRounds != 0 {
+			continue
+		}
 		p := c.peers[id]
 		c.send(Message{Type: MsgHeartbeat, To: id, Round: c.round, Commit: min(c.commit, p.match)})
 	}
--- a/raft/types.go
+++ b/raft/types.go
@@ -114,8 +114,8 @@
 // Message is exchanged between replicas.
 type Message struct {
 	Type MessageType `cbor:"1,keyasint"`
-	From ID          `cbor:"2,keyasint"`
-	To   ID          `cbor:"3,keyasint"`
+	From ID          `cbor:"-"` // the packet that carries the message names both
+	To   ID          `cbor:"-"`
 	Term uint64      `cbor:"4,keyasint"`
 	// Index and LogTerm are the entry before Entries in MsgAppend, the last
 	// entry in vote requests, and the last matching entry (or, rejected, a
--- /dev/null
+++ b/replica/bench_test.go
@@ -0,0 +1,151 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/replica"
+	"apricotrouter/state"
+	"apricotrouter/transport"
+)
+
+// defaults undoes the shorter times of the tests.
+func defaults(o *replica.Options) { o.Tick, o.FreshnessInterval = 0, 0 }
+
+// proposeAll proposes n commands from the given number of goroutines.
+func proposeAll(b testing.TB, n *node, prefix string, count, workers int) {
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := next.Add(1); i <= int64(count); i = next.Add(1) {
+				c := state.NewCommand(state.ApplyTeam{Name: fmt.Sprintf("%s-%d", prefix, i), Weight: 1})
+				if _, err := n.Propose(context.Background(), c); err != nil {
+					b.Error(err)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// BenchmarkCommit measures changes on 3 voters with disks in one process.
+func BenchmarkCommit(b *testing.B) {
+	for _, workers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("proposers=%d", workers), func(b *testing.B) {
+			c := newCluster(b, 3, 3, 3, defaults)
+			c.form("e1")
+			leader := c.leader()
+			b.ResetTimer()
+			proposeAll(b, leader, "t", b.N, workers)
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+		})
+	}
+}
+
+// BenchmarkRestart measures New on a data folder after a number of changes.
+func BenchmarkRestart(b *testing.B) {
+	for _, changes := range []int{100, 1000, 5000, 20000} {
+		b.Run(fmt.Sprintf("changes=%d", changes), func(b *testing.B) {
+			c := newCluster(b, 1, 1, 1, defaults)
+			c.form("e1")
+			proposeAll(b, c.leader(), "t", changes, 256)
+			dir := c.stop("e1").dir
+			b.ResetTimer()
+			for range b.N {
+				b.StopTimer()
+				o := c.options("e1", dir)
+				b.StartTimer()
+				r, err := replica.New(o)
+				c.g.Expect(err).NotTo(HaveOccurred())
+				c.g.Expect(r.State().Teams.Len()).To(Equal(changes))
+			}
+		})
+	}
+}
+
+// BenchmarkNewLeader measures the time from the loss of the leader, which
+// stops without a transfer, to the next confirmed leader and to the return of
+// the lease on all other instances, with the default times.
+func BenchmarkNewLeader(b *testing.B) {
+	c := newCluster(b, 8, 5, 5, defaults)
+	c.form("e1")
+	var toLeader, toFresh time.Duration
+	for range b.N {
+		b.StopTimer()
+		lost := c.stop(c.leader().id)
+		b.StartTimer()
+		begin := time.Now()
+		c.leader()
+		toLeader += time.Since(begin)
+		c.g.Eventually(func() bool {
+			for _, n := range c.nodes {
+				if !n.Fresh() || n.Leadership().Leader == lost.id {
+					return false
+				}
+			}
+			return true
+		}, patience, "5ms").Should(BeTrue())
+		toFresh += time.Since(begin)
+		b.StopTimer()
+		c.start(lost.id, lost.dir)
+		c.waitFresh()
+		b.StartTimer()
+	}
+	b.ReportMetric(toLeader.Seconds()/float64(b.N), "s/leader")
+	b.ReportMetric(toFresh.Seconds()/float64(b.N), "s/all-fresh")
+}
+
+// countingPeers counts the encoded messages that one instance sends.
+type countingPeers struct {
+	transport.Peers
+	bytes, count atomic.Int64
+}
+
+func (p *countingPeers) add(msg any) {
+	data, _ := cbor.Marshal(msg)
+	p.bytes.Add(int64(len(data)))
+	p.count.Add(1)
+}
+
+func (p *countingPeers) Notify(to string, kind transport.Kind, msg any) error {
+	p.add(msg)
+	return p.Peers.Notify(to, kind, msg)
+}
+
+func (p *countingPeers) Call(ctx context.Context, to string, kind transport.Kind, req, resp any) error {
+	p.add(req)
+	return p.Peers.Call(ctx, to, kind, req, resp)
+}
+
+// BenchmarkIdleTraffic measures what the leader and a learner of 8 instances
+// send without changes, without frames and answers to calls.
+func BenchmarkIdleTraffic(b *testing.B) {
+	counters := make(map[string]*countingPeers)
+	c := newCluster(b, 8, 5, 5, func(o *replica.Options) {
+		defaults(o)
+		counters[o.Self] = &countingPeers{Peers: o.Peers}
+		o.Peers = counters[o.Self]
+	})
+	c.form("e1")
+	leader, learner := counters[c.leader().id], counters["e8"]
+	time.Sleep(time.Second)
+	lb, ln, fb := leader.bytes.Load(), leader.count.Load(), learner.bytes.Load()
+	begin := time.Now()
+	for range b.N {
+		time.Sleep(time.Second)
+	}
+	s := time.Since(begin).Seconds()
+	b.ReportMetric(float64(leader.bytes.Load()-lb)/s, "leaderB/s")
+	b.ReportMetric(float64(leader.count.Load()-ln)/s, "leadermsg/s")
+	b.ReportMetric(float64(learner.bytes.Load()-fb)/s, "learnerB/s")
+}
--- a/replica/failure_test.go
+++ b/replica/failure_test.go
@@ -371,3 +371,33 @@
 	c.g.Expect(has(c.nodes["e4"], "change")).To(BeTrue())
 	c.g.Expect(has(c.nodes["e5"], "change")).To(BeTrue())
 }
+
+// Guards against a learner that stays with an old leader until its election
+// timeout, and so without its lease, although others know the new leader.
+func TestLearnerFollowsNewLeaderAtOnce(t *testing.T) {
+	c := newCluster(t, 5, 3, 3, func(o *replica.Options) {
+		if o.Self == "e4" {
+			o.ElectionTicks = 1 << 40 // its core never forgets a leader
+		}
+	})
+	c.form("e1")
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	old := c.leader()
+	c.g.Expect(old.TransferLeadership(ctx)).To(Succeed())
+	c.g.Eventually(func() string { return c.nodes["e4"].Leadership().Leader }, patience, "5ms").
+		Should(And(Not(Equal(old.id)), Not(BeEmpty())))
+	c.put(c.nodes["e4"], "after")
+	c.g.Eventually(c.nodes["e4"].Fresh, patience, "5ms").Should(BeTrue())
+}
+
+// Guards against a group of one voter that waits for answers of others.
+func TestSingleVoter(t *testing.T) {
+	c := newCluster(t, 1, 1, 1, nil)
+	c.form("e1")
+	c.put(c.nodes["e1"], "one")
+	n := c.stop("e1")
+	c.start("e1", n.dir)
+	c.put(c.leader(), "two")
+	c.g.Expect(has(c.nodes["e1"], "one")).To(BeTrue())
+}
--- a/replica/formation.go
+++ b/replica/formation.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"slices"
 
-	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
 	"apricotrouter/raft"
@@ -138,7 +137,7 @@
 		}
 		if r.id.Forming == "" {
 			id := r.id
-			id.Forming = uuid.NewString()
+			id.Forming = fmt.Sprintf("%016x", newReplicaID()) // short, as every packet carries it
 			if err = r.store.saveIdentity(id); err != nil {
 				return
 			}
--- a/replica/freshness.go
+++ b/replica/freshness.go
@@ -50,25 +50,41 @@
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for {
-		for _, peer := range r.freshnessTargets() {
+		leader := r.Leadership().Leader
+		for _, peer := range r.freshnessTargets(leader) {
 			calls.Add(1)
 			go func() {
 				defer calls.Done()
 				r.askFreshness(ctx, peer)
 			}()
 		}
+		if err := r.nextPoll(ctx, ticker.Chan(), leader); err != nil {
+			return err
+		}
+	}
+}
+
+// nextPoll returns at the next tick, or when another leader is known.
+func (r *Replica) nextPoll(ctx context.Context, tick <-chan time.Time, leader string) error {
+	for {
+		changed := r.Changed()
+		if now := r.Leadership().Leader; now != leader && now != "" {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.Chan():
+		case <-tick:
+			return nil
+		case <-changed:
 		}
 	}
 }
 
 // freshnessTargets returns the leader, or every other instance while no leader
 // is known.
-func (r *Replica) freshnessTargets() []string {
-	if leader := r.Leadership().Leader; leader != "" {
+func (r *Replica) freshnessTargets(leader string) []string {
+	if leader != "" {
 		return []string{leader}
 	}
 	var all []string
@@ -97,7 +113,7 @@
 		}
 		resp = *own
 	} else if err := r.opts.Peers.Call(ctx, peer, transport.KindFreshness, req, &resp); err != nil {
-		r.dropHint(peer)
+		r.disown(peer)
 		return
 	}
 	r.takeFreshness(peer, resp, until)
@@ -108,18 +124,29 @@
 		r.box.post(func() { r.grants = append(r.grants, grant{index: resp.Index, until: until}) })
 		return
 	}
-	r.dropHint(peer)
-	if resp.Leader != "" && resp.Leader != r.opts.Self && r.hint.CompareAndSwap(nil, &resp.Leader) {
-		r.box.post(func() {}) // publishes the leader
+	r.disown(peer)
+	if resp.Leader != "" && resp.Leader != r.opts.Self && resp.Leader != peer {
+		r.box.post(func() {
+			if r.hint == "" {
+				r.hint = resp.Leader
+			}
+		})
 	}
 }
 
-// dropHint forgets that an instance was said to lead.
-func (r *Replica) dropHint(peer string) {
-	if h := r.hint.Load(); h != nil && *h == peer {
-		r.hint.CompareAndSwap(h, nil)
-		r.box.post(func() {})
-	}
+// disown stops taking an instance for the leader that said it is not, or does
+// not answer. A learner would otherwise stay with the old leader for an
+// election timeout: the new one does not know of it until it asks.
+func (r *Replica) disown(peer string) {
+	r.box.post(func() {
+		if r.hint == peer {
+			r.hint = ""
+		}
+		st := r.core.Status()
+		if st.Leader != raft.None && st.Leader != st.Self && r.instanceOf(st.Leader) == peer {
+			r.disowned = st.Term
+		}
+	})
 }
 
 // settleGrants extends the lease by the grants whose index is applied.
--- a/replica/messages.go
+++ b/replica/messages.go
@@ -40,9 +40,8 @@
 	}
 	r.members.byID[p.From] = from
 	for _, m := range p.Messages {
-		if m.From == p.From && m.To == r.id.Replica {
-			r.core.Step(m)
-		}
+		m.From, m.To = p.From, p.To
+		r.core.Step(m)
 	}
 }
 
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -30,6 +30,8 @@
 	maxWaiters = 16384
 	// retryInterval is the pause before a proposal looks for a leader again.
 	retryInterval = 50 * time.Millisecond
+	// registerInterval is the pause before a failed registration is repeated.
+	registerInterval = time.Second
 )
 
 type leaseKey struct{}
@@ -107,7 +109,7 @@
 	case err != nil:
 		return proposed{err: steperr.Wrap(err, "propose", leader)}, false
 	case resp.NotLeader:
-		r.dropHint(leader)
+		r.disown(leader)
 		return proposed{err: raft.ErrNotLeader}, true
 	case resp.Refused != "":
 		return proposed{err: steperr.Wrap(refusal(resp.Refused), "propose", leader)}, false
@@ -269,6 +271,7 @@
 		}
 		select {
 		case <-changed:
+		case <-r.opts.Clock.After(registerInterval):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/replica/repair.go
+++ b/replica/repair.go
@@ -72,6 +72,7 @@
 	for instance, info := range r.members.info {
 		if now-info.seen > forgetAfter {
 			r.core.Forget(info.replica)
+			delete(r.members.byID, info.replica)
 			delete(r.members.info, instance)
 		}
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -29,7 +29,6 @@
 	view       atomic.Pointer[view]
 	leases     leases
 	freshUntil atomic.Int64 // nanoseconds since started
-	hint       atomic.Pointer[string]
 	box        *mailbox
 	done       chan struct{} // closed when the loop has ended
 	tasks      sync.WaitGroup
@@ -53,6 +52,8 @@
 	compact   compaction
 	transfers map[raft.ID]bool // snapshots being sent
 	received  *received
+	hint      string // instance that another one named as the leader
+	disowned  uint64 // term whose leader said that it does not lead, or was silent
 }
 
 // view is what the loop publishes of the leadership.
--- a/replica/status.go
+++ b/replica/status.go
@@ -92,14 +92,11 @@
 // leaderInstance returns the leader that the core knows, or else the one that
 // another instance named.
 func (r *Replica) leaderInstance(st raft.Status) string {
-	if st.Leader != raft.None {
-		r.hint.Store(nil)
+	if st.Leader != raft.None && st.Term != r.disowned {
+		r.hint = ""
 		return r.instanceOf(st.Leader)
 	}
-	if hint := r.hint.Load(); hint != nil {
-		return *hint
-	}
-	return ""
+	return r.hint
 }
 
 func (r *Replica) instanceStatus(st raft.Status) []InstanceStatus {
