placement: test the response to interference, sizes and run times

The tests measure stand-in workers whose replicas slow down next to a class, with samples 5 to 15 s late and noisy. They showed two faults: a service that is slow by itself had its neighbours evicted (16 evictions in 200 s), and an evicted task came back to the same place every minute. A service's own rise now changes faster than the effect of a class, tasks that explain less than a tenth of the excess are left alone, and the time for which a task is kept away doubles with each eviction.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -64,12 +64,19 @@
 		return false
 	case w.reserved != nil && !w.reserved.admits(p, t, size):
 		return false
-	case t.Kind == state.KindBatch && p.now-t.QueuedAt < avoidTime:
+	case t.Kind == state.KindBatch && p.now-t.QueuedAt < avoidPatience(t):
 		return p.rise(t, i, size) <= avoidRise
 	}
 	return true
 }
 
+// avoidPatience is how long a task is kept away from services that it slows
+// down. It doubles with every eviction, so that a task that only fits next to
+// such a service does not come back every minute.
+func avoidPatience(t *state.Task) int64 {
+	return min(int64(avoidTime)<<min(t.Evictions, maxAvoidDoublings), maxAvoidTime)
+}
+
 func failedOn(t *state.Task, worker string) bool {
 	return slices.ContainsFunc(t.Failures, func(f state.Failure) bool { return f.Worker == worker })
 }
--- a/placement/collect.go
+++ b/placement/collect.go
@@ -178,7 +178,7 @@
 			continue
 		}
 		delete(c.watch, id)
-		if t != nil && t.Phase == state.PhaseCompleted && t.Incarnation == w.incarnation && t.Checkpoint == "" {
+		if t != nil && t.Phase == state.PhaseCompleted && t.Incarnation == w.incarnation && t.Incarnation == 1 {
 			c.obs.Estimates.learnRunTime(t)
 		}
 	}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -12,12 +12,14 @@
 	// effectVariance is the variance of an effect before the first sample.
 	effectVariance = 100.0
 	// ownVariance is the variance of a service's own rise, from its load.
-	ownVariance = 0.1
+	ownVariance = 1.0
 	// noiseVariance is the variance of one measured latency ratio.
 	noiseVariance = 0.1
-	// forgetVariancePerSecond lets an old estimate lose confidence, because
-	// effects change with load.
-	forgetVariancePerSecond = 0.02
+	// effectDrift and ownDrift are the variance that an estimate gains per
+	// second. The load of a service changes faster than the effect of a class,
+	// so a rise that all replicas show is taken as the service's own.
+	effectDrift = 0.02
+	ownDrift    = 0.02
 	// confidence is the number of standard deviations of the lower bound.
 	confidence = 1.64
 	// minEffectSamples is the number of samples before an estimate counts.
@@ -84,11 +86,11 @@
 // It attributes the rise to the loads and to the service itself in proportion
 // to how uncertain each still is, as a Kalman filter with independent effects.
 func (e *Estimates) learn(service string, latencyRatio float64, loads []load, at int64) {
-	own := e.estimateOf(pair{service, ""}, ownVariance, at)
+	own := e.estimateOf(pair{service, ""}, ownVariance, ownDrift, at)
 	expected, total := own.mean, noiseVariance+own.variance
 	ests := make([]*estimate, len(loads))
 	for i, l := range loads {
-		ests[i] = e.estimateOf(pair{service, l.class}, effectVariance, at)
+		ests[i] = e.estimateOf(pair{service, l.class}, effectVariance, effectDrift, at)
 		expected += ests[i].mean * l.share
 		total += ests[i].variance * l.share * l.share
 	}
@@ -99,14 +101,14 @@
 	}
 }
 
-func (e *Estimates) estimateOf(key pair, prior float64, at int64) *estimate {
+func (e *Estimates) estimateOf(key pair, prior, drift float64, at int64) *estimate {
 	est := e.pairs[key]
 	if est == nil {
 		est = &estimate{variance: prior, at: at}
 		e.pairs[key] = est
 	}
 	if at > est.at {
-		est.variance = min(prior, est.variance+forgetVariancePerSecond*float64(at-est.at)/1000*prior/effectVariance)
+		est.variance = min(prior, est.variance+drift*float64(at-est.at)/1000)
 		est.at = at
 	}
 	return est
--- a/placement/interfere.go
+++ b/placement/interfere.go
@@ -15,6 +15,8 @@
 	// minAbove is the number of samples in a row above highRatio before an
 	// action, so that one noisy sample causes none.
 	minAbove = 2
+	// minPart is the part of the excess that a task must explain to be acted on.
+	minPart = 0.1
 	// throttleFirst and throttleMost are the steps of throttling, in percent.
 	throttleFirst = 50
 	throttleMost  = 80
@@ -25,9 +27,11 @@
 	// milliseconds.
 	maxSampleAge = 60_000
 	// avoidRise is the expected rise of the latency ratio from which a task is
-	// kept away from a worker, and avoidTime how long, in milliseconds.
-	avoidRise = 0.25
-	avoidTime = 60_000
+	// kept away from a worker, and avoidTime how long at first, in milliseconds.
+	avoidRise         = 0.25
+	avoidTime         = 60_000
+	maxAvoidTime      = 900_000
+	maxAvoidDoublings = 4
 )
 
 // interference responds to slow replicas under the selected policy.
@@ -67,6 +71,7 @@
 type suspect struct {
 	task *state.Task
 	rise float64 // expected rise of the latency ratio
+	full float64 // the rise if the task were not throttled
 	sure bool    // the rise is above 0 with confidence
 }
 
@@ -106,9 +111,11 @@
 		}
 		share := ratio(ts.Used.MilliCPU, capacity.MilliCPU)
 		f := p.obs.Estimates.Effect(service, t.Class)
-		all = append(all, suspect{task: t, rise: f.Mean * share, sure: f.Lower > 0})
+		rise := f.Mean * share
+		full := rise * 100 / float64(100-min(t.Throttle, throttleMost))
+		all = append(all, suspect{task: t, rise: rise, full: full, sure: f.Lower > 0})
 	}
-	slices.SortStableFunc(all, func(a, b suspect) int { return cmp.Compare(b.rise, a.rise) })
+	slices.SortStableFunc(all, func(a, b suspect) int { return cmp.Compare(b.full, a.full) })
 	return all
 }
 
@@ -117,6 +124,8 @@
 // known to slow the service down. Whether one was enough is judged from samples
 // taken after its stop.
 func (p *plan) escalate(all []suspect, excess float64, service string) {
+	least := minPart * excess
+	all = slices.DeleteFunc(all, func(s suspect) bool { return s.full < least })
 	if p.throttle(all, excess, service) {
 		return
 	}
@@ -134,7 +143,7 @@
 func (p *plan) throttle(all []suspect, excess float64, service string) bool {
 	raised := false
 	for _, s := range all {
-		if excess <= 0 || s.rise <= 0 {
+		if excess <= 0 {
 			break
 		}
 		next := int64(throttleMost)
--- /dev/null
+++ b/placement/interfere_test.go
@@ -0,0 +1,377 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/placement"
+	"apricotrouter/state"
+)
+
+// measured adds measurements to a cluster: replicas next to tasks of some
+// classes are slow, and samples arrive late.
+type measured struct {
+	*cluster
+	collector *placement.Collector
+	effects   map[string]float64 // rise if the class used the whole worker
+	use       map[string]float64 // use against the declared size, 1 if unset
+	lag       int64              // milliseconds
+	noise     float64
+	own       float64 // rise of the service itself, from its load
+	spike     float64 // rise of every tenth sample
+	random    *rand.Rand
+	underway  []*placement.ObservationsNotice
+
+	slowest   float64 // sum of the worst ratios of all seconds
+	seconds   int
+	throttles map[string][]int64 // times by worker
+	releases  int
+	evictions []int64
+}
+
+func newMeasured(g Gomega, policy placement.InterferencePolicy) *measured {
+	m := &measured{
+		cluster: newCluster(g), use: map[string]float64{}, lag: 5000, noise: 0.05,
+		effects:   map[string]float64{"class-noisy": 8},
+		random:    rand.New(rand.NewPCG(1, 2)),
+		throttles: map[string][]int64{},
+	}
+	m.planner = placement.New(placement.Options{Interference: policy})
+	m.collector = placement.NewCollector(m.now)
+	return m
+}
+
+// sample measures a worker now.
+func (m *measured) sample(w *state.Worker) placement.WorkerSample {
+	s := placement.WorkerSample{Worker: w.ID, Fence: m.Assignment(state.AssignWorker, w.ID).Fence, SampledAt: m.now}
+	rise := m.own
+	for t := range m.TasksOnWorker(w.ID) {
+		used := t.Resources
+		if f, ok := m.use[t.Class]; ok {
+			used = state.Resources{MilliCPU: int64(f * float64(used.MilliCPU)), MemoryMiB: int64(f * float64(used.MemoryMiB))}
+		}
+		used.MilliCPU = used.MilliCPU * (100 - t.Throttle) / 100
+		if t.Phase == state.PhaseRunning {
+			rise += m.effects[t.Class] * float64(used.MilliCPU) / float64(w.Capacity.MilliCPU)
+			s.Tasks = append(s.Tasks, placement.TaskSample{Task: t.ID, Incarnation: t.Incarnation, Used: used})
+		}
+	}
+	for i := range s.Tasks {
+		if m.Task(s.Tasks[i].Task).Kind == state.KindLatencyCritical {
+			s.Tasks[i].LatencyRatio = 1 + rise + m.noise*m.random.NormFloat64()
+			if m.now/1000%10 == 0 {
+				s.Tasks[i].LatencyRatio += m.spike
+			}
+			m.slowest = m.slowest + 1 + rise
+			m.seconds++
+		}
+	}
+	return s
+}
+
+// step lets a second pass: samples are taken, late ones arrive, and a plan is
+// made and carried out.
+func (m *measured) step() {
+	n := &placement.ObservationsNotice{}
+	for _, w := range m.Workers.All() {
+		n.Workers = append(n.Workers, m.sample(w))
+	}
+	m.underway = append(m.underway, n)
+	for len(m.underway) > 0 && m.underway[0].Workers[0].SampledAt <= m.now-m.lag {
+		m.collector.Add(m.State, m.underway[0], m.now)
+		m.underway = m.underway[1:]
+	}
+	before := m.State
+	m.obs = m.collector.Observations()
+	bodies := m.plan()
+	m.collector.Planned()
+	for _, b := range bodies {
+		m.collector.NoteAction(before, b, m.now)
+		m.count(before, b)
+	}
+	m.settle()
+	m.now += 1000
+}
+
+func (m *measured) count(s *state.State, b state.Body) {
+	switch b := b.(type) {
+	case state.ThrottleTask:
+		w := s.Task(b.Task).Worker
+		if b.Percent < s.Task(b.Task).Throttle {
+			m.releases++
+		}
+		m.throttles[w] = append(m.throttles[w], m.now)
+	case state.StopTasks:
+		for range b.Stops {
+			m.evictions = append(m.evictions, m.now)
+		}
+	}
+}
+
+func (m *measured) steps(n int) {
+	for range n {
+		m.step()
+	}
+}
+
+// workers adds n workers that each hold a replica and batch tasks of a noisy
+// and a quiet class.
+func (m *measured) workers(n int) {
+	for i := range n {
+		m.worker(fmt.Sprintf("w%02d", i), "a", cores(32))
+	}
+	m.ok(state.ApplyService{Spec: state.ServiceSpec{Name: "s", Replicas: int64(n), Resources: cores(8)}})
+	m.rounds(2)
+	m.job("quiet", "", state.PriorityNormal, int64(2*n), cores(4), 10_000)
+	m.rounds(1)
+	m.job("noisy", "", state.PriorityNormal, int64(2*n), cores(8), 10_000)
+	m.rounds(1)
+}
+
+func (m *measured) meanRatio() float64 { return m.slowest / float64(m.seconds) }
+
+func (m *measured) evictionsOf(job string) int64 {
+	var n int64
+	for t := range m.TasksOf(state.KindBatch, job) {
+		n += t.Evictions
+	}
+	return n
+}
+
+// Guards against a response that leaves replicas slow, or evicts more than
+// needed or the wrong tasks: it is compared with doing nothing and with
+// evicting at once.
+func TestStepwiseResponseAgainstBaselines(t *testing.T) {
+	g := NewWithT(t)
+	run := func(policy placement.InterferencePolicy) *measured {
+		m := newMeasured(g, policy)
+		m.workers(8)
+		m.steps(300)
+		return m
+	}
+	ignore := run(placement.InterferenceIgnore)
+	atOnce := run(placement.InterferenceEvictAtOnce)
+	stepwise := run(placement.InterferenceStepwise)
+	for name, m := range map[string]*measured{"ignore": ignore, "evict-at-once": atOnce, "stepwise": stepwise} {
+		t.Logf("%s: mean latency ratio %.2f, evictions %d", name, m.meanRatio(), len(m.evictions))
+	}
+	g.Expect(stepwise.meanRatio()).To(BeNumerically("<", (1+ignore.meanRatio())/2))
+	g.Expect(len(stepwise.evictions)).To(BeNumerically("<", len(atOnce.evictions)/2))
+	g.Expect(stepwise.evictionsOf("quiet")).To(BeZero())
+	for task := range stepwise.TasksOf(state.KindBatch, "quiet") {
+		g.Expect(task.Throttle).To(BeZero())
+	}
+}
+
+// Guards against a second action that judges samples from before the first
+// one took effect.
+func TestNextActionWaitsForTheLag(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.lag = 15_000
+	m.effects["class-noisy"] = 40 // throttling is not enough
+	m.workers(4)
+	m.steps(200)
+	for _, times := range m.throttles {
+		for i := 1; i < len(times); i++ {
+			if times[i] != times[i-1] {
+				g.Expect(times[i] - times[i-1]).To(BeNumerically(">=", m.lag))
+			}
+		}
+	}
+	g.Expect(m.evictions).NotTo(BeEmpty())
+	g.Expect(m.throttles).NotTo(BeEmpty())
+}
+
+// Guards against a noisy wave that becomes a wave of evictions.
+func TestEvictionsPerMinuteAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.effects["class-noisy"] = 60
+	m.workers(50)
+	m.steps(240)
+	g.Expect(len(m.evictions)).To(BeNumerically(">", placement.DefaultEvictionsPerMinute))
+	for i, at := range m.evictions {
+		if j := i + placement.DefaultEvictionsPerMinute; j < len(m.evictions) {
+			g.Expect(m.evictions[j] - at).To(BeNumerically(">=", 60_000))
+		}
+	}
+}
+
+// Guards against actions on noise alone.
+func TestNoiseAloneCausesNoAction(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.effects = nil
+	m.noise = 0.15
+	m.spike = 2
+	m.workers(10)
+	m.steps(300)
+	g.Expect(m.evictions).To(BeEmpty())
+	g.Expect(m.throttles).To(BeEmpty())
+}
+
+// Guards against throttles that stay when the interference is over, and
+// against an oscillation between throttle and release.
+func TestThrottlesAreReleasedWithoutFlapping(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.effects["class-noisy"] = 4
+	m.workers(1)
+	m.steps(1200)
+	g.Expect(m.throttles).NotTo(BeEmpty())
+	g.Expect(m.releases).To(BeZero())
+	m.effects["class-noisy"] = 0
+	m.steps(1200)
+	for task := range m.TasksOf(state.KindBatch, "noisy") {
+		g.Expect(task.Throttle).To(BeZero())
+	}
+}
+
+// Guards against throttles and releases that follow every swing of a load.
+func TestSwingsOfLoadCauseFewerAndFewerReleases(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.workers(1)
+	swing := func() int {
+		before := len(m.throttles["w00"])
+		for i := range 20 {
+			m.effects["class-noisy"] = float64(3 * (i % 2))
+			m.steps(40)
+		}
+		return len(m.throttles["w00"]) - before
+	}
+	first := swing()
+	second := swing()
+	t.Logf("actions in the first 800 s: %d, in the second: %d", first, second)
+	g.Expect(second).To(BeNumerically("<=", first/2))
+}
+
+// Guards against batch tasks that are blamed for a service that is slow by
+// itself.
+func TestServiceSlowByItselfCausesNoEvictions(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.effects = nil
+	m.workers(4)
+	for i := range 4 {
+		m.worker(fmt.Sprint("x", i), "a", cores(8))
+	}
+	s, _ := m.Services.Get("s")
+	s2 := s.Spec
+	s2.Replicas = 8
+	m.ok(state.ApplyService{Spec: s2, ExpectedVersion: s.Version})
+	m.steps(20)
+	m.own = 1.5
+	m.steps(200)
+	t.Logf("evictions %d, throttled workers %d", len(m.evictions), len(m.throttles))
+	g.Expect(m.evictions).To(BeEmpty())
+}
+
+// Guards against a task that comes back to the same place every minute after
+// its eviction.
+func TestEvictedTaskComesBackLessAndLessOften(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.effects["class-noisy"] = 40
+	m.workers(2)
+	m.steps(900)
+	g.Expect(m.evictionsOf("noisy")).To(BeNumerically(">", 0))
+	for task := range m.TasksOf(state.KindBatch, "noisy") {
+		g.Expect(task.Evictions).To(BeNumerically("<=", 4))
+	}
+}
+
+// Guards against new tasks that are placed next to a service that they are
+// known to slow down, while there is room elsewhere.
+func TestHarmfulPairIsAvoided(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.workers(2)
+	m.steps(30)
+	m.ok(state.CancelJobs{IDs: []string{"noisy", "quiet"}})
+	m.rounds(2)
+	m.worker("y", "a", cores(64))
+	m.ok(state.SubmitJob{Spec: state.JobSpec{ID: "tiny", Class: "class-noisy", Priority: state.PriorityNormal, Tasks: 1, Resources: cores(1)}})
+	m.steps(1)
+	g.Expect(m.Task("tiny.0").Worker).To(Equal("y"))
+	m.ok(state.SubmitJob{Spec: state.JobSpec{ID: "fill", Class: "other", Priority: state.PriorityNormal, Tasks: 1, Resources: cores(63)}})
+	m.steps(1)
+	m.worker("x", "a", cores(16))
+	m.ok(state.SubmitJob{Spec: state.JobSpec{ID: "again", Class: "class-noisy", Priority: state.PriorityNormal, Tasks: 4, Resources: cores(8)}})
+	m.ok(state.SubmitJob{Spec: state.JobSpec{ID: "calm", Class: "class-quiet", Priority: state.PriorityNormal, Tasks: 4, Resources: cores(8)}})
+	m.steps(30)
+	g.Expect(m.running("calm")).To(Equal(4))
+	g.Expect(m.running("again")).To(Equal(2))
+	for task := range m.TasksOnWorker("x") {
+		g.Expect(task.Owner).To(Equal("again"))
+	}
+	m.steps(60) // batch work may wait, but must run
+	for task := range m.TasksOf(state.KindBatch, "again") {
+		g.Expect(task.Incarnation).To(BeNumerically(">=", 1))
+	}
+}
+
+// Guards against a new leader that acts on samples from before its election,
+// whose actions it does not know.
+func TestNewLeaderJudgesOnlyNewSamples(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.lag = 10_000
+	m.effects["class-noisy"] = 40
+	m.workers(2)
+	m.steps(9)
+	m.collector = placement.NewCollector(m.now)
+	elected := m.now
+	m.steps(60)
+	g.Expect(m.throttles).NotTo(BeEmpty())
+	for _, times := range m.throttles {
+		g.Expect(times[0] - elected).To(BeNumerically(">=", m.lag))
+	}
+}
+
+// Guards against workers that are filled beyond their capacity by tasks that
+// use far more than they declare.
+func TestDeclaredSizesAreCorrectedByUse(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.use["class-liar"] = 4
+	m.use["class-again"] = 4
+	for i := range 4 {
+		m.worker(fmt.Sprint("w", i), "a", cores(32))
+	}
+	m.job("liar", "", state.PriorityNormal, 4, cores(2), 10_000)
+	m.steps(20)
+	m.ok(state.SubmitJob{Spec: state.JobSpec{ID: "again", Class: "class-liar", Priority: state.PriorityNormal, Tasks: 100, Resources: cores(2)}})
+	for range 20 {
+		m.step()
+		for id, w := range m.Workers.All() {
+			n := 0
+			for range m.TasksOnWorker(id) {
+				n++
+			}
+			g.Expect(cores(int64(8*n)).Fits(w.Capacity)).To(BeTrue(), "%d tasks on %s", n, id)
+		}
+	}
+	g.Expect(m.tasks(state.PhaseRunning)).To(HaveLen(16))
+}
+
+// Guards against reservations that wait for declared run times which the class
+// never keeps.
+func TestRunTimesAreCorrectedByHistory(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceStepwise)
+	m.worker("w", "a", cores(8))
+	m.job("old", "", state.PriorityNormal, 8, cores(1), 10)
+	m.lag = 0
+	m.steps(100)
+	for range 8 {
+		m.exit("old")
+	}
+	m.steps(3)
+	got := m.collector.Observations().Estimates.RunTime(&state.Task{Class: "class-old", ExpectedSeconds: 50})
+	g.Expect(got).To(BeNumerically("~", 500_000, 50_000))
+}
