control: test a leader change within an eviction, and observations

A stop confirmed between two leaders must requeue its task once, and samples must reach the planner only under the current fence.

go test -race -count=5 ./control, and GOMAXPROCS=1 -count=10: ok.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"apricotrouter/control"
+	"apricotrouter/placement"
 	"apricotrouter/replica"
 	"apricotrouter/state"
 	"apricotrouter/transport"
@@ -231,6 +232,74 @@
 	h.Expect(h.bucket(7).LostAt).To(BeZero())
 }
 
+// Guards against an eviction that is lost or made twice when the leader
+// changes between the stop and its confirmation.
+func TestLeaderChangeInTheMiddleOfAnEviction(t *testing.T) {
+	h := newHarness(t)
+	h.worker("w", "a")
+	h.worker("x", "b")
+	h.start(t)
+	task := h.runTask()
+	zone := "a"
+	if task.Worker == "x" {
+		zone = "b"
+	}
+	z, _ := h.log.State().Zones.Get(zone)
+	h.do(state.SetZone{Name: zone, Out: true, ExpectedVersion: z.Version})
+	h.advance(time.Second)
+	h.Expect(h.log.State().Task(task.ID).Phase).To(Equal(state.PhaseStopping))
+	h.log.SetLeadership(replica.Leadership{Leader: "other", Term: 2})
+	stopped := state.ReportTasks{Worker: task.Worker, Fence: h.fence(task.Worker), Reports: []state.TaskReport{
+		{Task: task.ID, Incarnation: 1, Event: state.EventStopped, Checkpoint: "c1"},
+	}}
+	h.do(stopped)
+	h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: 3, Self: true, Epoch: 3})
+	h.do(stopped)
+	h.advance(2 * time.Second)
+	h.do(stopped)
+	h.advance(2 * time.Second)
+	got := h.log.State().Task(task.ID)
+	h.Expect(got.Phase).To(Equal(state.PhaseStarting))
+	h.Expect(got.Worker).NotTo(Equal(task.Worker))
+	h.Expect([]any{got.Incarnation, got.Evictions, got.Checkpoint}).To(Equal([]any{uint64(2), int64(1), "c1"}))
+}
+
+// Guards against samples of session holders that do not reach the planner, and
+// against ones sent under an earlier fence.
+func TestObservationsReachThePlanner(t *testing.T) {
+	h := newHarness(t)
+	h.worker("w", "a")
+	h.start(t)
+	h.do(state.ApplyService{Spec: state.ServiceSpec{Name: "s", Replicas: 1, Resources: state.Resources{MilliCPU: 1000}}})
+	h.runTask()
+	h.advance(time.Second)
+	var replicaID string
+	for r := range h.log.State().TasksOf(state.KindLatencyCritical, "s") {
+		replicaID = r.ID
+		h.do(state.ReportTasks{Worker: "w", Fence: h.fence("w"), Reports: []state.TaskReport{{Task: r.ID, Incarnation: 1, Event: state.EventStarted}}})
+	}
+	net := transport.NewLocal()
+	net.Join("leader", h.mux)
+	holder := net.Join("holder", transport.NewMux())
+	send := func(fence uint64) {
+		for range 20 {
+			n := placement.ObservationsNotice{Workers: []placement.WorkerSample{{
+				Worker: "w", Fence: fence, SampledAt: h.clock.Now().UnixMilli(),
+				Tasks: []placement.TaskSample{
+					{Task: "j.0", Incarnation: 1, Used: state.Resources{MilliCPU: 4000}},
+					{Task: replicaID, Incarnation: 1, LatencyRatio: 5},
+				},
+			}}}
+			h.Expect(holder.Notify("leader", transport.KindObservations, n)).To(Succeed())
+			time.Sleep(time.Millisecond) // Local delivers on another goroutine
+			h.advance(500 * time.Millisecond)
+		}
+	}
+	send(h.fence("w") - 1)
+	h.Expect(h.log.State().Task("j.0").Throttle).To(BeZero())
+	h.Eventually(func() int64 { send(h.fence("w")); return h.log.State().Task("j.0").Throttle }).Should(BeNumerically(">=", 50))
+}
+
 // Guards against decisions of an instance that does not lead, and against a
 // loop that stops after failed proposals.
 func TestDecidesOnlyWhileLeading(t *testing.T) {
