placement: make room for all tasks of an urgent job, replace changed replicas

Only the first task of a blocked urgent job got room per plan, so a job of 100 would have started over many plans, and a changed size of a service reached only replicas that were not placed yet. Urgent tasks now use what the room made for another one leaves over before more is evicted, and replicas of an earlier size are replaced, a tenth of them at once.

On a scratch copy the tests failed with one task per job, without the use of what is left over, without the replacement, and without its limit.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -109,8 +109,11 @@
 	noRoom      []state.Resources  // sizes for which no worker has enough left
 	scanned     int
 	blocked     int
-	preempted   int
-	evicted     int // by interference
+	// soon are the reservations of workers that will have room at once.
+	soon          []*reservation
+	blockedUrgent int
+	preempted     int
+	evicted       int // by interference
 }
 
 func (p *plan) stop(t *state.Task, why state.StopReason, reason string) {
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -10,8 +10,10 @@
 const (
 	// maxScan bounds the pending tasks that one plan looks at.
 	maxScan = 4096
-	// maxBlocked bounds the blocked jobs for which one plan makes room.
-	maxBlocked = 16
+	// maxBlocked bounds the blocked jobs for which one plan looks for room, and
+	// maxBlockedUrgent the replicas and urgent tasks, of which each counts.
+	maxBlocked       = 16
+	maxBlockedUrgent = 128
 	// failureBackoff is the pause after the first failure of a task, in
 	// milliseconds. It doubles with every failure up to maxFailureBackoff.
 	failureBackoff    = 1000
@@ -106,8 +108,8 @@
 		i = p.choose(t, size)
 	}
 	if i < 0 {
-		p.makeRoom(t, size)
-		if len(t.Failures) == 0 {
+		made := p.makeRoom(t, size)
+		if len(t.Failures) == 0 && !(made && t.Rank() <= state.RankUrgent) {
 			q.cursor.SkipOwner()
 		}
 		return
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -91,6 +91,26 @@
 	g.Expect(c.Tasks.Len()).To(Equal(1))
 }
 
+// Guards against a large urgent job of which only one task at a time gets room,
+// and against one eviction for each of its small tasks.
+func TestUrgentJobGetsRoomAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(g)
+	for i := range 20 {
+		c.worker(fmt.Sprint("w", i), "a", cores(8))
+	}
+	c.job("low", "", state.PriorityLow, 40, cores(4), 1000)
+	c.rounds(1)
+	c.job("urgent", "", state.PriorityUrgent, 50, cores(1), 10)
+	c.rounds(3)
+	g.Expect(c.running("urgent")).To(Equal(50))
+	evictions := int64(0)
+	for task := range c.TasksOf(state.KindBatch, "low") {
+		evictions += task.Evictions
+	}
+	g.Expect(evictions).To(BeEquivalentTo(13))
+}
+
 // Guards against a second eviction while the room made by the first is not
 // free yet.
 func TestUrgentWorkWaitsForStopsUnderWay(t *testing.T) {
--- a/placement/room.go
+++ b/placement/room.go
@@ -88,16 +88,40 @@
 }
 
 // makeRoom reserves a worker for a task that fits nowhere now, and evicts
-// tasks of lower ranks for a replica or an urgent task.
-func (p *plan) makeRoom(t *state.Task, size state.Resources) {
-	if p.blocked >= maxBlocked {
-		return
-	}
+// tasks of lower ranks for a replica or an urgent task. It reports whether the
+// task will have room.
+func (p *plan) makeRoom(t *state.Task, size state.Resources) bool {
 	urgent := t.Rank() <= state.RankUrgent
+	if urgent && p.useSpare(size) {
+		return true
+	}
+	if urgent && p.blockedUrgent >= maxBlockedUrgent || !urgent && p.blocked >= maxBlocked {
+		return false
+	}
 	if !urgent && p.now-t.QueuedAt < reserveAfter {
-		return
+		return false
 	}
-	p.blocked++
+	if urgent {
+		p.blockedUrgent++
+	} else {
+		p.blocked++
+	}
+	return p.findRoom(t, size, urgent)
+}
+
+// useSpare uses what an earlier reservation leaves over, and reports whether
+// there was enough.
+func (p *plan) useSpare(size state.Resources) bool {
+	for _, r := range p.soon {
+		if size.Fits(r.spare) {
+			r.spare = r.spare.Sub(size)
+			return true
+		}
+	}
+	return false
+}
+
+func (p *plan) findRoom(t *state.Task, size state.Resources, urgent bool) bool {
 	i, at := p.soonest(t, size)
 	if urgent && (i < 0 || at > p.now+stopTime) {
 		if j, victims := p.cheapestPreemption(t, size); j >= 0 {
@@ -105,20 +129,25 @@
 			i, at = j, p.now+stopTime
 		}
 	}
-	if i >= 0 {
-		p.reserve(t, size, i, at)
+	if i < 0 {
+		return false
 	}
+	p.reserve(t, size, i, at)
+	return true
 }
 
 func (p *plan) reserve(t *state.Task, size state.Resources, i int, at int64) {
 	w := &p.view.workers[i]
 	room := w.free
 	for _, r := range p.residents(i) {
-		if r.end <= at {
+		if r.end <= at || p.stopped[r.task.ID] {
 			room = room.Add(r.task.Resources)
 		}
 	}
 	w.reserved = &reservation{task: t, at: at, spare: room.Sub(size), strict: p.now-t.QueuedAt >= strictAfter}
+	if at <= p.now+stopTime {
+		p.soon = append(p.soon, w.reserved)
+	}
 }
 
 // candidate reports whether the worker could hold the task if it were empty.
--- a/placement/services.go
+++ b/placement/services.go
@@ -59,9 +59,7 @@
 	if count <= want {
 		return
 	}
-	all := slices.Clone(set.ordered)
-	slices.SortStableFunc(all, func(a, b *state.Task) int { return settled(a) - settled(b) })
-	for _, t := range all[:count-want] {
+	for _, t := range p.leastSettled(set)[:count-want] {
 		p.stop(t, state.StopRemove, "more replicas than the service asks for")
 		if r := set.replacedBy[t.ID]; r != nil {
 			p.stop(r, state.StopRemove, "the replica it replaces is removed")
@@ -69,19 +67,42 @@
 	}
 }
 
+// leastSettled returns the replicas that count, those first whose stop
+// interrupts least.
+func (p *plan) leastSettled(set *replicaSet) []*state.Task {
+	all := slices.DeleteFunc(slices.Clone(set.ordered), func(t *state.Task) bool {
+		return set.staying[t.Replaces] != nil
+	})
+	slices.SortStableFunc(all, func(a, b *state.Task) int {
+		leavingA, _ := p.leaving(a)
+		leavingB, _ := p.leaving(b)
+		if leavingA != leavingB {
+			if leavingA {
+				return -1
+			}
+			return 1
+		}
+		return settled(a) - settled(b)
+	})
+	return all
+}
+
 // settled orders the phases of a replica by how much a stop would interrupt.
 func settled(t *state.Task) int {
 	return slices.Index([]state.TaskPhase{state.PhasePending, state.PhaseStopping, state.PhaseStarting, state.PhaseRunning}, t.Phase)
 }
 
-// replaceReplica moves a replica off a zone that is out: it adds the
-// replacement, and stops the original once the replacement runs.
+// replaceReplica replaces a replica in a zone that is out, or of another size
+// than the service now asks for: it adds the replacement, and stops the
+// original once the replacement runs.
 func (p *plan) replaceReplica(set *replicaSet, t *state.Task) {
 	if p.stopped[t.ID] {
 		return
 	}
 	r := set.replacedBy[t.ID]
 	leaving, since := p.leaving(t)
+	outdated := t.Resources != set.service.Spec.Resources
+	due := leaving || outdated && int64(len(set.replacedBy)) < rollingLimit(set)
 	switch {
 	case r != nil && r.Phase == state.PhaseRunning:
 		p.stop(t, state.StopRemove, "replaced by "+r.ID)
@@ -89,13 +110,20 @@
 		p.stop(t, state.StopReplace, "availability zone is out")
 	case leaving && r != nil && p.now-since >= drainLimit && t.Phase == state.PhaseRunning:
 		p.stop(t, state.StopRemove, "availability zone is out and no replacement runs in time")
-	case leaving && r == nil && t.Phase == state.PhaseRunning && set.staying[t.Replaces] == nil:
+	case due && r == nil && t.Phase == state.PhaseRunning && set.staying[t.Replaces] == nil:
 		p.bodies = append(p.bodies, state.AddReplicas{Service: t.Owner, Replaces: t.ID})
-	case !leaving && r != nil && r.Phase == state.PhasePending:
+		set.replacedBy[t.ID] = t // counts against the limit
+	case !leaving && !outdated && r != nil && r.Phase == state.PhasePending:
 		p.stop(r, state.StopRemove, "the replica it replaces stays")
 	}
 }
 
+// rollingLimit is the number of replicas of a service that are replaced at
+// once after a change of its size.
+func rollingLimit(set *replicaSet) int64 {
+	return max(1, set.service.Spec.Replicas/10)
+}
+
 // leaving reports whether the replica's zone is out, and since when.
 func (p *plan) leaving(t *state.Task) (bool, int64) {
 	if !t.Holds() {
--- a/placement/zone_test.go
+++ b/placement/zone_test.go
@@ -113,3 +113,26 @@
 	c.rounds(2)
 	g.Expect(c.Tasks.Len()).To(Equal(1))
 }
+
+// Guards against replicas that keep an earlier size, and against a change of
+// size that interrupts the service.
+func TestChangedSizeReplacesReplicasOneAtATime(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(g)
+	c.worker("a1", "a", cores(16))
+	spec := state.ServiceSpec{Name: "s", Replicas: 3, Resources: cores(2)}
+	c.ok(state.ApplyService{Spec: spec})
+	c.rounds(2)
+	s, _ := c.Services.Get("s")
+	spec.Resources = cores(3)
+	c.ok(state.ApplyService{Spec: spec, ExpectedVersion: s.Version})
+	for range 20 {
+		c.rounds(1)
+		g.Expect(len(c.tasks(state.PhaseRunning))).To(BeNumerically(">=", 3))
+		g.Expect(c.Tasks.Len()).To(BeNumerically("<=", 4))
+	}
+	for _, task := range c.tasks(state.PhaseRunning) {
+		g.Expect(task.Resources).To(Equal(cores(3)))
+	}
+	g.Expect(c.Tasks.Len()).To(Equal(3))
+}
