--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"strconv"
@@ -16,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"apricotrouter/ledger"
 	"apricotrouter/registry"
 	"apricotrouter/replica"
 )
@@ -42,16 +44,18 @@
 // 0 take their defaults.
 type Options struct {
 	Registry *registry.Registry
-	// Ledger keeps requests that must not run twice; nil refuses to keep them,
-	// and such requests are forwarded at most once.
-	Ledger Ledger
+	// Ledger keeps requests that must not run twice. Without it, a resend of
+	// such a request runs again.
+	Ledger *ledger.Ledger
 	Log    replica.Log
 	// ForwardAddress returns host:port of the ForwardHandler of an entry
 	// instance, or "" if it is not known.
 	ForwardAddress func(instance string) string
-	Clock          clockwork.Clock
-	Logger         *slog.Logger
-	Registerer     prometheus.Registerer
+	// PeerTLS is used to connect to peers; nil connects without TLS.
+	PeerTLS    *tls.Config
+	Clock      clockwork.Clock
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
 
 	Timeout      time.Duration // of requests that name none
 	MaxTimeout   time.Duration
@@ -74,7 +78,7 @@
 	metrics  *metrics
 	scratch  *hdrhistogram.Histogram // used by maintain
 
-	requests   inFlight
+	requests   inFlight       // of callers and peers, until their ends are recorded
 	background sync.WaitGroup // abandoned attempts and losing hedges
 	stopped    context.Context
 	stop       context.CancelFunc
@@ -187,12 +191,10 @@
 		limit:   func() int64 { return d.opts.PeerConns },
 		clock:   d.opts.Clock,
 		dialer:  d.dialer,
+		tls:     d.opts.PeerTLS,
 	}
 	if old, ok := d.peers.Swap(instance, p); ok {
 		old.(*connPool).closeIdle(true)
 	}
 	return p
 }
-
-// Ledger keeps requests that must not run twice.
-type Ledger interface{}
--- a/state/apply_member.go
+++ b/state/apply_member.go
@@ -196,9 +196,9 @@
 	old, ok := tx.Instances.Get(in.ID)
 	switch {
 	case ok && old.InstanceStart == in.InstanceStart:
-		in.Leaving, in.RegisteredAt = old.Leaving, old.RegisteredAt
+		in.Leaving, in.RegisteredAt, in.RegisteredIndex = old.Leaving, old.RegisteredAt, old.RegisteredIndex
 	default:
-		in.Leaving, in.RegisteredAt = false, tx.now
+		in.Leaving, in.RegisteredAt, in.RegisteredIndex = false, tx.now, tx.index
 		if ok {
 			tx.restarted(in.ID)
 		}
@@ -280,8 +280,13 @@
 		return false
 	}
 	var epoch uint64
+	b.First, b.Previous, b.Inherited = tx.index, 0, 0
 	if old, ok := tx.Buckets.Get(BucketKey(b.Number)); ok {
 		epoch = old.Epoch
+		b.First, b.Previous, b.Inherited = old.First, old.Epoch, old.Inherited
+		if b.Primary != old.Primary {
+			b.Inherited = old.Epoch
+		}
 		b.LostAt = max(b.LostAt, old.LostAt)
 	}
 	if epoch != b.Epoch {
--- a/worker/manager.go
+++ b/worker/manager.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"strings"
 	"sync"
 	"time"
 
@@ -36,7 +35,10 @@
 // Options are what a Manager needs.
 type Options struct {
 	Self string // instance id
-	Log  replica.Log
+	// Start is the InstanceStart of this process. Nothing is sent to workers
+	// before it is registered; 0 does not check that.
+	Start uint64
+	Log   replica.Log
 	// Dial connects to a worker; nil means Dial of this package.
 	Dial       func(address string) (API, io.Closer, error)
 	Peers      transport.Peers // nil sends no observations
@@ -50,6 +52,8 @@
 	o       Options
 	metrics *metrics
 	wg      sync.WaitGroup
+	// observed is nil if no observations are sent.
+	observed *observations
 	// running holds the sessions by worker. Only Run uses it.
 	running map[string]runningSession
 }
@@ -68,7 +72,11 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
-	return &Manager{o: o, metrics: newMetrics(o.Registerer), running: make(map[string]runningSession)}
+	m := &Manager{o: o, metrics: newMetrics(o.Registerer), running: make(map[string]runningSession)}
+	if o.Peers != nil {
+		m.observed = &observations{}
+	}
+	return m
 }
 
 // Run holds the sessions until ctx ends. When it returns, no call to a worker
@@ -77,12 +85,15 @@
 	defer m.wg.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if m.observed != nil {
+		m.wg.Go(func() { m.sendObservations(ctx) })
+	}
 	var seen state.Table[*state.Assignment]
 	for {
 		changed := m.o.Log.Changed()
-		if a := m.o.Log.State().Assignments; a != seen {
-			seen = a
-			m.adjust(ctx, a)
+		if st := m.o.Log.State(); st.Assignments != seen {
+			seen = st.Assignments
+			m.adjust(ctx, st)
 		}
 		select {
 		case <-ctx.Done():
@@ -93,12 +104,10 @@
 }
 
 // adjust ends the sessions whose assignment changed and starts new ones.
-func (m *Manager) adjust(ctx context.Context, assignments state.Table[*state.Assignment]) {
+func (m *Manager) adjust(ctx context.Context, st *state.State) {
 	wanted := make(map[string]uint64)
-	for key, a := range assignments.WithPrefix(state.AssignmentKey(state.AssignWorker, "")) {
-		if a.Owner == m.o.Self {
-			wanted[strings.TrimPrefix(key, state.AssignmentKey(state.AssignWorker, ""))] = a.Fence
-		}
+	for a := range st.OwnedBy(m.o.Self, state.AssignWorker) {
+		wanted[a.ID] = a.Fence
 	}
 	for id, r := range m.running {
 		if wanted[id] != r.fence {
@@ -117,6 +126,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	m.running[id] = runningSession{fence: fence, cancel: cancel}
 	s := newSession(m.o, m.metrics, id, fence)
+	s.observed = m.observed
 	m.wg.Add(1)
 	m.metrics.sessions.Inc()
 	event.Log(m.o.Logger, event.WorkerSessionStarted, slog.String("worker", id), slog.Uint64("fence", fence))
