--- a/state/failure_test.go
+++ b/state/failure_test.go
@@ -51,8 +51,11 @@
 	g.Expect(second.Code).To(Equal(state.CodeConflict))
 	g.Expect(second.Current).To(Equal(first.Version))
 	g.Expect(m.ZoneOut("a")).To(BeTrue())
-	last, _ := m.Audit.Get(state.AuditKey(2))
-	g.Expect(last.Outcome).To(Equal("conflict"))
+	var outcomes []string
+	for _, rec := range m.Audit.All() {
+		outcomes = append(outcomes, rec.Outcome)
+	}
+	g.Expect(outcomes).To(Equal([]string{"ok", "conflict"}))
 }
 
 // Guards against a report of an earlier owner, incarnation or worker that
@@ -264,6 +267,50 @@
 	g.Expect(b.Primary).To(Equal("i2"))
 }
 
+// Guards against audit records that are lost or reordered when they are
+// encoded, pruned or restored from a snapshot.
+func TestAuditTrailKeepsOrder(t *testing.T) {
+	g := NewWithT(t)
+	m := newMachine()
+	const kept, extra = 100_000, 300
+	for i := range kept + extra {
+		m.apply(state.NewRequest(fmt.Sprint("r", i), "op", state.CancelJobs{IDs: []string{"none"}}))
+		m.now += 20_000
+	}
+	data, _ := m.EncodeSnapshot()
+	restored, err := state.DecodeSnapshot(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, trail := range []state.AuditTrail{m.Audit, restored.Audit} {
+		g.Expect(trail.Len()).To(BeNumerically("~", kept, 64))
+		g.Expect(trail.Len()).To(BeNumerically(">=", kept))
+		next := uint64(kept + extra - trail.Len() + 1)
+		for k, r := range trail.All() {
+			if r.Sequence != next || k != state.AuditKey(next) || r.RequestID != fmt.Sprint("r", next-1) {
+				t.Fatalf("record %d has key %s and request id %s", r.Sequence, k, r.RequestID)
+			}
+			next++
+		}
+		g.Expect(next).To(BeEquivalentTo(kept + extra + 1))
+	}
+}
+
+// Guards against a command that changes a state which a reader still holds.
+func TestApplyLeavesEarlierStateAsItIs(t *testing.T) {
+	g := NewWithT(t)
+	m := withWorkers(g, "w1")
+	for i := range 3 {
+		m.apply(state.NewRequest(fmt.Sprint("r", i), "op", state.SetZone{Name: fmt.Sprint("z", i)}))
+	}
+	before, _ := m.EncodeSnapshot()
+	first, _ := m.Apply(m.Index+1, state.NewRequest("one", "op", job("j", 5, size(1, 1))))
+	wanted, _ := first.EncodeSnapshot()
+	m.Apply(m.Index+1, state.NewRequest("two", "op", state.SetZone{Name: "a", Out: true}))
+	got, _ := first.EncodeSnapshot()
+	g.Expect(got).To(Equal(wanted))
+	after, _ := m.EncodeSnapshot()
+	g.Expect(after).To(Equal(before))
+}
+
 // Guards against request results that are forgotten too early or kept forever.
 func TestRequestResultsAreKeptForADay(t *testing.T) {
 	g := NewWithT(t)
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -27,7 +27,8 @@
 	Teams       []*Team          `cbor:"13,keyasint"`
 	Buckets     []*LedgerBucket  `cbor:"14,keyasint"`
 	Requests    []*RequestResult `cbor:"15,keyasint"`
-	Audit       []*AuditRecord   `cbor:"16,keyasint"`
+	AuditBlocks [][]byte         `cbor:"16,keyasint"`
+	AuditRecent []*AuditRecord   `cbor:"17,keyasint"`
 }
 
 // snapshotDecoding allows as many elements as the retention limits need.
@@ -57,7 +58,8 @@
 		Teams:       values(s.Teams),
 		Buckets:     values(s.Buckets),
 		Requests:    values(s.Requests),
-		Audit:       values(s.Audit),
+		AuditBlocks: values(s.Audit.blocks),
+		AuditRecent: s.Audit.recent,
 	})
 }
 
@@ -90,7 +92,11 @@
 	s.Teams = tableOf(sn.Teams, func(v *Team) string { return v.Name })
 	s.Buckets = tableOf(sn.Buckets, func(v *LedgerBucket) string { return BucketKey(v.Number) })
 	s.Requests = tableOf(sn.Requests, func(v *RequestResult) string { return v.RequestID })
-	s.Audit = tableOf(sn.Audit, func(v *AuditRecord) string { return AuditKey(v.Sequence) })
+	trail, err := trailOf(sn.AuditBlocks, sn.AuditRecent)
+	if err != nil {
+		return nil, err
+	}
+	s.Audit = trail
 	s.rebuildIndexes()
 	return s, nil
 }
--- a/state/state.go
+++ b/state/state.go
@@ -19,7 +19,7 @@
 	Teams       Table[*Team]
 	Buckets     Table[*LedgerBucket] // by BucketKey
 	Requests    Table[*RequestResult]
-	Audit       Table[*AuditRecord] // by AuditKey, oldest first
+	Audit       AuditTrail
 
 	// NextAudit is the sequence number of the next audit record.
 	NextAudit uint64
--- a/state/txn.go
+++ b/state/txn.go
@@ -134,16 +134,13 @@
 		NewVersion: r.Version,
 		Outcome:    string(r.Code),
 	}
-	tx.Audit = tx.Audit.Put(AuditKey(rec.Sequence), rec)
+	tx.Audit = tx.Audit.add(rec)
 	tx.NextAudit++
 }
 
 // prune removes records that are older than their retention.
 func (tx *txn) prune() {
-	if tx.Audit.Len() > auditRetentionCount {
-		oldest := tx.NextAudit - uint64(tx.Audit.Len())
-		tx.Audit = tx.Audit.Delete(AuditKey(oldest))
-	}
+	tx.Audit = tx.Audit.prune(auditRetentionCount)
 	for range pruneLimit {
 		if !tx.pruneRequest() {
 			break
