placement: relieve workers whose tasks use more memory than there is

Corrected sizes keep new tasks away, but tasks that already run could exceed a worker's memory for good. The batch task that exceeds its declared size the most is evicted, one at a time with a wait for the lag, under the same bound on evictions per minute.

--- a/placement/collect.go
+++ b/placement/collect.go
@@ -194,7 +194,7 @@
 		}
 	case state.StopTasks:
 		for _, stop := range b.Stops {
-			if strings.HasPrefix(stop.Reason, reasonInterference) {
+			if strings.HasPrefix(stop.Reason, reasonInterference) || strings.HasPrefix(stop.Reason, reasonOverload) {
 				c.noteEviction(s, stop, now)
 			}
 		}
--- a/placement/interfere.go
+++ b/placement/interfere.go
@@ -40,16 +40,12 @@
 		return
 	}
 	for _, id := range p.obs.Updated {
-		o := p.obs.Workers[id]
-		i, ok := p.view.byID[id]
-		if !ok || o == nil || o.Sample == nil {
-			continue
-		}
-		if p.Interference == InterferenceEvictAtOnce {
+		o, i, ok := p.observed(id)
+		switch {
+		case !ok:
+		case p.Interference == InterferenceEvictAtOnce:
 			p.evictAll(i, o.Sample)
-			continue
-		}
-		if p.now-o.Sample.SampledAt <= maxSampleAge {
+		default:
 			p.respond(i, o)
 		}
 	}
--- a/placement/interfere_test.go
+++ b/placement/interfere_test.go
@@ -359,6 +359,21 @@
 	g.Expect(m.tasks(state.PhaseRunning)).To(HaveLen(16))
 }
 
+// Guards against a worker that stays out of memory because running tasks use
+// more than they declare, and against evicting more than needed.
+func TestOverloadedWorkerIsRelieved(t *testing.T) {
+	g := NewWithT(t)
+	m := newMeasured(g, placement.InterferenceIgnore)
+	m.use["class-liar"] = 3
+	m.worker("w", "a", cores(32))
+	m.job("fair", "", state.PriorityNormal, 2, cores(4), 10_000)
+	m.job("liar", "", state.PriorityNormal, 8, cores(2), 10_000)
+	m.steps(60)
+	g.Expect(m.running("fair")).To(Equal(2))
+	g.Expect(m.running("liar")).To(Equal(4)) // 2 x 4 + 4 x 6 = 32
+	g.Expect(m.evictions).To(HaveLen(4))
+}
+
 // Guards against reservations that wait for declared run times which the class
 // never keeps.
 func TestRunTimesAreCorrectedByHistory(t *testing.T) {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -81,6 +81,7 @@
 	pl.services()
 	pl.drainZones()
 	pl.quarantine()
+	pl.relieve()
 	pl.interference()
 	pl.placePending()
 	return pl.commands()
