--- a/placement/collect.go
+++ b/placement/collect.go
@@ -178,7 +178,7 @@
 			continue
 		}
 		delete(c.watch, id)
-		if t != nil && t.Phase == state.PhaseCompleted && t.Incarnation == w.incarnation && t.Checkpoint == "" {
+		if t != nil && t.Phase == state.PhaseCompleted && t.Incarnation == w.incarnation && t.Incarnation == 1 {
 			c.obs.Estimates.learnRunTime(t)
 		}
 	}
@@ -194,7 +194,7 @@
 		}
 	case state.StopTasks:
 		for _, stop := range b.Stops {
-			if strings.HasPrefix(stop.Reason, reasonInterference) {
+			if strings.HasPrefix(stop.Reason, reasonInterference) || strings.HasPrefix(stop.Reason, reasonOverload) {
 				c.noteEviction(s, stop, now)
 			}
 		}
