--- a/placement/collect.go
+++ b/placement/collect.go
@@ -84,7 +84,7 @@
 		}
 		c.watchEnds(o.Sample, sample, now)
 		o.Sample = sample
-		c.learn(s, sample)
+		c.learn(s, o)
 		c.judge(o)
 		c.obs.Updated = append(c.obs.Updated, sample.Worker)
 	}
@@ -93,8 +93,10 @@
 	c.learnEnds(s, now)
 }
 
-// learn updates the estimates from one sample.
-func (c *Collector) learn(s *state.State, sample *WorkerSample) {
+// learn updates the estimates from a worker's new sample.
+func (c *Collector) learn(s *state.State, o *WorkerObservation) {
+	sample := o.Sample
+	o.Throttled = 0
 	w, ok := s.Workers.Get(sample.Worker)
 	if !ok {
 		return
@@ -107,6 +109,7 @@
 		}
 		if t.Incarnation == ts.Incarnation {
 			c.obs.Estimates.learnSize(t, ts.Used)
+			o.Throttled += throttled(t)
 		}
 		loads = addLoad(loads, t.Class, ratio(ts.Used.MilliCPU, w.Capacity.MilliCPU))
 	}
@@ -118,6 +121,13 @@
 	}
 }
 
+func throttled(t *state.Task) int {
+	if t.Throttle > 0 {
+		return 1
+	}
+	return 0
+}
+
 func addLoad(loads []load, class string, share float64) []load {
 	for i := range loads {
 		if loads[i].class == class {
--- a/placement/interfere.go
+++ b/placement/interfere.go
@@ -74,12 +74,17 @@
 // respond takes at most one step on a worker: throttle, throttle more, evict
 // the fewest, or release.
 func (p *plan) respond(i int, o *WorkerObservation) {
+	raise := o.Above >= minAbove
+	release := o.Below >= o.Hold && o.Throttled > 0
+	if !raise && !release {
+		return
+	}
 	service, worst := p.slowest(o.Sample)
-	switch {
-	case o.Above >= minAbove && service != "":
-		p.escalate(p.suspects(service, o.Sample, i), worst-lowRatio, service)
-	case o.Below >= o.Hold:
-		p.release(p.suspects(service, o.Sample, i))
+	all := p.suspects(service, o.Sample, i)
+	if raise {
+		p.escalate(all, worst-lowRatio, service)
+	} else {
+		p.release(all)
 	}
 }
 
--- a/placement/observations.go
+++ b/placement/observations.go
@@ -56,6 +56,8 @@
 	// limit or well below it.
 	Above int
 	Below int
+	// Throttled is the number of throttled tasks in the sample.
+	Throttled int
 	// ActedAt is when the last response to interference was committed, in Unix
 	// milliseconds; 0 if never.
 	ActedAt int64
