--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -151,7 +151,7 @@
 	}{
 		{"service apply -f " + service, cli.ExitOK, ""},
 		{"service apply -f " + service, cli.ExitOK, ""},
-		{"service apply --expected-version 1 -f " + service, cli.ExitConflict, "conflict on service/receipts: expected version 1, current version is 2"},
+		{"service apply --expected-version 1 -f " + service, cli.ExitConflict, "conflict on service/receipts, version now 2: expected version 1, current version is 2"},
 		{"service delete receipts --request-id r1 --expected-version 2", cli.ExitOK, ""},
 		{"service delete receipts --request-id r1 --expected-version 2", cli.ExitOK, ""},
 		{"zone out z1 --request-id r1 --expected-version 0", cli.ExitRefused, `request id "r1" was used with other content`},
--- a/cli/client.go
+++ b/cli/client.go
@@ -141,7 +141,7 @@
 	}
 	var conflict *gen.Conflict
 	if errors.As(err, &conflict) {
-		return &exitError{ExitConflict, fmt.Errorf("conflict on %s: %s", conflict.Object, conflict.Message)}
+		return &exitError{ExitConflict, fmt.Errorf("conflict on %s, version now %d: %s", conflict.Object, conflict.CurrentVersion, conflict.Message)}
 	}
 	return &exitError{ExitRefused, fmt.Errorf("refused by %w", err)}
 }
--- a/operator/change.go
+++ b/operator/change.go
@@ -28,6 +28,9 @@
 
 // SetZone implements the generated interface.
 func (s *Service) SetZone(ctx context.Context, p *gen.SetZonePayload) (*gen.ChangeResult, error) {
+	if !s.log.Fresh() {
+		return nil, s.notFresh("change something")
+	}
 	if err := s.checkZone(p.Name); err != nil {
 		return nil, err
 	}
@@ -41,11 +44,7 @@
 // checkZone refuses an availability zone that nothing is in. A misspelt name
 // would otherwise be accepted and leave the intended zone as it is.
 func (s *Service) checkZone(name string) error {
-	st, err := s.read()
-	if err != nil {
-		return err
-	}
-	zones := zoneNames(st, s.group.Status())
+	zones := zoneNames(s.log.State(), s.group.Status())
 	for _, z := range zones {
 		if z == name {
 			return nil
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -39,7 +39,7 @@
 	if r.Code == state.CodeStale {
 		return r.Message + ": read the object again before you repeat the change"
 	}
-	return fmt.Sprintf("%s; current version is %d: read the object again, then repeat the change with that version and a new request id", r.Message, r.Current)
+	return r.Message + ": read the object again, then repeat the change with its version and a new request id"
 }
 
 func messageOf(r state.Result) error {
