event: log errors as text

Cause: errors of steperr were logged as {"error":{"error":{"message":...}}}. Change: event.Log writes the text of an error.

--- a/event/event.go
+++ b/event/event.go
@@ -48,6 +48,18 @@
 	if !l.Enabled(ctx, e.Level) {
 		return
 	}
-	all := append([]slog.Attr{slog.Int("event", e.Number), slog.String("name", e.Name)}, attrs...)
+	all := []slog.Attr{slog.Int("event", e.Number), slog.String("name", e.Name)}
+	for _, a := range attrs {
+		all = append(all, readable(a))
+	}
 	l.LogAttrs(ctx, e.Level, e.Text, all...)
 }
+
+// readable returns an error as its text. The errors of gravitational/trace
+// would otherwise be written as nested JSON objects.
+func readable(a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
+	return a
+}
