--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -37,7 +37,7 @@
 // cluster is a control group of processes with stand-ins.
 type cluster struct {
 	Gomega
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	network   *integration.Network
 	processes []*process
@@ -49,7 +49,7 @@
 
 // newCluster starts disks instances with data folders, of which the first
 // three vote, forms the group, and waits until all are ready.
-func newCluster(t *testing.T, disks int) *cluster {
+func newCluster(t testing.TB, disks int) *cluster {
 	c := &cluster{
 		Gomega: NewWithT(t), t: t, dir: t.TempDir(),
 		network: integration.NewNetwork(), workerIn: make(map[*workerstandin.Worker]string),
@@ -98,6 +98,9 @@
 }
 
 func (c *cluster) stop() {
+	if c.t.Failed() {
+		c.describe()
+	}
 	for _, p := range c.processes {
 		if p.ended != nil {
 			p.kill()
@@ -110,10 +113,16 @@
 		w.Close()
 	}
 	c.network.Close()
-	if c.t.Failed() {
-		for _, p := range c.processes {
-			c.t.Logf("end of the output of %s:\n%s", p.ID, p.tail())
+}
+
+// describe logs how each instance sees the group, and the end of its output.
+func (c *cluster) describe() {
+	for _, p := range c.processes {
+		if p.ended == nil {
+			continue
 		}
+		s, err := c.status(p)
+		c.t.Logf("%s: running %t, status %+v, %v, end of its output:\n%s", p.ID, p.running(), s, err, p.tail())
 	}
 }
 
