cli: take servers and TLS files from the environment

Cause: each command needs the addresses of several instances. Change: APRICOTROUTER_SERVERS and APRICOTROUTER_TLS_* are the defaults of the flags.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -222,6 +222,18 @@
 	g.Expect(run("version").out).To(HavePrefix("apricotrouter "))
 }
 
+func TestServersOfEnvironment(t *testing.T) {
+	g := NewWithT(t)
+	address := server(t, memory())
+	t.Setenv("APRICOTROUTER_SERVERS", closedPort(t)+" "+address)
+	g.Expect(run("zone", "list").code).To(Equal(cli.ExitOK))
+	t.Setenv("APRICOTROUTER_SERVERS", "entry1")
+	g.Expect(run("zone", "list").code).To(Equal(cli.ExitUsage))
+	g.Expect(run("zone", "list", "--server", address).code).To(Equal(cli.ExitOK))
+	t.Setenv("APRICOTROUTER_TLS_CA", "absent.pem")
+	g.Expect(run("zone", "list", "--server", address).errors).To(ContainSubstring("needed together"))
+}
+
 // Two operators who read the same version must not both succeed.
 func TestOneOfRacingCommandsWins(t *testing.T) {
 	g := NewWithT(t)
--- a/cli/root.go
+++ b/cli/root.go
@@ -89,6 +89,10 @@
 When an instance gives no confirmed answer, the next --server gets the same
 request with the same request id, so that a change is made at most once.
 
+Flags that stay the same can be set in the environment: APRICOTROUTER_SERVERS
+(addresses with spaces between them), APRICOTROUTER_TLS_CERTIFICATE,
+APRICOTROUTER_TLS_KEY, APRICOTROUTER_TLS_CA.
+
 Exit codes:
   0  accepted
   1  refused, nothing was changed
@@ -126,17 +130,25 @@
 
 func (o *options) addFlags(root *cobra.Command) {
 	f := root.PersistentFlags()
-	f.StringArrayVar(&o.servers, "server", []string{defaultServer}, "operator port `IP:port` of an entry instance; may be repeated, the next one is tried when one gives no answer")
+	f.StringArrayVar(&o.servers, "server", serversOfEnvironment(), "operator port `IP:port` of an entry instance; may be repeated, the next one is tried when one gives no answer")
 	f.StringVarP(&o.output, "output", "o", outputTable, "output format: table, json or yaml")
 	f.StringVar(&o.requestID, "request-id", "", "id of the request; a resend with the same id returns the first result (default a new UUID)")
 	f.StringVar(&o.actor, "actor", os.Getenv("USER"), "name for the audit trail")
 	f.DurationVar(&o.timeout, "timeout", defaultTimeout, "how long to try before giving up")
-	f.StringVar(&o.tlsCertificate, "tls-certificate", "", "client certificate `file` (PEM) for operator ports with TLS")
-	f.StringVar(&o.tlsKey, "tls-key", "", "private key `file` (PEM) of the client certificate")
-	f.StringVar(&o.tlsCA, "tls-ca", "", "`file` (PEM) of the authorities of the servers' certificates")
+	f.StringVar(&o.tlsCertificate, "tls-certificate", os.Getenv("APRICOTROUTER_TLS_CERTIFICATE"), "client certificate `file` (PEM) for operator ports with TLS")
+	f.StringVar(&o.tlsKey, "tls-key", os.Getenv("APRICOTROUTER_TLS_KEY"), "private key `file` (PEM) of the client certificate")
+	f.StringVar(&o.tlsCA, "tls-ca", os.Getenv("APRICOTROUTER_TLS_CA"), "`file` (PEM) of the authorities of the servers' certificates")
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON, outputYAML}, cobra.ShellCompDirectiveNoFileComp))
 }
 
+// serversOfEnvironment returns the servers that are asked without --server.
+func serversOfEnvironment() []string {
+	if servers := strings.Fields(os.Getenv("APRICOTROUTER_SERVERS")); len(servers) > 0 {
+		return servers
+	}
+	return []string{defaultServer}
+}
+
 // group returns a command that only holds others.
 func group(use, short string, commands ...*cobra.Command) *cobra.Command {
 	var names []string
