--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"log/slog"
 	"net"
@@ -56,6 +57,7 @@
 	messages *transport.Mux
 	// peerAddresses gives the peer port of each entry instance.
 	peerAddresses map[string]string
+	peerTLS       *tls.Config // nil without TLS
 	replica       *replica.Replica
 	control       *control.Control
 	workers       *worker.Manager
@@ -108,7 +110,7 @@
 		Log: d.replica, Leases: d.replica, Mux: d.messages, Clock: d.clock, Logger: d.logger, Registerer: d.metrics,
 	})
 	d.workers = worker.NewManager(worker.Options{
-		Self: d.cfg.Instance.ID, Log: d.replica, Dial: worker.Dial, Peers: d.mesh,
+		Self: d.cfg.Instance.ID, Start: d.replica.Start(), Log: d.replica, Dial: worker.Dial, Peers: d.mesh,
 		Clock: d.clock, Logger: d.logger, Registerer: d.metrics,
 	})
 	d.wireDispatch()
--- a/daemon/wire.go
+++ b/daemon/wire.go
@@ -33,6 +33,7 @@
 	})
 	d.peerAddresses = addresses
 	d.messages = mux
+	d.peerTLS = peerTLS
 	d.replica, err = replica.New(replica.Options{
 		Self: d.cfg.Instance.ID, Zone: d.cfg.Instance.AvailabilityZone,
 		PeerAddress: addresses[d.cfg.Instance.ID], EntryAddress: d.Addresses().Entry, OperatorServer: d.Addresses().Operator,
@@ -59,6 +60,7 @@
 	d.dispatch = dispatch.New(dispatch.Options{
 		Registry: d.registry, Ledger: d.ledger, Log: d.replica,
 		ForwardAddress: func(instance string) string { return d.peerAddresses[instance] },
+		PeerTLS:        d.peerTLS,
 		Clock:          d.clock, Logger: d.logger, Registerer: d.metrics,
 		Timeout: d.cfg.Dispatch.DefaultTimeout, MaxBodyBytes: d.cfg.Dispatch.MaxBodyBytes,
 	})
