worker: start tasks of an earlier owner without waiting

A session assumed at its first list that an earlier process might have sent starts under the same fence, and waited 2 s for them. Since a session waits for the registration of its own process, which renews the fences, the worker refuses such starts from the first list on. The wait stays for sessions without a registered start. TestNewOwnerStartsAtOnce: the task runs after two rounds instead of after 2 s, and a late start of the earlier owner is refused. go test -race ./worker passes.

--- a/worker/reconcile.go
+++ b/worker/reconcile.go
@@ -51,7 +51,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := make(map[TaskKey]bool)
-	first := !s.reconciled
+	// With Start set, each process has fences of its own, and the worker
+	// refuses those of earlier ones since the list.
+	first := !s.reconciled && s.Start == 0
 	s.reconciled = true
 	for t := range st.TasksOnWorker(s.worker) {
 		key := TaskKey{t.ID, t.Incarnation}
