replica: test random failures of a whole group

Faults that need several failures at once are not reached by the tests of single ones. TestChaos partitions, delays, loses and repeats messages, restarts instances with their disks or emptied ones and transfers the leadership, while changes are proposed and leases are checked.

--- /dev/null
+++ b/replica/chaos_test.go
@@ -0,0 +1,222 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/replica"
+	"apricotrouter/transport"
+)
+
+// chaos brings failures about at random. mu guards the nodes of the cluster.
+type chaos struct {
+	*cluster
+	rng *rand.Rand
+	mu  sync.Mutex
+	// accepted are the indexes of accepted changes with the time of their answer.
+	accepted []acceptedChange
+	names    map[string]bool
+	dirs     map[string]string
+}
+
+type acceptedChange struct {
+	index uint64
+	at    time.Time
+}
+
+const chaosLease = 300 * time.Millisecond
+
+func newChaos(t *testing.T, seed uint64) *chaos {
+	c := newCluster(t, 8, 7, 5, func(o *replica.Options) {
+		o.FreshnessLease, o.RepairAfter = chaosLease, 400*time.Millisecond
+		o.SnapshotEntries, o.TrailingEntries = 200, 20
+	})
+	h := &chaos{cluster: c, rng: rand.New(rand.NewPCG(seed, seed)), names: make(map[string]bool), dirs: make(map[string]string)}
+	c.form("e1")
+	for id, n := range c.nodes {
+		h.dirs[id] = n.dir
+	}
+	return h
+}
+
+func (h *chaos) live(id string) *node {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.nodes[id]
+}
+
+// propose proposes through one instance until ctx ends.
+func (h *chaos) propose(ctx context.Context, id string) {
+	for i := 0; ctx.Err() == nil; i++ {
+		n := h.live(id)
+		if n == nil {
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		short, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		name := fmt.Sprintf("%s-%d", id, i)
+		result, err := n.Propose(short, team(name))
+		cancel()
+		if err != nil {
+			continue
+		}
+		h.mu.Lock()
+		h.names[name] = true
+		h.accepted = append(h.accepted, acceptedChange{index: result.Index, at: time.Now()})
+		h.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// check looks for instances that are fresh without a change accepted more than
+// a lease ago, and for applied indexes that decrease.
+func (h *chaos) check(ctx context.Context) {
+	last := make(map[*node]uint64)
+	var old uint64
+	next := 0
+	for ctx.Err() == nil {
+		h.mu.Lock()
+		nodes := make([]*node, 0, len(h.nodes))
+		for _, n := range h.nodes {
+			nodes = append(nodes, n)
+		}
+		for ; next < len(h.accepted) && time.Since(h.accepted[next].at) > chaosLease; next++ {
+			old = max(old, h.accepted[next].index)
+		}
+		h.mu.Unlock()
+		for _, n := range nodes {
+			fresh := n.Fresh()
+			index := n.State().Index
+			if fresh && index < old {
+				h.t.Errorf("%s is fresh at %d without change %d", n.id, index, old)
+			}
+			if index < last[n] {
+				h.t.Errorf("%s went back from %d to %d", n.id, last[n], index)
+			}
+			last[n] = index
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// act does one thing to the cluster.
+func (h *chaos) act() {
+	id := h.ids[h.rng.IntN(len(h.ids))]
+	other := h.ids[h.rng.IntN(len(h.ids))]
+	switch h.rng.IntN(6) {
+	case 0:
+		h.cut(id, other)
+	case 1, 2:
+		h.badNetwork()
+	case 3:
+		h.restart(id, false)
+	case 4:
+		h.restart(id, h.allVotersHeard())
+	case 5:
+		if n := h.live(id); n != nil {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			_ = n.TransferLeadership(ctx)
+			cancel()
+		}
+	}
+}
+
+func (h *chaos) badNetwork() {
+	rng := rand.New(rand.NewPCG(h.rng.Uint64(), 1))
+	var mu sync.Mutex
+	h.net.SetRule(func(string, string, transport.Kind) transport.Fate {
+		mu.Lock()
+		defer mu.Unlock()
+		return transport.Fate{
+			Drop: rng.IntN(50) == 0, Duplicate: rng.IntN(20) == 0,
+			Delay: time.Duration(rng.IntN(5)) * time.Millisecond,
+		}
+	})
+}
+
+// restart stops an instance and starts it again after a while, with its disk
+// or with an emptied one.
+func (h *chaos) restart(id string, empty bool) {
+	h.mu.Lock()
+	n := h.nodes[id]
+	delete(h.nodes, id)
+	h.mu.Unlock()
+	h.net.Join(id, nil)
+	n.cancel()
+	if err := <-n.ended; err != nil {
+		h.t.Errorf("%s ended with %v", id, err)
+	}
+	if empty && n.dir != "" {
+		if err := os.RemoveAll(n.dir); err != nil {
+			h.t.Error(err)
+		}
+	}
+	time.Sleep(time.Duration(h.rng.IntN(700)) * time.Millisecond)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.start(id, h.dirs[id])
+}
+
+// allVotersHeard reports whether the group can lose a disk.
+func (h *chaos) allVotersHeard() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, n := range h.nodes {
+		if !n.Leadership().Self {
+			continue
+		}
+		heard := 0
+		for _, in := range n.Status().Instances {
+			if in.Role != replica.RoleLearner && in.LastContact >= 0 && in.LastContact < 100*time.Millisecond {
+				heard++
+			}
+		}
+		return heard >= 5
+	}
+	return false
+}
+
+// Guards against faults that need several failures at once, with real disks,
+// timers and repair: accepted changes that are lost, states that differ or go
+// back, instances that are fresh without an old change, groups that stop.
+func TestChaos(t *testing.T) {
+	h := newChaos(t, 20261204)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, id := range h.ids[1:4] {
+		wg.Add(1)
+		go func() { defer wg.Done(); h.propose(ctx, id) }()
+	}
+	wg.Add(1)
+	go func() { defer wg.Done(); h.check(ctx) }()
+	actions := 15
+	if testing.Short() {
+		actions = 5
+	}
+	for range actions {
+		h.act()
+		time.Sleep(time.Duration(50+h.rng.IntN(200)) * time.Millisecond)
+	}
+	h.net.SetRule(nil)
+	h.waitFresh()
+	cancel()
+	wg.Wait()
+	h.put(h.leader(), "end")
+	want := h.leader().State()
+	for name := range h.names {
+		_, ok := want.Teams.Get(name)
+		h.g.Expect(ok).To(BeTrue(), "%s was accepted", name)
+	}
+	h.g.Expect(h.names).NotTo(BeEmpty())
+	for _, n := range h.nodes {
+		h.g.Eventually(func() bool { return has(n, "end") }, patience, "5ms").Should(BeTrue())
+		h.g.Expect(n.State().Teams.Len()).To(BeNumerically(">=", len(h.names)))
+	}
+}
