--- /dev/null
+++ b/disk/faulty.go
@@ -0,0 +1,84 @@
+package disk
+
+// Op is an operation that changes files.
+type Op string
+
+// Operations of a Faulty file system.
+const (
+	OpCreate  Op = "create"
+	OpWrite   Op = "write"
+	OpSync    Op = "sync"
+	OpRename  Op = "rename"
+	OpRemove  Op = "remove"
+	OpSyncDir Op = "sync folder"
+)
+
+// Faulty is a file system for tests whose operations can be made to fail.
+type Faulty struct {
+	FS
+	// Fail is called before each operation with the file's name. If it returns
+	// an error, the operation fails with it. A write then writes half its data.
+	Fail func(op Op, name string) error
+}
+
+var _ FS = (*Faulty)(nil)
+
+// Create implements FS.
+func (f *Faulty) Create(name string) (File, error) {
+	if err := f.Fail(OpCreate, name); err != nil {
+		return nil, err
+	}
+	file, err := f.FS.Create(name)
+	return &faultyFile{File: file, fs: f, name: name}, err
+}
+
+// Append implements FS.
+func (f *Faulty) Append(name string) (File, error) {
+	file, err := f.FS.Append(name)
+	return &faultyFile{File: file, fs: f, name: name}, err
+}
+
+// Rename implements FS.
+func (f *Faulty) Rename(from, to string) error {
+	if err := f.Fail(OpRename, from); err != nil {
+		return err
+	}
+	return f.FS.Rename(from, to)
+}
+
+// Remove implements FS.
+func (f *Faulty) Remove(name string) error {
+	if err := f.Fail(OpRemove, name); err != nil {
+		return err
+	}
+	return f.FS.Remove(name)
+}
+
+// SyncDir implements FS.
+func (f *Faulty) SyncDir(dir string) error {
+	if err := f.Fail(OpSyncDir, dir); err != nil {
+		return err
+	}
+	return f.FS.SyncDir(dir)
+}
+
+type faultyFile struct {
+	File
+	fs   *Faulty
+	name string
+}
+
+func (f *faultyFile) Write(b []byte) (int, error) {
+	if err := f.fs.Fail(OpWrite, f.name); err != nil {
+		n, _ := f.File.Write(b[:len(b)/2])
+		return n, err
+	}
+	return f.File.Write(b)
+}
+
+func (f *faultyFile) Sync() error {
+	if err := f.fs.Fail(OpSync, f.name); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
