--- a/cli/cluster.go
+++ b/cli/cluster.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"runtime/debug"
+	"runtime"
 	"strings"
 	"time"
 
@@ -11,6 +11,7 @@
 
 	"apricotrouter/config"
 	gen "apricotrouter/gen/operator"
+	"apricotrouter/version"
 )
 
 func (o *options) initCommand() *cobra.Command {
@@ -58,6 +59,8 @@
 
 func statusTable(s *gen.StatusResult) *table {
 	t := &table{columns: []string{"instance", "zone", "peer address", "role", "last contact"}}
+	t.heading = fmt.Sprintf("answered by %s: group %s, leader %s, term %d, applied index %d, fresh %t\n",
+		s.Instance, cell(s.GroupID), cell(s.Leader), s.Term, s.AppliedIndex, s.Fresh)
 	for _, i := range s.Instances {
 		contact := "unknown"
 		if i.LastContactMs >= 0 {
@@ -65,13 +68,6 @@
 		}
 		t.add(i.ID, i.Zone, i.PeerAddress, i.Role, contact)
 	}
-	t.add("")
-	t.add("answered by", s.Instance)
-	t.add("group", s.GroupID)
-	t.add("leader", s.Leader)
-	t.add("term", s.Term)
-	t.add("applied index", s.AppliedIndex)
-	t.add("fresh", s.Fresh)
 	return t
 }
 
@@ -200,11 +196,7 @@
 		Short: "Print the version of this program",
 		Args:  noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			version, goVersion := "unknown", "unknown"
-			if info, ok := debug.ReadBuildInfo(); ok {
-				version, goVersion = info.Main.Version, info.GoVersion
-			}
-			_, err := fmt.Fprintf(cmd.OutOrStdout(), "apricotrouter %s, %s\n", version, goVersion)
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "apricotrouter %s, %s\n", version.Version, runtime.Version())
 			return err
 		},
 	}
--- a/cmd/apricotrouter/main.go
+++ b/cmd/apricotrouter/main.go
@@ -4,9 +4,13 @@
 import (
 	"os"
 
+	"apricotrouter/bench"
 	"apricotrouter/cli"
+	"apricotrouter/dev"
 )
 
 func main() {
-	os.Exit(cli.Run(cli.NewRoot(), os.Args[1:], os.Stdout, os.Stderr))
+	root := cli.NewRoot()
+	root.AddCommand(dev.Command(), bench.Command())
+	os.Exit(cli.Run(root, os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/operator/change.go
+++ b/operator/change.go
@@ -9,6 +9,7 @@
 
 	"apricotrouter/event"
 	gen "apricotrouter/gen/operator"
+	"apricotrouter/replica"
 	"apricotrouter/state"
 )
 
@@ -27,6 +28,9 @@
 
 // SetZone implements the generated interface.
 func (s *Service) SetZone(ctx context.Context, p *gen.SetZonePayload) (*gen.ChangeResult, error) {
+	if !s.log.Fresh() {
+		return nil, s.notFresh("change something")
+	}
 	if err := s.checkZone(p.Name); err != nil {
 		return nil, err
 	}
@@ -40,11 +44,7 @@
 // checkZone refuses an availability zone that nothing is in. A misspelt name
 // would otherwise be accepted and leave the intended zone as it is.
 func (s *Service) checkZone(name string) error {
-	st, err := s.read()
-	if err != nil {
-		return err
-	}
-	zones := zoneNames(st, s.group.Status())
+	zones := zoneNames(s.log.State(), s.group.Status())
 	for _, z := range zones {
 		if z == name {
 			return nil
@@ -147,6 +147,9 @@
 	ctx, cancel := context.WithTimeout(ctx, ProposeTimeout)
 	defer cancel()
 	r, err := s.log.Propose(ctx, state.NewRequest(requestID, who, body))
+	if errors.Is(err, replica.ErrTooLarge) {
+		return nil, gen.MakeInvalid(fmt.Errorf("the request was not sent on: %w", err))
+	}
 	if err != nil {
 		event.Log(s.logger, event.OperatorUnavailable, append(attrs, slog.String("error", err.Error()))...)
 		return nil, outcomeUnknown(requestID, err)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -18,6 +18,9 @@
 	scoreSameWorker = 1000
 	scoreSameZone   = 100
 	scoreSameRack   = 10
+	// scoreRise weighs the expected rise of a replica's latency ratio, so that
+	// a rise of 1 counts as much as two replicas in the zone.
+	scoreRise = 200
 	// scoreAccelerators keeps workers with free accelerators for tasks that
 	// need them.
 	scoreAccelerators = 5
@@ -61,10 +64,19 @@
 		return false
 	case w.reserved != nil && !w.reserved.admits(p, t, size):
 		return false
+	case t.Kind == state.KindBatch && p.now-t.QueuedAt < avoidPatience(t):
+		return p.rise(t, i, size) <= avoidRise
 	}
 	return true
 }
 
+// avoidPatience is how long a task is kept away from services that it slows
+// down. It doubles with every eviction, so that a task that only fits next to
+// such a service does not come back every minute.
+func avoidPatience(t *state.Task) int64 {
+	return min(int64(avoidTime)<<min(t.Evictions, maxAvoidDoublings), maxAvoidTime)
+}
+
 func failedOn(t *state.Task, worker string) bool {
 	return slices.ContainsFunc(t.Failures, func(f state.Failure) bool { return f.Worker == worker })
 }
@@ -73,7 +85,8 @@
 	w := &p.view.workers[i]
 	left := fraction(w.free.Sub(size), w.worker.Capacity)
 	if t.Kind == state.KindLatencyCritical {
-		return p.spreadScore(t.Owner, i) - left
+		left = -left
+		return p.spreadScore(t.Owner, i) + scoreRise*p.riseFrom(t.Owner, i) + left
 	}
 	score := left
 	if size.Accelerators == 0 && w.free.Accelerators > 0 {
@@ -82,10 +95,11 @@
 	if w.single {
 		score += scoreProbe
 	}
-	return score
+	return score + scoreRise*p.rise(t, i, size)
 }
 
 func (p *plan) spreadScore(service string, i int) float64 {
+	p.countReplicas()
 	s := p.spreads[service]
 	if s == nil {
 		return 0
@@ -94,6 +108,22 @@
 	return float64(scoreSameWorker*s.workers[i] + scoreSameZone*s.zones[w.zone] + scoreSameRack*s.racks[w.worker.Rack])
 }
 
+// countReplicas counts where the replicas are, once per plan.
+func (p *plan) countReplicas() {
+	if p.spreads != nil {
+		return
+	}
+	p.spreads = make(map[string]*spread)
+	p.hosted = make([][]string, len(p.view.workers))
+	for _, set := range p.sets {
+		for _, t := range set.ordered {
+			if i, ok := p.view.byID[t.Worker]; ok {
+				p.noteReplica(t.Owner, i)
+			}
+		}
+	}
+}
+
 // noteReplica counts a replica on a worker.
 func (p *plan) noteReplica(service string, i int) {
 	s := p.spreads[service]
@@ -102,13 +132,16 @@
 		p.spreads[service] = s
 	}
 	w := &p.view.workers[i]
+	if s.workers[i] == 0 {
+		p.hosted[i] = append(p.hosted[i], service)
+	}
 	s.workers[i]++
 	s.zones[w.zone]++
 	s.racks[w.worker.Rack]++
 }
 
 func (p *plan) notePlaced(t *state.Task, i int) {
-	if t.Kind == state.KindLatencyCritical {
+	if t.Kind == state.KindLatencyCritical && p.spreads != nil {
 		p.noteReplica(t.Owner, i)
 	}
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -28,6 +28,9 @@
 	// MaxPreemptions bounds the tasks that one plan evicts for tasks of a
 	// higher rank; DefaultMaxPreemptions if 0.
 	MaxPreemptions int
+	// EvictionsPerMinute bounds the evictions by interference in the whole
+	// cluster; DefaultEvictionsPerMinute if 0.
+	EvictionsPerMinute int
 }
 
 // Defaults of Options.
@@ -56,6 +59,9 @@
 	if o.MaxPreemptions == 0 {
 		o.MaxPreemptions = DefaultMaxPreemptions
 	}
+	if o.EvictionsPerMinute == 0 {
+		o.EvictionsPerMinute = DefaultEvictionsPerMinute
+	}
 	return &Planner{options: o}
 }
 
@@ -70,11 +76,13 @@
 // Plan returns the commands to propose. It reads nothing but its arguments.
 // now is in Unix milliseconds.
 func (p *Planner) Plan(s *state.State, obs Observations, now int64) []state.Body {
-	pl := &plan{Options: p.options, s: s, obs: obs, now: now, spreads: map[string]*spread{}}
+	pl := &plan{Options: p.options, s: s, obs: obs, now: now}
 	pl.buildView()
 	pl.services()
 	pl.drainZones()
 	pl.quarantine()
+	pl.relieve()
+	pl.interference()
 	pl.placePending()
 	return pl.commands()
 }
@@ -93,12 +101,20 @@
 	stopped    map[string]bool // tasks in stops
 	placements []state.Placement
 
-	spreads     map[string]*spread // by service
+	sets        []*replicaSet
+	spreads     map[string]*spread // by service; nil until needed
+	hosted      [][]string         // services with replicas, by index of the worker
+	harmed      map[string]bool    // services of harmful pairs; nil until needed
+	harmful     map[string]bool    // classes of harmful pairs
 	residentsOf [][]resident       // by index of the worker; nil until needed
 	noRoom      []state.Resources  // sizes for which no worker has enough left
 	scanned     int
 	blocked     int
-	preempted   int
+	// soon are the reservations of workers that will have room at once.
+	soon          []*reservation
+	blockedUrgent int
+	preempted     int
+	evicted       int // by interference
 }
 
 func (p *plan) stop(t *state.Task, why state.StopReason, reason string) {
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -61,11 +61,18 @@
 	return n >= c.members.Majority()
 }
 
+// learnerRounds is how many rounds pass between two heartbeats to a learner,
+// whose answers confirm nothing.
+const learnerRounds = 3
+
 // heartbeat starts a new round.
 func (c *Core) heartbeat() {
 	c.heartbeatIn = c.opts.HeartbeatTicks
 	c.round++
 	for _, id := range c.peerIDs() {
+		if c.members.Voter(id) == nil && c.round%learnerRounds != 0 {
+			continue
+		}
 		p := c.peers[id]
 		c.send(Message{Type: MsgHeartbeat, To: id, Round: c.round, Commit: min(c.commit, p.match)})
 	}
@@ -177,6 +184,9 @@
 		p.next = max(p.next, p.match+1)
 	}
 	c.advanceCommit()
+	if c.role != Leader {
+		return
+	}
 	c.sendAppends(m.From, p)
 	c.finishTransfer()
 }
@@ -198,6 +208,10 @@
 	}
 	c.commit = index
 	c.broadcastAppend()
+	if !c.canCampaign() {
+		// Its own removal is committed, which was all that it had to do.
+		c.becomeFollower(c.term, None)
+	}
 }
 
 // ReportSnapshot tells the leader that the transfer of a snapshot has ended:
--- a/state/state.go
+++ b/state/state.go
@@ -19,14 +19,14 @@
 	Teams       Table[*Team]
 	Buckets     Table[*LedgerBucket] // by BucketKey
 	Requests    Table[*RequestResult]
-	Audit       Table[*AuditRecord] // by AuditKey, oldest first
+	Audit       AuditTrail
 
 	// NextAudit is the sequence number of the next audit record.
 	NextAudit uint64
 
 	// Secondary indexes, rebuilt from the tables above when a snapshot is
 	// decoded. The parts of a key are separated by keySeparator.
-	tasksByWorker Table[struct{}]  // WORKER, TASK of tasks that hold a reservation
+	tasksByWorker Table[*Task]     // WORKER, TASK of tasks that hold a reservation
 	tasksByOwner  Table[struct{}]  // KIND, OWNER, TASK of all tasks
 	pending       Table[struct{}]  // queueKey of pending tasks
 	byOwner       Table[struct{}]  // INSTANCE, KIND/ID of assignments
--- a/state/txn.go
+++ b/state/txn.go
@@ -32,7 +32,7 @@
 	jobs          edit[*Job]
 	workers       edit[*Worker]
 	assignments   edit[*Assignment]
-	tasksByWorker edit[struct{}]
+	tasksByWorker edit[*Task]
 	tasksByOwner  edit[struct{}]
 	pending       edit[struct{}]
 	byOwner       edit[struct{}]
@@ -61,7 +61,7 @@
 		jobs:          edit[*Job]{table: &s.Jobs},
 		workers:       edit[*Worker]{table: &s.Workers},
 		assignments:   edit[*Assignment]{table: &s.Assignments},
-		tasksByWorker: edit[struct{}]{table: &s.tasksByWorker},
+		tasksByWorker: edit[*Task]{table: &s.tasksByWorker},
 		tasksByOwner:  edit[struct{}]{table: &s.tasksByOwner},
 		pending:       edit[struct{}]{table: &s.pending},
 		byOwner:       edit[struct{}]{table: &s.byOwner},
@@ -134,16 +134,13 @@
 		NewVersion: r.Version,
 		Outcome:    string(r.Code),
 	}
-	tx.Audit = tx.Audit.Put(AuditKey(rec.Sequence), rec)
+	tx.Audit = tx.Audit.add(rec)
 	tx.NextAudit++
 }
 
 // prune removes records that are older than their retention.
 func (tx *txn) prune() {
-	if tx.Audit.Len() > auditRetentionCount {
-		oldest := tx.NextAudit - uint64(tx.Audit.Len())
-		tx.Audit = tx.Audit.Delete(AuditKey(oldest))
-	}
+	tx.Audit = tx.Audit.prune(auditRetentionCount)
 	for range pruneLimit {
 		if !tx.pruneRequest() {
 			break
