dispatch: avoid endpoints that refuse, hide internal errors from callers

Slots given back after a failure no longer pin the next waiter to the same endpoint. Refusals told callers the addresses in internal errors; these are logged with the request id instead. Free slots are sent at most every 50 ms, to bound control traffic.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -20,6 +20,7 @@
 	svc     *service
 	started time.Time
 	attempt string
+	request string  // id of the request
 	target  *target // nil if a peer answered
 	peer    string
 }
@@ -35,10 +36,10 @@
 
 func (d *Dispatcher) tryEndpoint(ctx context.Context, rq *request, e *registry.Endpoint) (*reply, *Problem) {
 	t := d.targetOf(e)
-	r := &reply{d: d, svc: rq.service, started: time.Now(), attempt: d.nextAttemptID(), target: t}
+	r := &reply{d: d, svc: rq.service, started: time.Now(), attempt: d.nextAttemptID(), request: rq.id, target: t}
 	c, err := d.connect(ctx, rq, t.pool)
 	if err != nil {
-		d.release(rq.service, e)
+		d.releaseFailed(rq.service, e)
 		if ctx.Err() == nil && err != errConnLimit {
 			d.countFailure(t)
 		}
@@ -60,7 +61,9 @@
 		return nil, d.endpointFailed(ctx, r, err)
 	}
 	if r.refusedNotRun() {
-		r.finish()
+		r.x.finish()
+		t.health.refused(d.opts.Clock.Now())
+		d.releaseFailed(rq.service, e)
 		return nil, notRun(http.StatusServiceUnavailable, "endpoint-refused", "endpoint refused the request")
 	}
 	return r, nil
@@ -104,7 +107,7 @@
 	t, x := r.target, r.x
 	if !x.conn.wrote {
 		x.close()
-		d.release(r.svc, t.endpoint)
+		d.releaseFailed(r.svc, t.endpoint)
 		if ctx.Err() == nil {
 			d.countFailure(t)
 		}
@@ -143,7 +146,7 @@
 	p.cause = steperr.Wrap(err, "forward request", peer)
 	d.metrics.failures.WithLabelValues(string(p.Outcome)).Inc()
 	event.Log(d.opts.Logger, event.AttemptFailed, slog.String("endpoint", peer),
-		slog.String("outcome", string(p.Outcome)), slog.Any("error", p.cause))
+		slog.String("request_id", r.request), slog.String("outcome", string(p.Outcome)), slog.Any("error", p.cause))
 	return p
 }
 
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -71,6 +72,17 @@
 			}
 			e.Forget()
 		})
+		if t.name != "direct" {
+			b.Run(t.name+"/post-claimed", func(b *testing.B) {
+				b.ReportAllocs()
+				n := 0
+				for b.Loop() {
+					n++
+					benchRequest(b, client, http.MethodPost, url, "gift", fmt.Sprintf("%s-%d-%d", t.name, b.N, n))
+				}
+				e.Forget()
+			})
+		}
 		b.Run(t.name+"/get-parallel", func(b *testing.B) {
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
 
+	"apricotrouter/event"
 	"apricotrouter/steperr"
 )
 
@@ -29,7 +31,7 @@
 // tryPeer sends a request to a peer, which makes one attempt at one of its
 // endpoints.
 func (d *Dispatcher) tryPeer(ctx context.Context, rq *request, peer string) (*reply, *Problem) {
-	r := &reply{d: d, svc: rq.service, started: time.Now(), peer: peer}
+	r := &reply{d: d, svc: rq.service, started: time.Now(), request: rq.id, peer: peer}
 	pool := d.peerPool(peer)
 	if pool == nil {
 		d.opts.Registry.NoRoom(rq.service.name, peer)
@@ -38,7 +40,7 @@
 	c, err := d.connect(ctx, rq, pool)
 	if err != nil {
 		d.opts.Registry.NoRoom(rq.service.name, peer)
-		return nil, d.peerFailed(peer, notRun(http.StatusServiceUnavailable, "peer-unreachable", "could not connect to a peer"), err)
+		return nil, d.peerFailed(r, notRun(http.StatusServiceUnavailable, "peer-unreachable", "could not connect to a peer"), err)
 	}
 	r.x, err = d.send(ctx, c, rq, rq.forwarding())
 	if err != nil {
@@ -53,14 +55,14 @@
 	r.abandon()
 	switch {
 	case !wrote:
-		return d.peerFailed(r.peer, notRun(http.StatusServiceUnavailable, "peer-unreachable", "could not send to a peer"), err)
+		return d.peerFailed(r, notRun(http.StatusServiceUnavailable, "peer-unreachable", "could not send to a peer"), err)
 	case ctx.Err() != nil:
 		return unknown(http.StatusBadGateway, "cancelled", "request was cancelled", errCancelled)
 	case timedOut(err):
 		pool.closeIdle(false)
-		return d.peerFailed(r.peer, unknown(http.StatusGatewayTimeout, "no-answer", "no answer by the deadline", err), err)
+		return d.peerFailed(r, unknown(http.StatusGatewayTimeout, "no-answer", "no answer by the deadline", err), err)
 	}
-	return d.peerFailed(r.peer, unknown(http.StatusBadGateway, "answer-incomplete", "peer did not answer in full", err), err)
+	return d.peerFailed(r, unknown(http.StatusBadGateway, "answer-incomplete", "peer did not answer in full", err), err)
 }
 
 // peerAnswered tells an endpoint's answer from a refusal of the peer.
@@ -83,9 +85,11 @@
 	return nil, unknown(http.StatusBadGateway, "bad-answer", "peer "+r.peer+" gave no valid answer", nil)
 }
 
-func (d *Dispatcher) peerFailed(peer string, p *Problem, err error) *Problem {
-	p.cause = steperr.Wrap(err, "forward request to peer", peer)
+func (d *Dispatcher) peerFailed(r *reply, p *Problem, err error) *Problem {
+	p.cause = steperr.Wrap(err, "forward request to peer", r.peer)
 	d.metrics.failures.WithLabelValues(string(p.Outcome)).Inc()
+	event.Log(d.opts.Logger, event.AttemptFailed, slog.String("peer", r.peer),
+		slog.String("request_id", r.request), slog.String("outcome", string(p.Outcome)), slog.Any("error", p.cause))
 	return p
 }
 
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -24,6 +24,7 @@
 type health struct {
 	mu        sync.Mutex
 	failures  int // in a row
+	refusals  int // in a row
 	ejections int // in a row
 
 	until atomic.Int64 // end of the ejection, Unix nanoseconds
@@ -34,7 +35,7 @@
 func (h *health) succeeded() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.failures, h.ejections = 0, 0
+	h.failures, h.refusals, h.ejections = 0, 0, 0
 	h.avoid.Store(0)
 }
 
@@ -42,12 +43,27 @@
 func (h *health) failed(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	length := min(avoidFor<<min(h.failures, 10), avoidForMax)
-	h.avoid.Store(now.Add(length).UnixNano())
+	h.avoidAfter(h.failures, now)
 	h.failures++
 	return h.failures >= ejectAfter
 }
 
+// refused notes that the endpoint refused a request without running it. That
+// is no failure, but the next request should go elsewhere.
+func (h *health) refused(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.avoidAfter(h.refusals, now)
+	h.refusals++
+}
+
+// avoidAfter avoids the endpoint after a number of earlier failures or
+// refusals in a row; h.mu is held.
+func (h *health) avoidAfter(earlier int, now time.Time) {
+	length := min(avoidFor<<min(earlier, 10), avoidForMax)
+	h.avoid.Store(now.Add(length).UnixNano())
+}
+
 // eject ejects the endpoint. After it, one more failure ejects it again.
 func (h *health) eject(now time.Time) time.Duration {
 	h.mu.Lock()
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -210,6 +210,13 @@
 	e.Release()
 }
 
+// releaseFailed gives back a slot after a failure. The next waiter gets the
+// best free slot, which need not be this one.
+func (d *Dispatcher) releaseFailed(svc *service, e *registry.Endpoint) {
+	e.Release()
+	d.serveQueue(svc)
+}
+
 // overloaded reports whether more requests wait than run.
 func (d *Dispatcher) overloaded(svc *service) bool {
 	return svc.queue.size.Load() > max(1, d.slots(svc)/2)
--- a/dispatch/problem.go
+++ b/dispatch/problem.go
@@ -28,7 +28,7 @@
 
 	// retryAfter is sent where a resend helps.
 	retryAfter time.Duration
-	// cause is logged and not sent.
+	// cause is logged and not sent: it may name addresses of instances.
 	cause error
 }
 
@@ -72,9 +72,6 @@
 func (p *Problem) write(w http.ResponseWriter, requestID string) {
 	out := *p
 	out.RequestID = requestID
-	if p.cause != nil && out.Detail == "" {
-		out.Detail = p.cause.Error()
-	}
 	body, err := json.Marshal(&out)
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -24,7 +24,7 @@
 	// roomInterval is how often free slots are sent when nothing changes.
 	roomInterval = 200 * time.Millisecond
 	// roomMinInterval is the shortest pause between two sends on change.
-	roomMinInterval = 20 * time.Millisecond
+	roomMinInterval = 50 * time.Millisecond
 	proposeTimeout  = 2 * time.Second
 )
 
