dispatch: do not blame endpoints for what callers do

A caller could get endpoints ejected with deadlines that nobody can meet, and a body without a length that was too long was refused as a missing answer. An endpoint is blamed for a missing answer only after 500 ms and twice the 95th percentile, and errors of the caller's side are told apart. Answers of 500 and above make other endpoints preferred, because fast errors drew all requests.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -12,6 +12,10 @@
 	"apricotrouter/steperr"
 )
 
+// blameAfter is the shortest wait for an answer after which an endpoint counts
+// as failing.
+const blameAfter = 500 * time.Millisecond
+
 // reply is an answer whose header has arrived. Exactly one of finish and
 // abandon is called.
 type reply struct {
@@ -58,7 +62,7 @@
 		event.Log(d.opts.Logger, event.AnswerMismatched, slog.String("endpoint", e.ID))
 	}
 	if err != nil {
-		return nil, d.endpointFailed(ctx, r, err)
+		return nil, d.endpointFailed(ctx, rq, r, err)
 	}
 	if r.refusedNotRun() {
 		r.x.finish()
@@ -103,8 +107,12 @@
 
 // endpointFailed ends an attempt that got no answer. The outcome is not-run
 // only if no byte was sent.
-func (d *Dispatcher) endpointFailed(ctx context.Context, r *reply, err error) *Problem {
+func (d *Dispatcher) endpointFailed(ctx context.Context, rq *request, r *reply, err error) *Problem {
 	t, x := r.target, r.x
+	if cerr := rq.body.callerError(); cerr != nil {
+		r.abandon()
+		return d.bodyProblem(cerr, OutcomeUnknown)
+	}
 	if !x.conn.wrote {
 		x.close()
 		d.releaseFailed(r.svc, t.endpoint)
@@ -117,25 +125,30 @@
 		r.abandon()
 		return unknown(http.StatusBadGateway, "cancelled", "request was cancelled", errCancelled)
 	}
-	d.countFailure(t)
 	if timedOut(err) {
-		d.noteSilent(t, x)
+		d.noteLate(r)
 		r.abandon()
 		return d.attemptFailed(r, unknown(http.StatusGatewayTimeout, "no-answer", "no answer by the deadline", errNoAnswer), err)
 	}
+	d.countFailure(t)
 	r.abandon()
 	return d.attemptFailed(r, unknown(http.StatusBadGateway, "answer-incomplete", "endpoint did not answer in full", err), err)
 }
 
-// noteSilent counts a connection that carried nothing although an answer was
-// due. Idle connections opened as long ago may be silent too.
-func (d *Dispatcher) noteSilent(t *target, x *exchange) {
-	if x.resp != nil {
+// noteLate notes that no answer came by the deadline. Idle connections may be
+// silent too and are closed. The endpoint is blamed only after a time in which
+// others would have answered, because callers choose deadlines.
+func (d *Dispatcher) noteLate(r *reply) {
+	t := r.target
+	t.pool.closeIdle(false)
+	if time.Since(r.started) < max(blameAfter, 2*r.svc.estimate.slow()) {
 		return
 	}
-	d.metrics.silent.Inc()
-	event.Log(d.opts.Logger, event.ConnectionSilent, slog.String("endpoint", t.endpoint.ID))
-	t.pool.closeIdle(false)
+	d.countFailure(t)
+	if r.x.resp == nil {
+		d.metrics.silent.Inc()
+		event.Log(d.opts.Logger, event.ConnectionSilent, slog.String("endpoint", t.endpoint.ID))
+	}
 }
 
 func (d *Dispatcher) attemptFailed(r *reply, p *Problem, err error) *Problem {
@@ -167,8 +180,14 @@
 		r.d.opts.Registry.ReturnRoom(r.svc.name, r.peer)
 		return
 	}
-	r.target.health.succeeded()
-	r.target.observe(took)
+	if r.x.resp.StatusCode >= http.StatusInternalServerError {
+		// Fast errors must not draw requests. They do not eject the endpoint,
+		// because a caller may be able to cause them.
+		r.target.health.refused(r.d.opts.Clock.Now())
+	} else {
+		r.target.health.succeeded()
+		r.target.observe(took)
+	}
 	r.d.release(r.svc, r.target.endpoint)
 }
 
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -36,7 +36,7 @@
 	if rq.service == nil {
 		return notRun(http.StatusNotFound, "no-service", "no service has this host and path")
 	}
-	if p := d.readBody(r.Context(), w, r, rq); p != nil {
+	if p := d.readBody(w, r, rq); p != nil {
 		return p
 	}
 	if !rq.idempotent && rq.callerID && d.opts.Ledger != nil {
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -44,15 +44,18 @@
 	}
 	r.x, err = d.send(ctx, c, rq, rq.forwarding())
 	if err != nil {
-		return nil, d.peerSendFailed(ctx, r, pool, err)
+		return nil, d.peerSendFailed(ctx, rq, r, pool, err)
 	}
 	return d.peerAnswered(r)
 }
 
 // peerSendFailed ends an attempt at a peer that got no answer.
-func (d *Dispatcher) peerSendFailed(ctx context.Context, r *reply, pool *connPool, err error) *Problem {
+func (d *Dispatcher) peerSendFailed(ctx context.Context, rq *request, r *reply, pool *connPool, err error) *Problem {
 	wrote := r.x.conn.wrote
 	r.abandon()
+	if cerr := rq.body.callerError(); cerr != nil {
+		return d.bodyProblem(cerr, outcomeOf(wrote))
+	}
 	switch {
 	case !wrote:
 		return d.peerFailed(r, notRun(http.StatusServiceUnavailable, "peer-unreachable", "could not send to a peer"), err)
@@ -116,7 +119,7 @@
 		defer d.requests.end()
 		rq, p := d.parseForwarded(r)
 		if p == nil {
-			p = d.readBody(r.Context(), w, r, rq)
+			p = d.readBody(w, r, rq)
 		}
 		if p == nil {
 			p = d.serveForwarded(r.Context(), w, rq)
--- a/dispatch/problem.go
+++ b/dispatch/problem.go
@@ -63,6 +63,14 @@
 	return &Problem{Type: problemType + kind, Title: title, Status: status, Outcome: OutcomeUnknown, cause: cause}
 }
 
+// outcomeOf returns the outcome of a failed attempt.
+func outcomeOf(wrote bool) Outcome {
+	if wrote {
+		return OutcomeUnknown
+	}
+	return OutcomeNotRun
+}
+
 func (p *Problem) because(err error) *Problem {
 	p.cause = err
 	return p
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -16,8 +15,6 @@
 	// sent again.
 	replayBytes = 64 << 10
 	maxIDBytes  = 128
-	minTimeout  = time.Millisecond
-	bodyLate    = "request body did not arrive by the deadline"
 )
 
 // request is one request of a caller or peer.
@@ -186,7 +183,7 @@
 
 // readBody reads the beginning of the body, and all of it if it is short. A
 // slow caller thus holds no slot while its body arrives.
-func (d *Dispatcher) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request, rq *request) *Problem {
+func (d *Dispatcher) readBody(w http.ResponseWriter, r *http.Request, rq *request) *Problem {
 	rq.body.length = r.ContentLength
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 		rq.body.length = 0
@@ -211,21 +208,23 @@
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && r.ContentLength < 0:
 		rq.body.length = int64(n)
 	case err != nil:
-		return d.bodyProblem(ctx, err)
+		return d.bodyProblem(err, OutcomeNotRun)
 	case r.ContentLength < 0 || r.ContentLength > int64(n):
-		rq.body.rest = body
+		rq.body.rest = &bodyReader{Reader: body}
 	}
 	return nil
 }
 
-func (d *Dispatcher) bodyProblem(_ context.Context, err error) *Problem {
+// bodyProblem refuses a request whose body did not arrive in full.
+func (d *Dispatcher) bodyProblem(err error, outcome Outcome) *Problem {
 	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return d.bodyTooLarge(OutcomeNotRun)
-	case timedOut(err):
-		return notRun(http.StatusRequestTimeout, "body-late", bodyLate)
-	default:
-		return notRun(http.StatusBadRequest, "body-incomplete", "request body ended early").because(err)
+	if errors.As(err, &tooLarge) {
+		return d.bodyTooLarge(outcome)
 	}
+	p := notRun(http.StatusBadRequest, "body-incomplete", "request body ended early").because(err)
+	if timedOut(err) {
+		p = notRun(http.StatusRequestTimeout, "body-late", "request body did not arrive by the deadline")
+	}
+	p.Outcome = outcome
+	return p
 }
--- a/dispatch/tail_test.go
+++ b/dispatch/tail_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -81,6 +82,7 @@
 	for name, behavior := range map[string]endpoint.Behavior{
 		"cut":     {CutAnswer: true},
 		"refused": {Refuse: true},
+		"error":   {Status: http.StatusInternalServerError},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCluster(t, 1)
@@ -158,3 +160,28 @@
 	g.Expect(refused).To(BeNumerically(">", 0))
 	g.Expect(c.endpoints[0].HighestConcurrency()).To(Equal(1))
 }
+
+// Guards against callers that get endpoints ejected by ending their own
+// requests early or by deadlines that nobody can meet.
+func TestEndpointsAreNotBlamedForCallers(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	for range 2 {
+		c.addEndpoint(0, endpoint.Options{ServiceTime: 20 * time.Millisecond})
+	}
+	for range 15 {
+		body, in := io.Pipe()
+		req, err := http.NewRequest(http.MethodPost, c.instances[0].entry.URL+"/receipts/1", body)
+		g.Expect(err).NotTo(HaveOccurred())
+		go func() {
+			_, _ = in.Write(make([]byte, 100<<10))
+			_ = in.CloseWithError(io.ErrClosedPipe)
+		}()
+		_, err = http.DefaultClient.Do(req)
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(c.do(0, call{timeout: 5 * time.Millisecond}).status).NotTo(Equal(http.StatusOK))
+	}
+	g.Eventually(c.instances[0].dispatch.InFlight).Should(BeZero())
+	g.Expect(c.instances[0].counter("ejections_total")).To(BeZero())
+	g.Expect(c.instances[0].counter("silent_connections_total")).To(BeZero())
+}
--- a/dispatch/wire.go
+++ b/dispatch/wire.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"sync/atomic"
 )
 
 // Headers of the request path.
@@ -21,9 +23,36 @@
 
 // payload is the body of a request.
 type payload struct {
-	head   []byte    // what was read so far
-	rest   io.Reader // nil if head is all
-	length int64     // -1 if unknown
+	head   []byte      // what was read so far
+	rest   *bodyReader // nil if head is all
+	length int64       // -1 if unknown
+}
+
+// bodyReader reads the rest of a body and keeps the error with which the
+// caller's side ended, so that no endpoint is blamed for it.
+type bodyReader struct {
+	io.Reader
+	failed atomic.Pointer[error]
+}
+
+// Read implements io.Reader.
+func (b *bodyReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed.Store(&err)
+	}
+	return n, err
+}
+
+// callerError returns the error with which the caller's side ended, or nil.
+func (p *payload) callerError() error {
+	if p.rest == nil {
+		return nil
+	}
+	if err := p.rest.failed.Load(); err != nil {
+		return *err
+	}
+	return nil
 }
 
 // replayable reports whether the body can be sent a second time.
