placement: keep no worker for avoided tasks, and urgent ones don't wait

A task that waits only because it would slow down a service had a worker reserved for it, which then took nothing else, and an urgent task waited up to a minute. On a scratch copy the test failed without either change.

--- a/placement/interfere.go
+++ b/placement/interfere.go
@@ -195,9 +195,6 @@
 
 // rise returns how much the task would slow down the replicas on a worker.
 func (p *plan) rise(t *state.Task, i int, size state.Resources) float64 {
-	if !p.isHarmful(t.Class) {
-		return 0
-	}
 	p.countReplicas()
 	share := ratio(size.MilliCPU, p.view.workers[i].worker.Capacity.MilliCPU)
 	worst := 0.0
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -103,12 +103,12 @@
 		return
 	}
 	size := p.size(t)
-	i := -1
+	i, avoided := -1, false
 	if !p.tooLargeNow(size) {
-		i = p.choose(t, size)
+		i, avoided = p.choose(t, size)
 	}
 	if i < 0 {
-		made := p.makeRoom(t, size)
+		made := !avoided && p.makeRoom(t, size)
 		if len(t.Failures) == 0 && !(made && t.Rank() <= state.RankUrgent) {
 			q.cursor.SkipOwner()
 		}
