--- a/control/workers.go
+++ b/control/workers.go
@@ -6,9 +6,9 @@
 	"apricotrouter/state"
 )
 
-// lostWorker is when this leader first saw a worker lost under a fence.
+// lostWorker is when this leader first saw a loss of a worker.
 type lostWorker struct {
-	fence uint64
+	index uint64    // log index of the loss
 	since time.Time // monotonic
 }
 
@@ -23,12 +23,12 @@
 			continue
 		}
 		l, known := t.lost[id]
-		if !known || l.fence != w.LostFence {
-			t.lost[id] = lostWorker{fence: w.LostFence, since: now}
+		if !known || l.index != w.LostIndex {
+			t.lost[id] = lostWorker{index: w.LostIndex, since: now}
 			continue
 		}
 		if now.Sub(l.since) >= WorkerLeaseEnd && holdsTasks(s, id) {
-			out = append(out, proposal{body: state.MarkWorkerLeaseEnded{Worker: id, LostFence: w.LostFence}})
+			out = append(out, proposal{body: state.MarkWorkerLeaseEnded{Worker: id, LostFence: w.LostFence, LostIndex: w.LostIndex}})
 		}
 	}
 	return out
--- a/state/apply_member.go
+++ b/state/apply_member.go
@@ -34,6 +34,9 @@
 		return r
 	}
 	return tx.changeWorker(b.Worker, func(w *Worker) {
+		if w.Condition != WorkerLost || w.LostFence != b.Fence {
+			w.LostIndex = tx.index
+		}
 		w.Condition, w.LostFence = WorkerLost, b.Fence
 	})
 }
@@ -44,7 +47,7 @@
 		return r
 	}
 	return tx.changeWorker(b.Worker, func(w *Worker) {
-		w.Condition, w.LostFence = WorkerReady, 0
+		w.Condition, w.LostFence, w.LostIndex = WorkerReady, 0, 0
 		if w.QuarantinedAt != 0 {
 			w.Condition = WorkerQuarantined
 		}
@@ -54,8 +57,8 @@
 func (tx *txn) markWorkerLeaseEnded(b *MarkWorkerLeaseEnded) Result {
 	object := "worker/" + b.Worker
 	w, ok := tx.workers.get(b.Worker)
-	if !ok || w.Condition != WorkerLost || w.LostFence != b.LostFence {
-		return tx.refuse(CodeStale, object, "worker is not lost under fence %d", b.LostFence)
+	if !ok || w.Condition != WorkerLost || w.LostFence != b.LostFence || w.LostIndex != b.LostIndex {
+		return tx.refuse(CodeStale, object, "worker was not lost under fence %d at index %d", b.LostFence, b.LostIndex)
 	}
 	for _, k := range tx.tasksByWorker.keys(key(b.Worker, "")) {
 		t, _ := tx.tasks.get(lastPart(k))
--- a/state/bench_test.go
+++ b/state/bench_test.go
@@ -63,13 +63,14 @@
 // BenchmarkApply measures single commands at the planned size.
 func BenchmarkApply(b *testing.B) {
 	m := planned(b, 0)
+	m.do(state.MarkWorkerLost{Worker: "w001", Fence: m.fence("w001")})
+	w, _ := m.Workers.Get("w001")
 	commands := map[string]state.Body{
 		"report":         state.ReportTasks{Worker: "w000", Fence: m.fence("w000"), Reports: []state.TaskReport{{Task: "a.0", Incarnation: 1, Event: state.EventStarted, Checkpoint: "c"}}},
 		"submit 10000":   job("big", 10_000, size(1, 1)),
 		"cancel 8400":    state.CancelJobs{IDs: []string{"a"}},
-		"lease ended 11": state.MarkWorkerLeaseEnded{Worker: "w001", LostFence: m.fence("w001")},
+		"lease ended 11": state.MarkWorkerLeaseEnded{Worker: "w001", LostFence: w.LostFence, LostIndex: w.LostIndex},
 	}
-	m.do(state.MarkWorkerLost{Worker: "w001", Fence: m.fence("w001")})
 	for name, body := range commands {
 		b.Run(name, func(b *testing.B) {
 			c := state.NewCommand(body)
--- a/state/command.go
+++ b/state/command.go
@@ -233,8 +233,10 @@
 // requeues its tasks from their last checkpoints.
 type MarkWorkerLeaseEnded struct {
 	Worker string `cbor:"1,keyasint"`
-	// LostFence must equal that of the worker's record.
+	// LostFence and LostIndex must equal those of the worker's record, so that
+	// a delayed command does not end the lease of a later loss.
 	LostFence uint64 `cbor:"2,keyasint"`
+	LostIndex uint64 `cbor:"3,keyasint"`
 }
 
 // QuarantineWorker puts a worker into quarantine or ends it.
--- a/state/failure_test.go
+++ b/state/failure_test.go
@@ -137,13 +137,19 @@
 	m.place("j.0", "w1")
 	m.report("j.0", state.EventStarted, "c7")
 	f := m.fence("w1")
-	g.Expect(m.do(state.MarkWorkerLeaseEnded{Worker: "w1", LostFence: f}).Code).To(Equal(state.CodeStale))
+	leaseEnded := func() state.MarkWorkerLeaseEnded {
+		w, _ := m.Workers.Get("w1")
+		return state.MarkWorkerLeaseEnded{Worker: "w1", LostFence: w.LostFence, LostIndex: w.LostIndex}
+	}
+	g.Expect(m.do(leaseEnded()).Code).To(Equal(state.CodeStale))
 	m.do(state.MarkWorkerLost{Worker: "w1", Fence: f})
 	g.Expect(m.place("j.0", "w2").Code).To(Equal(state.CodeStale))
+	delayed := leaseEnded()
 	m.do(state.MarkWorkerReturned{Worker: "w1", Fence: f})
-	g.Expect(m.do(state.MarkWorkerLeaseEnded{Worker: "w1", LostFence: f}).Code).To(Equal(state.CodeStale))
+	g.Expect(m.do(delayed).Code).To(Equal(state.CodeStale))
 	m.do(state.MarkWorkerLost{Worker: "w1", Fence: f})
-	m.do(state.MarkWorkerLeaseEnded{Worker: "w1", LostFence: f})
+	g.Expect(m.do(delayed).Code).To(Equal(state.CodeStale))
+	m.do(leaseEnded())
 	g.Expect(m.Task("j.0").Phase).To(Equal(state.PhasePending))
 	g.Expect(m.Task("j.0").Checkpoint).To(Equal("c7"))
 	g.Expect(m.place("j.0", "w1").Code).To(Equal(state.CodeStale))
--- a/state/history_test.go
+++ b/state/history_test.go
@@ -221,7 +221,7 @@
 	for _, on := range h.real.running {
 		delete(on, id)
 	}
-	h.send(state.NewCommand(state.MarkWorkerLeaseEnded{Worker: id, LostFence: w.LostFence}))
+	h.body(state.MarkWorkerLeaseEnded{Worker: id, LostFence: w.LostFence, LostIndex: w.LostIndex})
 }
 
 func (h *history) changeOwner() {
--- a/state/types.go
+++ b/state/types.go
@@ -187,6 +187,9 @@
 	Reserved Resources `cbor:"8,keyasint"`
 	// LostFence is the fence under which the worker was reported lost.
 	LostFence uint64 `cbor:"9,keyasint,omitempty"`
+	// LostIndex is the log index at which the worker was reported lost. Unlike
+	// LostFence it differs between two losses under one owner.
+	LostIndex uint64 `cbor:"12,keyasint,omitempty"`
 	// FailedOwners are the jobs whose tasks failed here since the last success.
 	FailedOwners []string `cbor:"10,keyasint,omitempty"`
 	// QuarantinedAt is when the worker was quarantined, in Unix milliseconds.
--- a/worker/lost_test.go
+++ b/worker/lost_test.go
@@ -14,7 +14,7 @@
 // leaseEnded proposes what the leader does once a lost worker's lease has ended.
 func (f *fixture) leaseEnded() {
 	w, _ := f.log.State().Workers.Get("w1")
-	f.propose(state.MarkWorkerLeaseEnded{Worker: "w1", LostFence: w.LostFence})
+	f.propose(state.MarkWorkerLeaseEnded{Worker: "w1", LostFence: w.LostFence, LostIndex: w.LostIndex})
 }
 
 // Guards against a task that runs twice because a lost worker that answers
