--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -143,6 +143,7 @@
 	service := writeFile(t, "name: receipts\npath_prefix: /receipts\nreplicas: 1\nslots: 8\nconnection_limit: 64\nresources: {milli_cpu: 100, memory_mib: 100}\n")
 	badUnit := writeFile(t, "name: receipts\npath_prefix: /r\nresources: {memory_mib: 1GiB}\n")
 	noRoute := writeFile(t, "name: receipts\n")
+	badName := writeFile(t, "name: Receipts\npath_prefix: /r\nresources: {milli_cpu: 1}\n")
 	unknownKey := writeFile(t, "id: j1\nclass: c\nmemory: 5\n")
 	for _, c := range []struct {
 		args string
@@ -167,6 +168,8 @@
 		{"service apply -f " + badUnit, cli.ExitUsage, `spec.yaml:3: resources.memory_mib: "1GiB" has the wrong type; accepted: an integer without a unit`},
 		{"service apply -f " + noRoute, cli.ExitUsage, "no request would select the service"},
 		{"job submit -f " + unknownKey, cli.ExitUsage, "spec.yaml:3: memory: unknown key; accepted: id, team, class"},
+		{"service apply -f " + badName, cli.ExitRefused, "spec.name must match the regexp"},
+		{"job cancel j1 --request-id " + strings.Repeat("x", 200), cli.ExitRefused, "request_id"},
 		{"job show none", cli.ExitRefused, "job/none does not exist"},
 		{"worker register w1 --zone z1", cli.ExitUsage, "needs --zone, --rack and --address"},
 		{"audit --since yesterday", cli.ExitUsage, "neither a duration"},
