--- a/integration/cluster_test.go
+++ b/integration/cluster_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -309,9 +310,41 @@
 	results := l.Stop()
 	c.results = append(c.results, results...)
 	c.t.Logf("load: %+v", caller.Count(results))
+	for reason, at := range unanswered(results) {
+		c.t.Logf("%d not answered, from %v to %v: %s", at.count, at.first, at.last, reason)
+	}
 	return results
 }
 
+// span is when requests of a load were due.
+type span struct {
+	count       int
+	first, last time.Duration // since the first request of the load
+}
+
+// unanswered groups the requests without an answer by target and reason.
+func unanswered(results []caller.Result) map[string]span {
+	spans := make(map[string]span)
+	if len(results) == 0 {
+		return spans
+	}
+	begin := results[0].Due
+	for _, r := range results {
+		if r.Outcome == caller.Answered {
+			continue
+		}
+		key := fmt.Sprintf("%s %s %d %.160s", r.Target, r.Outcome, r.Status, strings.ReplaceAll(r.Detail, r.ID, "ID"))
+		at, due := spans[key], r.Due.Sub(begin)
+		if at.count == 0 {
+			at.first = due
+		}
+		at.count++
+		at.last = due
+		spans[key] = at
+	}
+	return spans
+}
+
 // check asserts what must always hold, from the records of the stand-ins.
 func (c *cluster) check() {
 	records := workerstandin.AllRecords(c.workers...)
