state: refuse a delayed registration of an earlier start

A delayed registration of an instance put an earlier start back in force, after which the running process no longer matched its record. The last eight earlier starts are remembered and refused. On a scratch copy TestEarlierAnnouncementsAndStartsAreStale failed without the check.

go test ./state ./control ./worker: ok.

--- a/state/apply_member.go
+++ b/state/apply_member.go
@@ -1,5 +1,7 @@
 package state
 
+import "slices"
+
 func (tx *txn) registerWorker(b *RegisterWorker) Result {
 	object := "worker/" + b.ID
 	if !idPattern.MatchString(b.ID) || !idPattern.MatchString(b.Zone) {
@@ -190,6 +192,11 @@
 	return Result{Code: CodeOK, Object: object}
 }
 
+// maxEarlierStarts is the number of earlier starts of an instance that are
+// remembered. A registration that is delayed over more restarts is not known
+// to be stale.
+const maxEarlierStarts = 8
+
 func (tx *txn) registerInstance(b *RegisterInstance) Result {
 	in := b.Instance
 	object := "instance/" + in.ID
@@ -197,14 +204,18 @@
 		return tx.refuse(CodeInvalid, object, "invalid id of an instance")
 	}
 	old, ok := tx.Instances.Get(in.ID)
+	in.Leaving, in.RegisteredAt, in.RegisteredIndex, in.EarlierStarts = false, tx.now, tx.index, nil
 	switch {
-	case ok && old.InstanceStart == in.InstanceStart:
-		in.Leaving, in.RegisteredAt, in.RegisteredIndex = old.Leaving, old.RegisteredAt, old.RegisteredIndex
+	case !ok:
+	case slices.Contains(old.EarlierStarts, in.InstanceStart):
+		return tx.refuse(CodeStale, object, "the instance has started again since")
+	case old.InstanceStart == in.InstanceStart:
+		in.Leaving, in.RegisteredAt = old.Leaving, old.RegisteredAt
+		in.RegisteredIndex, in.EarlierStarts = old.RegisteredIndex, old.EarlierStarts
 	default:
-		in.Leaving, in.RegisteredAt, in.RegisteredIndex = false, tx.now, tx.index
-		if ok {
-			tx.restarted(in.ID)
-		}
+		starts := append(slices.Clip(old.EarlierStarts), old.InstanceStart)
+		in.EarlierStarts = starts[max(0, len(starts)-maxEarlierStarts):]
+		tx.restarted(in.ID)
 	}
 	tx.Instances = tx.Instances.Put(in.ID, &in)
 	return Result{Code: CodeOK, Object: object}
--- a/state/failure_test.go
+++ b/state/failure_test.go
@@ -255,6 +255,10 @@
 	in, _ = m.Instances.Get("i1")
 	g.Expect(in.Leaving).To(BeFalse())
 	g.Expect(m.fence("w1")).To(BeNumerically(">", before))
+	late := m.do(state.RegisterInstance{Instance: state.Instance{ID: "i1", InstanceStart: 1}})
+	g.Expect(late.Code).To(Equal(state.CodeStale))
+	in, _ = m.Instances.Get("i1")
+	g.Expect(in.InstanceStart).To(BeEquivalentTo(2))
 }
 
 // Guards against two primaries of a ledger bucket after a race of two changes.
--- a/state/types.go
+++ b/state/types.go
@@ -241,6 +241,8 @@
 	// registered itself.
 	RegisteredIndex uint64 `cbor:"10,keyasint,omitempty"`
 	OperatorServer  string `cbor:"9,keyasint,omitempty"`
+	// EarlierStarts are the last earlier values of InstanceStart, set by apply.
+	EarlierStarts []uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Team is a group of users with a share and a quota.
