--- a/control/assign.go
+++ b/control/assign.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"apricotrouter/event"
+	"apricotrouter/placement"
 	"apricotrouter/state"
 )
 
@@ -154,6 +155,17 @@
 	return keys
 }
 
+// noteStops logs the stops and counts the evictions by cause.
+func (c *Control) noteStops(b state.StopTasks) {
+	event.Log(c.Logger, event.ControlTasksStopped, slog.Int("count", len(b.Stops)),
+		slog.String("task", b.Stops[0].Task), slog.String("reason", b.Stops[0].Reason))
+	for _, s := range b.Stops {
+		if s.StopReason == state.StopEvict {
+			c.metrics.evictions.WithLabelValues(placement.Cause(s.Reason)).Inc()
+		}
+	}
+}
+
 // logDone logs the carried out changes that operators should see.
 func (c *Control) logDone(p proposal) {
 	switch b := p.body.(type) {
@@ -169,6 +181,8 @@
 	case state.ThrottleTask:
 		event.Log(c.Logger, event.ControlInterference, slog.String("task", b.Task),
 			slog.Int64("throttle_percent", b.Percent), slog.String("reason", b.Reason))
+	case state.StopTasks:
+		c.noteStops(b)
 	case state.SetLedgerBuckets:
 		c.logBuckets(len(b.Buckets), p.lostBuckets)
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"go.uber.org/goleak"
 
 	"apricotrouter/control"
@@ -24,11 +26,13 @@
 	clock *clockwork.FakeClock
 	log   *replica.Memory
 	mux   *transport.Mux
+
+	metrics *prometheus.Registry
 }
 
 func newHarness(t *testing.T) *harness {
 	clock := clockwork.NewFakeClock()
-	h := &harness{WithT: NewWithT(t), clock: clock, log: replica.NewMemory(clock), mux: transport.NewMux()}
+	h := &harness{WithT: NewWithT(t), clock: clock, log: replica.NewMemory(clock), mux: transport.NewMux(), metrics: prometheus.NewRegistry()}
 	for i, zone := range []string{"a", "a", "b", "b"} {
 		h.instance(fmt.Sprintf("i%d", i+1), zone, 1)
 	}
@@ -38,7 +42,7 @@
 func (h *harness) start(t *testing.T) {
 	before := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, before) })
-	c := control.New(control.Options{Log: h.log, Leases: h.log, Mux: h.mux, Clock: h.clock})
+	c := control.New(control.Options{Log: h.log, Leases: h.log, Mux: h.mux, Clock: h.clock, Registerer: h.metrics})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- c.Run(ctx) }()
@@ -261,6 +265,7 @@
 	got := h.log.State().Task(task.ID)
 	h.Expect(got.Phase).To(Equal(state.PhaseStarting))
 	h.Expect(got.Worker).NotTo(Equal(task.Worker))
+	h.Expect(testutil.GatherAndCount(h.metrics, "apricotrouter_control_evictions_total")).To(Equal(1))
 	h.Expect([]any{got.Incarnation, got.Evictions, got.Checkpoint}).To(Equal([]any{uint64(2), int64(1), "c1"}))
 }
 
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -13,6 +13,7 @@
 	pending   prometheus.Gauge
 	step      prometheus.Histogram
 	proposals *prometheus.CounterVec
+	evictions *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -34,9 +35,13 @@
 			Name: "apricotrouter_control_proposals_total",
 			Help: "Proposals of the leader loop by kind and outcome.",
 		}, []string{"kind", "outcome"}),
+		evictions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "apricotrouter_control_evictions_total",
+			Help: "Batch tasks that the leader loop told to stop and resume later, by cause.",
+		}, []string{"cause"}),
 	}
 	if r != nil {
-		r.MustRegister(m.leading, m.pending, m.step, m.proposals)
+		r.MustRegister(m.leading, m.pending, m.step, m.proposals, m.evictions)
 	}
 	return m
 }
--- a/event/control.go
+++ b/event/control.go
@@ -26,4 +26,6 @@
 		"quarantine of a worker changed", "A worker that fails the tasks of several jobs gets one task at a time until one succeeds. Check the worker if it stays in quarantine.")
 	ControlInterference = define(311, "control-interference", slog.LevelInfo,
 		"acted on interference between tasks", "Batch tasks that slow a service down are throttled or evicted. Nothing to do unless it repeats for the same pair.")
+	ControlTasksStopped = define(312, "control-tasks-stopped", slog.LevelInfo,
+		"told tasks to stop", "Tasks are evicted, replaced or removed; the reason is that of the first. Nothing to do unless evictions repeat for the same reason.")
 )
--- a/placement/interfere.go
+++ b/placement/interfere.go
@@ -8,9 +8,6 @@
 	"apricotrouter/state"
 )
 
-// reasonInterference starts the reason of actions on interference.
-const reasonInterference = "interference: "
-
 const (
 	// minAbove is the number of samples in a row above highRatio before an
 	// action, so that one noisy sample causes none.
--- a/placement/overload.go
+++ b/placement/overload.go
@@ -2,9 +2,6 @@
 
 import "apricotrouter/state"
 
-// reasonOverload starts the reason of evictions from overloaded workers.
-const reasonOverload = "overload: "
-
 // relieve evicts one batch task from each worker whose tasks use more memory
 // than it has: the one that exceeds its declared size the most. Whether one
 // was enough is judged from samples taken after its stop.
--- a/placement/room.go
+++ b/placement/room.go
@@ -229,7 +229,7 @@
 
 func (p *plan) preempt(t *state.Task, victims []*state.Task) {
 	for _, v := range victims {
-		p.stop(v, state.StopEvict, "makes room for "+t.ID)
+		p.stop(v, state.StopEvict, reasonPreemption+"makes room for "+t.ID)
 	}
 	p.preempted += len(victims)
 }
--- a/placement/zones.go
+++ b/placement/zones.go
@@ -16,7 +16,7 @@
 		}
 		for t := range p.s.TasksOnWorker(w.worker.ID) {
 			if t.Kind == state.KindBatch && t.Phase != state.PhaseStopping {
-				p.stop(t, state.StopEvict, "availability zone "+w.worker.Zone+" is out")
+				p.stop(t, state.StopEvict, reasonZoneOut+"availability zone "+w.worker.Zone)
 			}
 		}
 	}
