state: refuse a service with the route of another

Cause: of two services with the same host and path prefix one got the requests of both, and a path prefix without a leading slash matched nothing. Change: both are refused when the service is applied. Observed: TestServiceWithRouteOfAnotherIsRefused fails on a scratch copy with the check switched off; tests of state, dispatch, placement and control pass.

--- a/state/apply_operator.go
+++ b/state/apply_operator.go
@@ -75,6 +75,9 @@
 	if msg := tx.tooLarge(spec.Resources); msg != "" {
 		return tx.refuse(CodeInvalid, object, "%s", msg)
 	}
+	if other := tx.sameRoute(spec); other != "" {
+		return tx.refuse(CodeInvalid, object, "service %s has the same host and path prefix", other)
+	}
 	tx.Services = tx.Services.Put(spec.Name, &Service{Spec: spec, Version: tx.index})
 	for _, k := range tx.tasksByOwner.keys(key(string(KindLatencyCritical), spec.Name, "")) {
 		tx.updatePending(lastPart(k), spec.Resources)
@@ -82,6 +85,27 @@
 	return tx.changed(object)
 }
 
+// sameRoute returns another service that the same requests would select, or
+// "". A service without host and path prefix is selected by none.
+func (tx *txn) sameRoute(spec ServiceSpec) string {
+	host, prefix, ok := spec.route()
+	if !ok {
+		return ""
+	}
+	for name, other := range tx.Services.All() {
+		if h, p, ok := other.Spec.route(); ok && name != spec.Name && h == host && p == prefix {
+			return name
+		}
+	}
+	return ""
+}
+
+// route returns host and path prefix in the form in which requests are
+// compared with them, and whether the service has any.
+func (s ServiceSpec) route() (host, prefix string, ok bool) {
+	return strings.ToLower(s.Host), strings.TrimSuffix(s.PathPrefix, "/"), s.Host != "" || s.PathPrefix != ""
+}
+
 // updatePending gives a replica that is not placed yet the new size.
 func (tx *txn) updatePending(id string, size Resources) {
 	old, ok := tx.tasks.get(id)
@@ -99,6 +123,8 @@
 		return "invalid name of a service"
 	case spec.Replicas < 0 || spec.Replicas > maxTasksPerJob:
 		return fmt.Sprintf("the number of replicas must be from 0 to %d", maxTasksPerJob)
+	case spec.PathPrefix != "" && spec.PathPrefix[0] != '/':
+		return "the path prefix must start with a slash"
 	case spec.Slots < 0 || spec.ConnectionLimit < 0:
 		return "slots and connection limit must not be negative"
 	case !spec.Resources.Valid():
