--- a/placement/interfere.go
+++ b/placement/interfere.go
@@ -8,9 +8,6 @@
 	"apricotrouter/state"
 )
 
-// reasonInterference starts the reason of actions on interference.
-const reasonInterference = "interference: "
-
 const (
 	// minAbove is the number of samples in a row above highRatio before an
 	// action, so that one noisy sample causes none.
@@ -195,9 +192,6 @@
 
 // rise returns how much the task would slow down the replicas on a worker.
 func (p *plan) rise(t *state.Task, i int, size state.Resources) float64 {
-	if !p.isHarmful(t.Class) {
-		return 0
-	}
 	p.countReplicas()
 	share := ratio(size.MilliCPU, p.view.workers[i].worker.Capacity.MilliCPU)
 	worst := 0.0
