replica: use the zone of the settings where an instance names none

Options.PeerZone was accepted and never asked. It is used now for voters and learners that do not name their availability zone.

Observed: go test -race ./replica -count=1 passes.

--- a/replica/formation.go
+++ b/replica/formation.go
@@ -194,7 +194,7 @@
 		case !a.Disk:
 			return m, fmt.Errorf("initial voter %s has no data folder", instance)
 		}
-		m.Voters = append(m.Voters, raft.Member{ID: a.Replica, Instance: instance, Zone: a.Zone})
+		m.Voters = append(m.Voters, raft.Member{ID: a.Replica, Instance: instance, Zone: r.zoneOf(instance, a.Zone)})
 	}
 	return m, nil
 }
--- a/replica/options.go
+++ b/replica/options.go
@@ -45,7 +45,9 @@
 	DataDir        string   // empty without a disk
 	InitialVoters  []string // instances that form the group
 	PeerIDs        []string // all entry instances
-	PeerZone       func(instance string) string
+	// PeerZone returns an instance's availability zone by the settings. It is
+	// asked if the instance does not name its zone itself.
+	PeerZone func(instance string) string
 
 	Peers      transport.Peers
 	Mux        *transport.Mux
--- a/replica/repair.go
+++ b/replica/repair.go
@@ -49,11 +49,21 @@
 		r.core.Forget(old.replica)
 		delete(r.members.byID, old.replica)
 	}
-	r.members.info[instance] = &instanceInfo{replica: req.Replica, disk: req.Disk, zone: req.Zone, seen: r.now()}
+	zone := r.zoneOf(instance, req.Zone)
+	r.members.info[instance] = &instanceInfo{replica: req.Replica, disk: req.Disk, zone: zone, seen: r.now()}
 	r.members.byID[req.Replica] = instance
 	r.core.Observe(req.Replica)
 }
 
+// zoneOf returns the availability zone that an instance names itself, or else
+// the one in the settings.
+func (r *Replica) zoneOf(instance, named string) string {
+	if named != "" {
+		return named
+	}
+	return r.opts.PeerZone(instance)
+}
+
 // repairTick keeps the voters as they should be, one change at a time.
 func (r *Replica) repairTick(now time.Duration) {
 	v := r.view.Load()
@@ -111,27 +121,26 @@
 	return found
 }
 
+// takeStep starts a step. One that the core refuses is planned again at the
+// next tick.
 func (r *Replica) takeStep(s step, now time.Duration) {
 	members := r.core.Status().Members
-	var err error
 	switch {
 	case s.add != nil:
-		if err = r.core.ProposeMembers(members.With(*s.add)); err == nil {
+		if r.core.ProposeMembers(members.With(*s.add)) == nil {
 			r.logStep(event.ReplicaVoterAdded, *s.add)
 		}
 	case s.remove != nil:
-		if err = r.core.ProposeMembers(members.Without(s.remove.ID)); err == nil {
+		if r.core.ProposeMembers(members.Without(s.remove.ID)) == nil {
 			r.logStep(event.ReplicaVoterRemoved, *s.remove)
 		}
 	case s.transfer != nil && now >= r.repair.transferAt:
 		const pause = 2 // election timeouts until the next attempt
 		r.repair.transferAt = now + pause*r.opts.Tick*time.Duration(r.opts.ElectionTicks)
-		if err = r.core.Transfer(s.transfer.ID); err == nil {
+		if r.core.Transfer(s.transfer.ID) == nil {
 			r.logStep(event.ReplicaTransfer, *s.transfer)
 		}
 	}
-	// A refused step is planned again at the next tick.
-	_ = err
 }
 
 func (r *Replica) logStep(e event.Event, m raft.Member) {
