placement: never place a replica that the same plan stops

Random mixes of zones out and in, lost workers and voided starts showed that a plan could both remove a superfluous replica that waits and place it. The two commands are proposed at once, so the stop could arrive second and be stale.

--- a/placement/interfere_test.go
+++ b/placement/interfere_test.go
@@ -86,6 +86,7 @@
 	}
 	before := m.State
 	m.obs = m.collector.Observations()
+	m.planTwice()
 	bodies := m.plan()
 	m.collector.Planned()
 	for _, b := range bodies {
--- a/placement/plan_test.go
+++ b/placement/plan_test.go
@@ -48,15 +48,24 @@
 	}})
 }
 
-// plan makes a plan and applies it.
+// plan makes a plan and applies it. Every command must be accepted in full, as
+// nothing changed since the plan was made.
 func (c *cluster) plan() []state.Body {
 	bodies := c.planner.Plan(c.State, c.obs, c.now)
 	for _, b := range bodies {
-		c.do(b)
+		r := c.do(b)
+		c.g.ExpectWithOffset(1, r.Code).To(Equal(state.CodeOK), "%T: %s", b, r.Message)
+		c.g.ExpectWithOffset(1, r.Message).To(BeEmpty(), "%T", b)
 	}
 	return bodies
 }
 
+// planTwice checks that a plan depends on its arguments only.
+func (c *cluster) planTwice() {
+	first := c.planner.Plan(c.State, c.obs, c.now)
+	c.g.ExpectWithOffset(1, c.planner.Plan(c.State, c.obs, c.now)).To(Equal(first))
+}
+
 func (c *cluster) report(t *state.Task, ev state.TaskEvent) {
 	a := c.Assignment(state.AssignWorker, t.Worker)
 	c.do(state.ReportTasks{Worker: t.Worker, Fence: a.Fence, Reports: []state.TaskReport{
@@ -77,6 +86,7 @@
 // rounds plans and settles n times, a second apart.
 func (c *cluster) rounds(n int) {
 	for range n {
+		c.planTwice()
 		c.plan()
 		c.settle()
 		c.now += 1000
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -95,7 +95,7 @@
 }
 
 func (p *plan) placeOne(q *queueState, t *state.Task) {
-	if p.waitsAfterFailure(t) {
+	if p.waitsAfterFailure(t) || p.stopped[t.ID] {
 		return
 	}
 	if t.Kind == state.KindBatch && !q.team.used.Add(t.Resources).Within(q.team.quota) {
