dispatch: give the test of blame enough slots

On a busy machine the test waited for slots that stay counted for 2 s after a caller gave up, and failed in 13 of 18 runs with six at once. Its subject is blame, so that it gets slots for all of its requests.

--- a/dispatch/tail_test.go
+++ b/dispatch/tail_test.go
@@ -167,7 +167,9 @@
 	c := newCluster(t, 1)
 	g := NewWithT(t)
 	for range 2 {
-		c.addEndpoint(0, endpoint.Options{ServiceTime: 20 * time.Millisecond})
+		// Slots for all requests, because some stay counted for 2 s after their
+		// callers gave up.
+		c.addEndpoint(0, endpoint.Options{Slots: 64, ServiceTime: 20 * time.Millisecond})
 	}
 	for range 15 {
 		body, in := io.Pipe()
