dispatch: test leaving and lost freshness with requests under way

Nothing guarded against requests to endpoints that are being handed over, or against a request that is sent after it waited while freshness was lost. Observed: both tests pass five times with -race; with Leave ignored, and without the checks of freshness after the wait, each fails on a scratch copy.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -76,3 +76,40 @@
 	g.Expect(e.Running()).To(Equal(0))
 	g.Expect((<-answer).status).To(Equal(http.StatusOK))
 }
+
+// Guards against a shutdown that cuts off a request, or sends a new one to an
+// endpoint that is being handed over.
+func TestLeavingInstanceFinishesItsRequests(t *testing.T) {
+	c := newCluster(t, 2)
+	g := NewWithT(t)
+	own := c.addEndpoint(0, endpoint.Options{ServiceTime: 300 * time.Millisecond})
+	other := c.addEndpoint(1, endpoint.Options{})
+	g.Eventually(func() string {
+		return c.instances[0].registry.TakeRoom(service, nil)
+	}).Should(Equal("b"))
+	long := c.later(0, call{method: http.MethodPost, id: "long"})
+	g.Eventually(own.Running).Should(Equal(1))
+	c.instances[0].registry.Leave()
+	g.Expect(c.do(0, call{id: "new"}).status).To(Equal(http.StatusOK))
+	g.Expect(other.Runs("new")).To(Equal(1))
+	g.Expect(c.instances[0].dispatch.Drain(context.Background())).To(Succeed())
+	g.Expect((<-long).status).To(Equal(http.StatusOK))
+	g.Expect(own.Records()).To(HaveLen(1))
+}
+
+// Guards against a request that waited for a slot and is sent although the
+// state may have changed meanwhile.
+func TestFreshnessLostWhileWaiting(t *testing.T) {
+	c := newCluster(t, 1)
+	g := NewWithT(t)
+	e := c.addEndpoint(0, endpoint.Options{Slots: 1, ServiceTime: 200 * time.Millisecond})
+	running := c.later(0, call{})
+	g.Eventually(e.Running).Should(Equal(1))
+	waiting := c.later(0, call{method: http.MethodPost, id: "waits", timeout: time.Second})
+	g.Eventually(func() float64 { return c.instances[0].counter("queued_requests") }).Should(Equal(1.0))
+	c.instances[0].log.stale.Store(true)
+	g.Expect((<-running).status).To(Equal(http.StatusOK))
+	r := <-waiting
+	g.Expect(r.outcome).To(Equal("not-run"))
+	g.Expect(e.Runs("waits")).To(BeZero())
+}
