--- a/bench/world.go
+++ b/bench/world.go
@@ -29,9 +29,9 @@
 	noisyPart       = 0.7             // rise of the latency ratio by each noisy neighbour
 	measurementLag  = 3 * time.Second
 	taskSeconds     = 20
-	tasksPerJob     = 30
-	jobCount        = 24
-	noisyJobsOneIn  = 3
+	waveEvery       = taskSeconds * time.Second // on its clock
+	noisyPerWave    = 10
+	quietPerWave    = 20 // both together fill the workers and leave a backlog
 	self            = "a"
 	percent         = 100.0
 	ratioResolution = 1000
@@ -54,8 +54,7 @@
 	parts   sync.WaitGroup
 }
 
-// startWorld starts a world with one service and a backlog of batch jobs, a
-// part of which slows the service's replicas down.
+// startWorld starts a world with one service. Batch jobs arrive while it runs.
 func startWorld(policy placement.InterferencePolicy) (*world, error) {
 	w := &world{clock: newFastClock(speedUp), byID: make(map[string]*workerstandin.Worker)}
 	w.log = replica.NewMemory(w.clock)
@@ -101,19 +100,21 @@
 		Name: "app", PathPrefix: appPath, Replicas: zoneCount * workersPerZone, Slots: slots, ConnectionLimit: 64,
 		Resources: taskSize,
 	}})
-	for i := range jobCount {
-		class := "quiet"
-		if i%noisyJobsOneIn == 0 {
-			class = "noisy"
-		}
-		bodies = append(bodies, state.SubmitJob{Spec: state.JobSpec{
-			ID: fmt.Sprintf("%s-%d", class, i), Class: class, Priority: state.PriorityNormal, Tasks: tasksPerJob,
-			Resources: taskSize, ExpectedSeconds: taskSeconds,
-		}})
-	}
 	return w.proposeAll(bodies...)
 }
 
+// submitWave submits one job that slows replicas down and one that does not.
+func (w *world) submitWave(n int) error {
+	return w.proposeAll(job("noisy", n, noisyPerWave), job("quiet", n, quietPerWave))
+}
+
+func job(class string, n int, tasks int64) state.Body {
+	return state.SubmitJob{Spec: state.JobSpec{
+		ID: fmt.Sprintf("%s-%d", class, n), Class: class, Priority: state.PriorityNormal, Tasks: tasks,
+		Resources: taskSize, ExpectedSeconds: taskSeconds,
+	}}
+}
+
 func (w *world) proposeAll(bodies ...state.Body) error {
 	for _, b := range bodies {
 		r, err := w.log.Propose(context.Background(), state.NewCommand(b))
@@ -153,7 +154,14 @@
 func (w *world) run(at map[time.Duration]func() error) (outcome, error) {
 	ratios := hdrhistogram.New(1, 100*ratioResolution, 3)
 	begin := w.clock.Now()
+	waves := 0
 	for w.clock.Since(begin) < worldTime {
+		if w.clock.Since(begin) >= time.Duration(waves)*waveEvery {
+			if err := w.submitWave(waves); err != nil {
+				return outcome{}, err
+			}
+			waves++
+		}
 		for t, do := range at {
 			if w.clock.Since(begin) < t {
 				continue
