integration: take the daemons' ports from below the ephemeral range

Cause: the ports were taken from the system and closed again; outgoing connections of the daemons started first could take them before the last one opened them ('open admin port: address already in use'). 2 of 4 runs of BenchmarkControlCost/workers=24 failed so.

--- a/integration/settings.go
+++ b/integration/settings.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"strings"
 )
 
@@ -43,17 +45,31 @@
 // is replaced. It is longer than an election and shorter than in operation.
 const RepairAfter = "4s"
 
+// Ports of daemons under test lie below the range from which Linux takes the
+// ports of outgoing connections: a port of that range that was free a moment
+// ago can be in use when the daemon opens it.
+const (
+	lowestPort  = 12000
+	highestPort = 32000
+	// maxAttempts bounds the search for free ports.
+	maxAttempts = 10000
+)
+
 // FreeAddresses returns n loopback addresses whose ports were free just now.
 func FreeAddresses(n int) ([]string, error) {
 	var all []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range maxAttempts {
+		if len(all) == n {
+			return all, nil
+		}
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		// Closed only at the end, so that no port comes twice.
 		defer l.Close()
 		all = append(all, l.Addr().String())
 	}
-	return all, nil
+	return nil, fmt.Errorf("found %d of %d free ports", len(all), n)
 }
