worker: renew every 2 s and list quiet workers every second

Cause: each session listed and renewed twice a second, whether anything changed or not. A round is left out while the worker answered within the last second and no task on it is being started or stopped; renewals come every 2 s under a lease of 10 s. The test of late renewals waits one renewal interval now, its bounds are the same.

--- a/worker/lost_test.go
+++ b/worker/lost_test.go
@@ -97,7 +97,7 @@
 	f := newFixture(t)
 	f.runTask()
 	f.w1.holdRenew = true
-	f.rounds(500*time.Millisecond, f.s1)
+	f.rounds(worker.RenewInterval, f.s1)
 	f.w1.holdRenew, f.w1.down = false, true
 	next := f.assign("w1", "b", f.w1)
 	f.rounds(6*time.Second, next)
--- a/worker/manager.go
+++ b/worker/manager.go
@@ -20,6 +20,13 @@
 const (
 	// RoundInterval is the time between two rounds of a session.
 	RoundInterval = 500 * time.Millisecond
+	// QuietInterval is the time between two rounds while no task on the worker
+	// is being started or stopped.
+	QuietInterval = time.Second
+	// RenewInterval is the time between two renewals. The lease that is left
+	// at the next renewal exceeds LostAfter, so a worker that is cut off for
+	// less than that keeps its tasks.
+	RenewInterval = 2 * time.Second
 	// LeaseDuration is how long after the reading of a list the renewed lease ends.
 	LeaseDuration = 10 * time.Second
 	// StartWindow is how long after the reading of a list a start stays valid.
--- a/worker/session.go
+++ b/worker/session.go
@@ -31,6 +31,9 @@
 	address     string
 	failing     bool
 	lastContact time.Time // of the last round in which list and renewal succeeded
+	lastList    time.Time // of the last list that was answered
+	lastRenewal time.Time // of the last renewal that was answered
+	renewedBoot string    // boot id of that renewal
 	bootID      string    // of the last list; empty before the first
 	ended       []TaskKey // tasks that the last list showed as ended
 	lost        lostWorker
@@ -97,7 +100,7 @@
 	// before the list was read, so its absence means that it ended.
 	st := s.Log.State()
 	w, ok := st.Workers.Get(s.worker)
-	if !ok {
+	if !ok || s.quiet(st) {
 		return
 	}
 	l, err := s.list(ctx, w.Address)
@@ -115,10 +118,25 @@
 		return
 	}
 	s.lastContact = s.Clock.Now()
+	s.lastList = s.lastContact
 	s.reconcile(ctx, st, l)
 	s.observe(ctx)
 }
 
+// quiet reports whether this round can be left out: the worker answered the
+// last one, and no task on it is being started or stopped.
+func (s *session) quiet(st *state.State) bool {
+	if s.failing || !s.reconciled || s.Clock.Since(s.lastList) >= QuietInterval {
+		return false
+	}
+	for t := range st.TasksOnWorker(s.worker) {
+		if t.Phase != state.PhaseRunning {
+			return false
+		}
+	}
+	return true
+}
+
 // list connects if necessary and lists the worker.
 func (s *session) list(ctx context.Context, address string) (ListResponse, error) {
 	if s.api != nil && s.address != address {
@@ -136,16 +154,23 @@
 }
 
 // renew extends the lease from the reading of the list, so that a renewal that
-// arrives late does not extend it further. It returns errNotHeld if the
+// arrives late does not extend it further. It does so once per RenewInterval
+// and at once after a restart of the worker. It returns errNotHeld if the
 // instance may not renew.
 func (s *session) renew(ctx context.Context, l ListResponse) error {
 	w, ok := s.Log.State().Workers.Get(s.worker)
 	if !s.held() || !ok || w.Condition == state.WorkerLost {
 		return errNotHeld
 	}
+	if s.renewedBoot == l.BootID && s.Clock.Since(s.lastRenewal) < RenewInterval {
+		return nil
+	}
 	err := s.api.Renew(ctx, RenewRequest{
 		Fence: s.fence, BootID: l.BootID, LeaseEndMs: l.NowMs + LeaseDuration.Milliseconds(),
 	})
+	if err == nil {
+		s.lastRenewal, s.renewedBoot = s.Clock.Now(), l.BootID
+	}
 	return steperr.Wrap(err, "renew lease of worker", s.worker)
 }
 
