replica: let the chaos test empty a disk only while all voters are there

The run left no record of the cause. The likely one is the test: it took every voter for heard just after an election, because the leader counts from there, and could so empty a third disk before the first two were replaced. It now asks for 5 voters that run with the disk that the leader knows. Its goroutines end before the cluster is stopped, which the race detector reported after the failure.

--- a/replica/chaos_test.go
+++ b/replica/chaos_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -117,7 +119,7 @@
 	case 3:
 		h.restart(id, false)
 	case 4:
-		h.restart(id, h.allVotersHeard())
+		h.restart(id, h.allVotersThere())
 	case 5:
 		if n := h.live(id); n != nil {
 			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -150,21 +152,22 @@
 	h.start(id, h.dirs[id])
 }
 
-// allVotersHeard reports whether the group can lose a disk.
-func (h *chaos) allVotersHeard() bool {
+// allVotersThere reports whether the group can lose a disk: 5 voters, each of
+// which runs with the disk that the leader knows. How long ago the leader heard
+// from a voter does not tell, as that counts from its election.
+func (h *chaos) allVotersThere() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, n := range h.nodes {
-		if !n.Leadership().Self {
+	for _, leader := range h.nodes {
+		if !leader.Leadership().Self {
 			continue
 		}
-		heard := 0
-		for _, in := range n.Status().Instances {
-			if in.Role != replica.RoleLearner && in.LastContact >= 0 && in.LastContact < 100*time.Millisecond {
-				heard++
-			}
+		there := make(map[string]bool)
+		voters := h.votersOf(leader)
+		for _, id := range voters {
+			there[id] = h.nodes[id] != nil && h.nodes[id].Status().Voter
 		}
-		return heard >= 5
+		return len(voters) == 5 && len(there) == 5 && !slices.Contains(slices.Collect(maps.Values(there)), false)
 	}
 	return false
 }
@@ -176,6 +179,7 @@
 	h := newChaos(t, 20261204)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
 	for _, id := range h.ids[1:4] {
 		wg.Add(1)
 		go func() { defer wg.Done(); h.propose(ctx, id) }()
