dispatch: let a latency estimate lose weight with time

Cause: an endpoint with one slow sample got no request that could correct the estimate; in an integration run one got none for 7 s after its silent connections were replaced. The effect on the tail is not measured yet.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -186,7 +186,7 @@
 		r.target.health.refused(r.d.opts.Clock.Now())
 	} else {
 		r.target.health.succeeded()
-		r.target.observe(took)
+		r.target.observe(took, r.d.opts.Clock.Now())
 	}
 	r.d.release(r.svc, r.target.endpoint)
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -125,7 +125,7 @@
 			zoneOut:   s.ZoneOut(e.Zone),
 			avoided:   tg.health.avoided(now),
 			otherZone: e.Zone != d.opts.Registry.Zone(),
-			score:     tg.score(),
+			score:     tg.score(now),
 		}
 		if best == nil || r.before(bestRank) {
 			best, bestRank = e, r
