--- a/replica/freshness.go
+++ b/replica/freshness.go
@@ -219,23 +219,23 @@
 
 // leases is when the leader last answered each instance.
 type leases struct {
-	mu        sync.Mutex
-	leading   bool
-	since     time.Duration
-	answeredA map[string]time.Duration
+	mu          sync.Mutex
+	leading     bool
+	since       time.Duration
+	lastAnswers map[string]time.Duration
 }
 
 func (l *leases) elected(leading bool, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.leading, l.since = leading, now
-	l.answeredA = make(map[string]time.Duration)
+	l.lastAnswers = make(map[string]time.Duration)
 }
 
 func (l *leases) answered(instance string, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.answeredA[instance] = now
+	l.lastAnswers[instance] = now
 }
 
 // last returns when the instance's lease may last have been extended: by this
@@ -243,7 +243,7 @@
 func (l *leases) last(instance string) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return max(l.since, l.answeredA[instance]), l.leading
+	return max(l.since, l.lastAnswers[instance]), l.leading
 }
 
 // LeaseEnded implements LeaseTracker.
--- a/transport/bench_test.go
+++ b/transport/bench_test.go
@@ -20,7 +20,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		var out echo
-		if err := a.Call(ctx, "b", KindStatus, echo{Text: "hello"}, &out); err != nil {
+		if err := a.Call(ctx, "b", KindFormation, echo{Text: "hello"}, &out); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/transport/mesh_test.go
+++ b/transport/mesh_test.go
@@ -48,7 +48,7 @@
 
 func echoMux() *Mux {
 	mux := NewMux()
-	OnCall(mux, KindStatus, func(_ context.Context, from string, req *echo) (*echo, error) {
+	OnCall(mux, KindFormation, func(_ context.Context, from string, req *echo) (*echo, error) {
 		return &echo{Text: from + ":" + req.Text}, nil
 	})
 	return mux
@@ -58,7 +58,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
 	var out echo
-	err := m.Call(ctx, to, KindStatus, echo{Text: "hello"}, &out)
+	err := m.Call(ctx, to, KindFormation, echo{Text: "hello"}, &out)
 	return out.Text, err
 }
 
@@ -198,7 +198,7 @@
 	addrs := map[string]string{"a": addrA, "b": addrB}
 	mux := NewMux()
 	started := make(chan struct{}, 1)
-	OnCall(mux, KindStatus, func(ctx context.Context, _ string, _ *echo) (*echo, error) {
+	OnCall(mux, KindFormation, func(ctx context.Context, _ string, _ *echo) (*echo, error) {
 		started <- struct{}{}
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -207,7 +207,7 @@
 	startMesh(t, "b", lb, addrs, mux)
 	g.Eventually(func() bool { return a.Connected("b") }, "5s").Should(BeTrue())
 	errs := make(chan error, 1)
-	go func() { errs <- a.Call(context.Background(), "b", KindStatus, echo{}, &echo{}) }()
+	go func() { errs <- a.Call(context.Background(), "b", KindFormation, echo{}, &echo{}) }()
 	g.Eventually(started, "5s").Should(Receive())
 	_ = a.conn("b").ws.CloseNow()
 	g.Eventually(errs, "5s").Should(Receive(MatchError(ErrConnLost)))
--- a/transport/metrics.go
+++ b/transport/metrics.go
@@ -19,8 +19,6 @@
 	KindLedgerRecord:    "ledger_record",
 	KindLedgerReplicate: "ledger_replicate",
 	KindLedgerFetch:     "ledger_fetch",
-	KindForwardCancel:   "forward_cancel",
-	KindStatus:          "status",
 }
 
 // metrics counts what goes over the connections.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -72,8 +72,6 @@
 	KindLedgerRecord
 	KindLedgerReplicate
 	KindLedgerFetch
-	KindForwardCancel
-	KindStatus
 )
 
 // Peers sends messages to other entry instances.
