--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"log/slog"
@@ -89,24 +90,17 @@
 	if opts.Clock == nil {
 		opts.Clock = clockwork.NewRealClock()
 	}
-	setDefault(&opts.Timeout, DefaultTimeout)
-	setDefault(&opts.MaxTimeout, DefaultMaxTimeout)
-	setDefault(&opts.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&opts.PeerConns, DefaultPeerConns)
-	setDefault(&opts.Attempts, 3)
+	opts.Timeout = cmp.Or(opts.Timeout, DefaultTimeout)
+	opts.MaxTimeout = cmp.Or(opts.MaxTimeout, DefaultMaxTimeout)
+	opts.MaxBodyBytes = cmp.Or(opts.MaxBodyBytes, DefaultMaxBodyBytes)
+	opts.PeerConns = cmp.Or(opts.PeerConns, DefaultPeerConns)
+	opts.Attempts = cmp.Or(opts.Attempts, 3)
 	d := &Dispatcher{opts: opts, dialer: newDialer(), metrics: newMetrics(opts.Registerer), scratch: newHistogram()}
 	d.routes.Store(&routes{})
 	d.stopped, d.stop = context.WithCancel(context.Background())
 	return d
 }
 
-func setDefault[T comparable](v *T, value T) {
-	var zero T
-	if *v == zero {
-		*v = value
-	}
-}
-
 // Run looks after connections, ejections and queues until ctx ends. It then
 // ends what is left of abandoned attempts and closes idle connections, so a
 // daemon calls Drain first.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"sync"
@@ -71,9 +72,9 @@
 	if opts.Clock == nil {
 		opts.Clock = clockwork.NewRealClock()
 	}
-	setDefault(&opts.Retention, DefaultRetention)
-	setDefault(&opts.MaxEntries, DefaultMaxEntries)
-	setDefault(&opts.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	opts.Retention = cmp.Or(opts.Retention, DefaultRetention)
+	opts.MaxEntries = cmp.Or(opts.MaxEntries, DefaultMaxEntries)
+	opts.MaxAnswerBytes = cmp.Or(opts.MaxAnswerBytes, DefaultMaxAnswerBytes)
 	l := &Ledger{opts: opts, wake: make(chan struct{}, 1)}
 	l.stopped, l.stop = context.WithCancel(context.Background())
 	l.metrics = newMetrics(opts.Registerer, l)
@@ -84,13 +85,6 @@
 	return l
 }
 
-func setDefault[T comparable](v *T, value T) {
-	var zero T
-	if *v == zero {
-		*v = value
-	}
-}
-
 // SetRegistered tells the log index at which this process registered its
 // instance (the index in the result of RegisterInstance). Buckets that were
 // given to the instance earlier were kept by an earlier process. Until it is
--- a/replica/options.go
+++ b/replica/options.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"errors"
 	"log/slog"
 	"time"
@@ -79,24 +80,17 @@
 	if o.PeerZone == nil {
 		o.PeerZone = func(string) string { return "" }
 	}
-	setDefault(&o.Tick, DefaultTick)
-	setDefault(&o.HeartbeatTicks, raft.DefaultHeartbeatTicks)
-	setDefault(&o.ElectionTicks, raft.DefaultElectionTicks)
-	setDefault(&o.FreshnessLease, DefaultFreshnessLease)
-	setDefault(&o.FreshnessInterval, DefaultFreshnessInterval)
-	setDefault(&o.RepairAfter, DefaultRepairAfter)
-	setDefault(&o.SnapshotEntries, DefaultSnapshotEntries)
-	setDefault(&o.TrailingEntries, DefaultTrailingEntries)
+	o.Tick = cmp.Or(o.Tick, DefaultTick)
+	o.HeartbeatTicks = cmp.Or(o.HeartbeatTicks, raft.DefaultHeartbeatTicks)
+	o.ElectionTicks = cmp.Or(o.ElectionTicks, raft.DefaultElectionTicks)
+	o.FreshnessLease = cmp.Or(o.FreshnessLease, DefaultFreshnessLease)
+	o.FreshnessInterval = cmp.Or(o.FreshnessInterval, DefaultFreshnessInterval)
+	o.RepairAfter = cmp.Or(o.RepairAfter, DefaultRepairAfter)
+	o.SnapshotEntries = cmp.Or(o.SnapshotEntries, DefaultSnapshotEntries)
+	o.TrailingEntries = cmp.Or(o.TrailingEntries, DefaultTrailingEntries)
 	return nil
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // confirmWindow is how long a leader counts as confirmed after the start of a
 // heartbeat round that a majority answered. Within the minimum election
 // timeout after their answers no other leader can be elected; the margin
