--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -71,7 +71,6 @@
 	admin *http.Server
 
 	leaving atomic.Bool
-	stop    context.CancelFunc // ends the parts that run
 	parts   sync.WaitGroup
 	// failed receives the first error of a part without which the instance
 	// can't go on.
@@ -142,7 +141,6 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	d.stop = stop
 	d.start(running)
 	event.Log(d.logger, event.InstanceStarted, slog.String("instance", d.cfg.Instance.ID),
 		slog.Any("addresses", d.Addresses()))
--- a/replica/status.go
+++ b/replica/status.go
@@ -52,6 +52,10 @@
 	}
 }
 
+// Start returns the random number of this start of the process, the
+// InstanceStart under which the instance registers itself.
+func (r *Replica) Start() uint64 { return r.start }
+
 // Leadership implements Log.
 func (r *Replica) Leadership() Leadership {
 	v := r.view.Load()
