--- a/cmd/apricotrouterd/main.go
+++ b/cmd/apricotrouterd/main.go
@@ -1,42 +1,72 @@
-// Command apricotrouterd runs one entry instance.
+// Command apricotrouterd runs one instance: by itself an entry instance with
+// its own settings, as entry or control a node of the platform.
 package main
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
+	"github.com/spf13/cobra"
+
 	"apricotrouter/config"
 	"apricotrouter/daemon"
 	"apricotrouter/event"
+	"apricotrouter/platform"
 	"apricotrouter/version"
 )
 
+// nodeFileVariable names the settings file of a node.
+const nodeFileVariable = "APRICOTROUTER_NODE_FILE"
+
 func main() {
-	path := flag.String("config", "/etc/apricotrouter/apricotrouterd.yaml", "settings file")
-	flag.Parse()
-	if err := run(*path); err != nil {
+	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "apricotrouterd:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string) error {
-	cfg, err := config.Load(path)
-	if err != nil {
-		return err
-	}
-	logger := daemon.NewLogger(cfg.Log, os.Stderr)
-	d, err := daemon.New(daemon.Options{Config: cfg, Logger: logger, Version: version.Version})
-	if err != nil {
-		return err
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use: "apricotrouterd", Short: "Run one instance of apricotrouter.", Args: cobra.NoArgs,
+		SilenceUsage: true, SilenceErrors: true, Version: version.Version,
 	}
+	path := root.Flags().String("config", "/etc/apricotrouter/apricotrouterd.yaml", "settings file")
+	root.RunE = func(*cobra.Command, []string) error { return run(*path) }
+	root.AddCommand(
+		nodeCommand("entry", "Take clients' calls and carry them to the leader.", platform.RunEntry),
+		nodeCommand("control", "Hold a replica of the log; as the leader, run workflows.", platform.RunControl),
+	)
+	return root
+}
+
+// nodeCommand runs a node with the settings file that the environment names.
+func nodeCommand(use, short string, run func(context.Context, *config.Node, *slog.Logger) error) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		settings, err := config.LoadNode(os.Getenv(nodeFileVariable))
+		if err != nil {
+			return err
+		}
+		if settings.Limits.MemoryMiB > 0 {
+			// The collector works harder near the limit; the rest is for
+			// stacks, buffers of the kernel and temporary files.
+			const percentOfLimit = 70
+			debug.SetMemoryLimit(settings.Limits.MemoryMiB << 20 * percentOfLimit / 100)
+		}
+		out := event.NewWriter(os.Stdout, event.DefaultBufferedLines)
+		defer out.Close()
+		logger := daemon.NewLogger(settings.Log, out)
+		return run(terminated(logger), settings, logger)
+	}}
+}
+
+// terminated returns a context that ends with the first signal to stop.
+func terminated(logger *slog.Logger) context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -46,5 +76,18 @@
 			event.Log(logger, event.SignalIgnored, slog.String("signal", s.String()))
 		}
 	}()
-	return d.Run(ctx)
+	return ctx
+}
+
+func run(path string) error {
+	cfg, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	logger := daemon.NewLogger(cfg.Log, os.Stderr)
+	d, err := daemon.New(daemon.Options{Config: cfg, Logger: logger, Version: version.Version})
+	if err != nil {
+		return err
+	}
+	return d.Run(terminated(logger))
 }
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -18,4 +18,8 @@
 		"assignments were not handed over", "No leader took the hand-over. The leader moves the assignments once the freshness lease of this instance has ended; endpoints and workers of this instance get no new work for about 2 s.")
 	SignalIgnored = define(707, "signal-ignored", slog.LevelWarn,
 		"shutdown is under way, signal ignored", "A second signal does not cut off requests. Send SIGKILL to end the process at once.")
+	SettingsReloaded = define(708, "settings-reloaded", slog.LevelInfo,
+		"settings changed", "What may change without a restart is in force. Nothing to do.")
+	SettingsRefused = define(709, "settings-refused", slog.LevelWarn,
+		"settings file can't be used", "The settings read before stay in force. Correct the file; it is read again at intervals and on SIGHUP.")
 )
--- /dev/null
+++ b/event/fleet.go
@@ -0,0 +1,51 @@
+package event
+
+import "log/slog"
+
+// Events of workflows and their workers: 800 to 899.
+var (
+	FleetLeaderFound = define(801, "fleet-leader-found", slog.LevelInfo,
+		"reached the leader", "Calls are carried to this leader. Nothing to do.")
+	FleetLeaderLost = define(802, "fleet-leader-lost", slog.LevelWarn,
+		"leader does not answer or no longer leads", "Calls wait for another leader until their deadline. If it goes on, check the control group.")
+	FleetTookOver = define(803, "fleet-took-over", slog.LevelInfo,
+		"leader holds the workers", "This instance leads and looks at every known worker under its own fence. Nothing to do.")
+	FleetGaveUp = define(804, "fleet-gave-up", slog.LevelInfo,
+		"leader no longer holds the workers", "Another instance leads, or a commit has an unknown outcome and the state is read again. Nothing to do.")
+	FleetCall = define(805, "fleet-call", slog.LevelInfo,
+		"answered a call", "The outcome of a client's or operator's call, with its id, on the instance that took it.")
+	WorkflowAccepted = define(811, "workflow-accepted", slog.LevelInfo,
+		"workflow accepted", "The workflow is stored. Its objective and the number of tasks are named.")
+	WorkflowRefused = define(812, "workflow-refused", slog.LevelInfo,
+		"workflow refused", "The workflow was not stored and never runs; the reason and the time to come back are named.")
+	WorkflowEnded = define(813, "workflow-ended", slog.LevelInfo,
+		"workflow ended", "The workflow completed, failed or was cancelled, with the time that it took and its objective.")
+	TaskPlaced = define(821, "task-placed", slog.LevelInfo,
+		"task placed", "A run of a task was recorded for a worker and is sent to it.")
+	FleetStartRefused = define(822, "fleet-start-refused", slog.LevelInfo,
+		"worker refused a start", "The run is void and the task waits for another worker. Check the worker if it repeats.")
+	TaskStartUnknown = define(823, "task-start-unknown", slog.LevelWarn,
+		"outcome of a start is unknown", "The run is stopped before the task is started again. If it repeats, check the worker and the way to it.")
+	TaskEnded = define(824, "task-ended", slog.LevelInfo,
+		"run of a task ended", "How a run ended on its worker. A lost run is started again.")
+	TaskStopping = define(825, "task-stopping", slog.LevelInfo,
+		"stopping a run", "The reason is named: cancelled, preempted, stray, draining worker or unknown outcome.")
+	TaskPaced = define(826, "task-paced", slog.LevelInfo,
+		"changed the pace of a run", "A task that uses leftover processors is slowed for the sake of a serving task on the same worker, or let go again.")
+	WorkerKnown = define(831, "worker-known", slog.LevelInfo,
+		"worker registered", "A new life of a worker, or a change of what it reported. Nothing to do.")
+	WorkerGone = define(832, "worker-gone", slog.LevelInfo,
+		"life of a worker ended", "It left, was replaced by another life, or its lease ended. Its runs are lost and start again.")
+	WorkerSilent = define(833, "worker-silent", slog.LevelWarn,
+		"worker does not answer", "Nothing is placed there. Its runs are lost once its lease has ended.")
+	WorkerAnswers = define(834, "worker-answers", slog.LevelInfo,
+		"worker answers again", "Nothing to do.")
+	WorkerQuarantined = define(835, "worker-quarantined", slog.LevelWarn,
+		"worker is not used for a while", "It failed or refused several tasks that others could run. Check the worker.")
+	QueuesChanged = define(841, "queues-changed", slog.LevelInfo,
+		"configuration of queues changed", "A newer version is in force. Nothing to do.")
+	ZoneEvacuation = define(842, "zone-evacuation", slog.LevelInfo,
+		"evacuation of an availability zone changed", "Nothing is started on the workers of an evacuated zone.")
+	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
+		"refused heartbeat", "The report could not be read or names no usable worker. Check its sender.")
+)
--- /dev/null
+++ b/fleet/attempt.go
@@ -0,0 +1,248 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"apricotrouter/event"
+	"apricotrouter/state"
+)
+
+const (
+	// startTimeout bounds one call to a worker that answers at once. It covers
+	// a lost packet on a link between availability zones.
+	startTimeout = time.Second
+	// stopRetry is the pause before a stop without an answer is sent again.
+	stopRetry = 250 * time.Millisecond
+)
+
+// attemptPhase is where a run is, as the leader sees it.
+type attemptPhase uint8
+
+const (
+	attemptRecording attemptPhase = iota // its start is being committed
+	attemptStarting                      // sent to the worker
+	attemptRunning
+	attemptUnknown  // the outcome of the start is unknown, or found in the state after an election
+	attemptStopping // a stop was asked for
+	attemptEnded    // its end is being committed, or it is void
+)
+
+// attempt is one run of a task on a worker. It holds its room there until it
+// is known to have ended.
+type attempt struct {
+	task    *task
+	run     Run
+	session *session
+	phase   attemptPhase
+	// since is when the worker was last known to have decided on the start:
+	// a look that began later and does not list the run proves its end.
+	since     time.Duration
+	stopping  bool // a stop was asked for
+	stopped   bool // the worker has answered the stop
+	calling   bool // a stop is in flight
+	nextStop  time.Duration
+	startedAt time.Duration
+	ticket    string
+	pace      pacing
+}
+
+func (a *attempt) reserves() state.Resources { return a.task.step.Reserves() }
+
+func (a *attempt) position() TaskPosition { return a.task.position() }
+
+func (t *task) position() TaskPosition {
+	return TaskPosition{Workflow: t.flow.spec.ID, Occurrence: t.pos.Occurrence, Step: t.pos.Step, Index: t.pos.Index}
+}
+
+// place reserves room for the next run of a task, and records its start.
+func (c *Controller) place(t *task, s *session, number uint64) *attempt {
+	a := &attempt{
+		task: t, session: s, phase: attemptRecording,
+		run: Run{Workflow: t.flow.spec.ID, Task: t.number, Number: number},
+	}
+	if t.phase == taskReady {
+		t.flow.ready--
+	}
+	t.phase, t.attempt = taskOnWorker, a
+	s.add(a)
+	c.journal.starts = append(c.journal.starts, startRecord{a, state.TaskStart{
+		Workflow: a.run.Workflow, Task: t.number, Run: number, Worker: s.worker.ID,
+	}})
+	return a
+}
+
+// adopt takes over a started run that an earlier leader recorded.
+func (c *Controller) adopt(t *task, worker string) {
+	a := &attempt{
+		task: t, phase: attemptUnknown, since: c.now(), startedAt: c.now(),
+		run: Run{Workflow: t.flow.spec.ID, Task: t.number, Number: t.run},
+	}
+	t.phase, t.attempt = taskOnWorker, a
+	s := c.sessions[worker]
+	if s == nil {
+		s = c.openForgotten(worker)
+	}
+	s.add(a)
+}
+
+// send starts a recorded run.
+func (c *Controller) send(a *attempt) {
+	s := a.session
+	if a.stopping || s.gone || a.task.phase != taskOnWorker {
+		c.void(a, "stopped before it was sent")
+		return
+	}
+	a.phase, a.startedAt = attemptStarting, c.now()
+	call := StartCall{
+		Run: a.run, Position: a.position(), Payload: a.task.flow.spec.Payload, Fence: c.fence,
+		Lease: s.extendLease(c), Checkpoint: a.task.checkpoint, Ticket: a.ticket,
+	}
+	event.Log(c.opts.Logger, event.TaskPlaced, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
+		slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID), slog.Uint64("fence", c.fence),
+		slog.Int64("waited_ms", (a.startedAt-a.task.readyAt).Milliseconds()))
+	begin := a.startedAt
+	var err error
+	done := c.later(func() { c.startAnswered(a, begin, err) })
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
+		defer cancel()
+		err = s.api.Start(ctx, call)
+		done()
+	}()
+}
+
+func (c *Controller) startAnswered(a *attempt, begin time.Duration, err error) {
+	s := a.session
+	now := c.now()
+	c.metrics.start.Observe((now - begin).Seconds())
+	if a.phase != attemptStarting {
+		return
+	}
+	if err == nil {
+		s.answered(now)
+		a.since = now
+		a.phase = attemptRunning
+		if a.stopping {
+			a.phase = attemptStopping
+		}
+		return
+	}
+	reason := refusal(err)
+	if reason == 0 {
+		event.Log(c.opts.Logger, event.TaskStartUnknown, slog.String("workflow", a.run.Workflow),
+			slog.Int("task", a.run.Task), slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID),
+			slog.Any("error", err))
+		a.phase = attemptUnknown
+		s.failedCall(c, now)
+		c.stop(a, "the outcome of its start is unknown")
+		return
+	}
+	event.Log(c.opts.Logger, event.FleetStartRefused, slog.String("workflow", a.run.Workflow),
+		slog.Int("task", a.run.Task), slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID),
+		slog.String("reason", reason.String()))
+	c.metrics.refused(reason)
+	switch reason {
+	case RefusedRoom:
+		s.fullUntil = now + roomPause
+	case RefusedUnhealthy:
+		s.pauseUntil = now + unhealthyPause
+	case RefusedOtherLife:
+		c.loseSession(s, "another life has its address")
+		return
+	}
+	c.void(a, reason.String())
+}
+
+// void ends a run that never was or no longer is on its worker.
+func (c *Controller) void(a *attempt, reason string) {
+	c.end(a, state.OutcomeLost, "", reason)
+}
+
+// end records how a run ended. Its room is free at once; its task can start
+// again once the end is committed.
+func (c *Controller) end(a *attempt, outcome state.TaskOutcome, checkpoint, reason string) {
+	if a.phase == attemptEnded {
+		return
+	}
+	a.phase = attemptEnded
+	a.session.remove(a)
+	c.dirty = true
+	c.images.ended(a, outcome, c.now())
+	event.Log(c.opts.Logger, event.TaskEnded, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
+		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.String("reason", reason),
+		slog.Int("outcome", int(outcome)), slog.Int64("ran_ms", (c.now()-a.startedAt).Milliseconds()))
+	if outcome == state.OutcomeFailed {
+		if a.task.avoid == nil {
+			a.task.avoid = make(map[string]bool)
+		}
+		a.task.avoid[a.session.worker.ID] = true
+	}
+	c.journal.ends = append(c.journal.ends, state.TaskEnd{
+		Workflow: a.run.Workflow, Task: a.run.Task, Run: a.run.Number, Outcome: outcome, Checkpoint: checkpoint,
+	})
+}
+
+// dropAttempt forgets an attempt that the replicated state does not know.
+func (c *Controller) dropAttempt(a *attempt) {
+	if a == nil {
+		return
+	}
+	if a.phase != attemptEnded {
+		a.phase = attemptEnded
+		a.session.remove(a)
+	}
+	if a.task.attempt == a {
+		a.task.attempt = nil
+	}
+}
+
+// stop asks the worker to end a run. The end comes with a look.
+func (c *Controller) stop(a *attempt, reason string) {
+	if a.stopping || a.phase == attemptEnded {
+		return
+	}
+	a.stopping = true
+	event.Log(c.opts.Logger, event.TaskStopping, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
+		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.String("reason", reason))
+	if a.phase == attemptRecording {
+		return // send finds it
+	}
+	c.sendStop(a)
+}
+
+// sendStop repeats a stop until the worker answers or its lease has ended.
+func (c *Controller) sendStop(a *attempt) {
+	if a.calling || a.stopped || a.phase == attemptEnded || a.session.gone {
+		return
+	}
+	a.calling = true
+	call := StopCall{Run: a.run, Position: a.position(), Fence: c.fence}
+	s := a.session
+	var err error
+	done := c.later(func() { c.stopAnswered(a, err) })
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
+		defer cancel()
+		err = s.api.Stop(ctx, call)
+		done()
+	}()
+}
+
+func (c *Controller) stopAnswered(a *attempt, err error) {
+	a.calling = false
+	now := c.now()
+	if err != nil {
+		a.nextStop = now + stopRetry
+		if refusal(err) == RefusedOtherLife {
+			c.loseSession(a.session, "another life has its address")
+		}
+		return
+	}
+	a.session.answered(now)
+	a.stopped, a.since = true, now
+	if a.phase != attemptEnded {
+		a.phase = attemptStopping
+	}
+}
--- /dev/null
+++ b/fleet/client.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"apricotrouter/event"
+	"apricotrouter/transport"
+)
+
+const (
+	// attemptTimeout bounds one attempt at one instance. It covers a commit
+	// while the log's disks are several times slower than usual.
+	attemptTimeout = time.Second
+	// callPause is the pause after all known instances were tried, about a
+	// round trip between availability zones.
+	callPause = 30 * time.Millisecond
+	// answerReserve is what is kept of a client's deadline for the way back of
+	// the answer.
+	answerReserve = 100 * time.Millisecond
+)
+
+// ClientOptions configures a Client.
+type ClientOptions struct {
+	Peers transport.Peers
+	// Seeds returns the instances to ask while no other is known.
+	Seeds func() []string
+	// Leader returns the leader that this instance knows itself, or "".
+	Leader func() string
+	Logger *slog.Logger
+}
+
+// Client carries calls to the leader, wherever it is.
+type Client struct {
+	opts ClientOptions
+
+	mu      sync.Mutex
+	leader  string
+	members []string
+	reached bool
+}
+
+// NewClient returns a client that knows only its seeds.
+func NewClient(o ClientOptions) *Client {
+	if o.Leader == nil {
+		o.Leader = func() string { return "" }
+	}
+	return &Client{opts: o}
+}
+
+// Call carries out the request on the leader. The outcome is Unavailable if no
+// leader took the request before ctx ended, and Unknown if one may have.
+func (c *Client) Call(ctx context.Context, req *Request) *Response {
+	maybe := false
+	for {
+		for _, instance := range c.targets() {
+			resp, err := c.attempt(ctx, instance, req)
+			if err == nil && resp.Outcome != NotLeader {
+				if maybe && resp.Outcome == Refused {
+					resp.Outcome = Unknown
+				}
+				return resp
+			}
+			maybe = maybe || err != nil && !notSent(err)
+			if ctx.Err() != nil {
+				return c.gaveUp(maybe)
+			}
+		}
+		if sleep(ctx, callPause) != nil {
+			return c.gaveUp(maybe)
+		}
+	}
+}
+
+func (c *Client) gaveUp(maybe bool) *Response {
+	if maybe {
+		return &Response{Outcome: Unknown, Reason: "the leader did not answer in time"}
+	}
+	return &Response{Outcome: Unavailable, Reason: "no leader was found in time"}
+}
+
+func notSent(err error) bool {
+	return errors.Is(err, transport.ErrNotConnected) || errors.Is(err, transport.ErrQueueFull)
+}
+
+// attempt calls one instance and learns from its answer.
+func (c *Client) attempt(ctx context.Context, instance string, req *Request) (*Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	resp := new(Response)
+	err := c.opts.Peers.Call(ctx, instance, transport.KindFleet, req, resp)
+	c.learn(instance, resp, err)
+	return resp, err
+}
+
+func (c *Client) learn(instance string, resp *Response, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.reached
+	switch {
+	case err != nil:
+		if c.leader == instance {
+			c.leader, c.reached = "", false
+		}
+	case resp.Outcome == NotLeader:
+		if c.leader == instance || c.leader == "" {
+			c.leader, c.reached = resp.Leader, false
+		}
+	default:
+		c.leader, c.reached = instance, true
+	}
+	if len(resp.Members) > 0 {
+		c.members = resp.Members
+	}
+	if old == c.reached {
+		return
+	}
+	if c.reached {
+		event.Log(c.opts.Logger, event.FleetLeaderFound, slog.String("leader", instance))
+	} else {
+		event.Log(c.opts.Logger, event.FleetLeaderLost, slog.String("leader", instance), slog.Any("error", err))
+	}
+}
+
+// targets returns the instances to try: the leader if one is known, then all.
+func (c *Client) targets() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []string
+	add := func(instance string) {
+		if instance != "" && !slices.Contains(all, instance) {
+			all = append(all, instance)
+		}
+	}
+	add(c.leader)
+	add(c.opts.Leader())
+	for _, m := range c.members {
+		add(m)
+	}
+	for _, s := range c.opts.Seeds() {
+		add(s)
+	}
+	return all
+}
+
+// Reached reports whether the last call to the leader was answered.
+func (c *Client) Reached() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reached
+}
+
+// Watch calls the leader at intervals until ctx ends, so that Reached is
+// current and a new leader is known before a client's call needs it.
+func (c *Client) Watch(ctx context.Context, interval time.Duration) error {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, interval)
+		c.Call(attempt, &Request{Op: OpPing})
+		cancel()
+		if err := sleep(ctx, interval); err != nil {
+			return err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/fleet/controller.go
@@ -0,0 +1,246 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"apricotrouter/event"
+	"apricotrouter/replica"
+	"apricotrouter/state"
+)
+
+const (
+	// tickInterval is how often work that depends on time alone is done: well
+	// below the shortest lease, and below what a client notices.
+	tickInterval = 50 * time.Millisecond
+	// resyncInterval is how often the open workflows are compared with the
+	// replicated state, for submissions whose commit outlived their call.
+	resyncInterval = time.Second
+	// proposeTimeout bounds one proposal. It covers a commit while disks are
+	// many times slower than usual.
+	proposeTimeout = 3 * time.Second
+)
+
+// Limits are the bounds of the workers' platform.
+type Limits struct {
+	HoldMax   time.Duration // longest lease that a worker accepts
+	StopGrace time.Duration // longest time that a stop takes
+	DrainTime time.Duration // how long a draining worker goes on at least
+	Heartbeat time.Duration // interval of the workers' heartbeats
+	// RemoteFactor is how many times as long a step takes away from its rack.
+	RemoteFactor float64
+	// Restore is how long a run takes to resume from a checkpoint.
+	Restore time.Duration
+	// Impact is how long a serving task may be over its target because of a
+	// neighbour.
+	Impact time.Duration
+}
+
+// Options configures a Controller. Log and Dial are required.
+type Options struct {
+	Log        replica.Log
+	Dial       func(w state.PoolWorker) Worker
+	Limits     Limits
+	Clock      clockwork.Clock
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+}
+
+// Controller runs workflows while this instance leads. Its fields below "Of
+// the loop" belong to the goroutine of the loop alone.
+type Controller struct {
+	opts    Options
+	metrics *metrics
+	started time.Time
+	box     chan func()
+	ctx     context.Context // of Run
+
+	// Of the loop.
+	epoch    uint64 // leadership epoch in which the controller is active
+	fence    uint64 // its term
+	active   bool
+	takeover time.Duration // when it became active
+	nextSync time.Duration
+	dirty    bool // something changed that may let a task start
+	flows    map[string]*flow
+	sessions map[string]*session // by worker id
+	journal  journal
+	images   imageStats
+}
+
+// boxSize bounds the work that waits for the loop. Senders wait beyond it.
+const boxSize = 4096
+
+// New returns a controller that does nothing before Run.
+func New(o Options) *Controller {
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	return &Controller{
+		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), box: make(chan func(), boxSize),
+		images: newImageStats(),
+	}
+}
+
+// Run drives the controller until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.ctx = ctx
+	ticker := c.opts.Clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		changed := c.opts.Log.Changed()
+		c.followLeadership()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case f := <-c.box:
+			f()
+			c.drainBox()
+		case <-ticker.Chan():
+			c.tick()
+		case <-changed:
+		}
+		c.work()
+	}
+}
+
+// drainBox runs what has arrived meanwhile, so that it is worked on together.
+func (c *Controller) drainBox() {
+	for range boxSize {
+		select {
+		case f := <-c.box:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// post hands work to the loop.
+func (c *Controller) post(f func()) {
+	select {
+	case c.box <- f:
+	case <-c.ctx.Done():
+	}
+}
+
+// later returns a function that runs f in the loop if the controller is then
+// still active in the epoch of the call.
+func (c *Controller) later(f func()) func() {
+	epoch := c.epoch
+	return func() {
+		c.post(func() {
+			if c.active && c.epoch == epoch {
+				f()
+			}
+		})
+	}
+}
+
+// now returns the monotonic time since the start of the process.
+func (c *Controller) now() time.Duration { return c.opts.Clock.Since(c.started) }
+
+// leads reports whether this instance is the confirmed leader of the epoch.
+func (c *Controller) leads() bool {
+	l := c.opts.Log.Leadership()
+	return c.active && l.Self && l.Epoch == c.epoch
+}
+
+func (c *Controller) followLeadership() {
+	l := c.opts.Log.Leadership()
+	switch {
+	case l.Self && (!c.active || l.Epoch != c.epoch):
+		c.deactivate("leadership changed")
+		c.activate(l)
+	case c.active && !l.Self:
+		c.deactivate("no longer confirmed as the leader")
+	}
+}
+
+// activate takes the workflows and workers of the replicated state over.
+func (c *Controller) activate(l replica.Leadership) {
+	c.active, c.epoch, c.fence = true, l.Epoch, l.Term
+	c.takeover = c.now()
+	c.flows = make(map[string]*flow)
+	c.sessions = make(map[string]*session)
+	c.journal = journal{}
+	c.dirty = true
+	s := c.opts.Log.State()
+	for _, w := range s.PoolWorkers.All() {
+		c.openSession(*w, false)
+	}
+	c.sync(s)
+	event.Log(c.opts.Logger, event.FleetTookOver, slog.Uint64("fence", c.fence), slog.Uint64("applied", s.Index),
+		slog.Int("workers", len(c.sessions)), slog.Int("workflows", len(c.flows)))
+}
+
+func (c *Controller) deactivate(reason string) {
+	if !c.active {
+		return
+	}
+	c.active = false
+	for _, s := range c.sessions {
+		s.api.Close()
+	}
+	c.flows, c.sessions = nil, nil
+	event.Log(c.opts.Logger, event.FleetGaveUp, slog.Uint64("fence", c.fence), slog.String("reason", reason))
+}
+
+// restart reads the state again after a commit with an unknown outcome.
+func (c *Controller) restart(reason string) {
+	c.deactivate(reason)
+	if l := c.opts.Log.Leadership(); l.Self {
+		c.activate(l)
+	}
+}
+
+func (c *Controller) tick() {
+	if !c.active {
+		return
+	}
+	now := c.now()
+	if now >= c.nextSync {
+		c.nextSync = now + resyncInterval
+		c.sync(c.opts.Log.State())
+		c.dirty = true
+	}
+	for _, s := range c.sessions {
+		c.watchSession(s, now)
+	}
+	c.pace(now)
+}
+
+// work does what the last events made possible.
+func (c *Controller) work() {
+	if !c.active || !c.leads() {
+		return
+	}
+	if c.dirty && !c.journal.full() {
+		c.dirty = false
+		c.schedule()
+	}
+	c.commit()
+	for _, s := range c.sessions {
+		c.look(s)
+	}
+}
+
+// sync opens workflows that are new and closes those that have ended.
+func (c *Controller) sync(s *state.State) {
+	for id := range s.OpenWorkflows() {
+		if c.flows[id] == nil {
+			if w, ok := s.Workflows.Get(id); ok {
+				c.openFlow(w)
+			}
+		}
+	}
+	for id, f := range c.flows {
+		if w, ok := s.Workflows.Get(id); !ok || w.Phase.Ended() {
+			c.closeFlow(f, w)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/flow.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"log/slog"
+	"time"
+
+	"apricotrouter/event"
+	"apricotrouter/state"
+)
+
+// flow is the leader's view of an open workflow.
+type flow struct {
+	spec        *state.WorkflowSpec
+	queue       string
+	submittedAt int64 // Unix milliseconds
+	// deadline is when the workflow misses its objective, Unix milliseconds.
+	deadline int64
+	tasks    []*task
+	open     [][]int // tasks not done, by occurrence and step
+	ready    int     // tasks that wait for a worker
+	started  bool
+}
+
+// taskPhase is where a task is, as the leader sees it.
+type taskPhase uint8
+
+const (
+	taskBlocked taskPhase = iota // waits for other steps or for its time
+	taskReady
+	taskOnWorker // has an attempt
+	taskDone
+)
+
+// task is one task of an open workflow.
+type task struct {
+	flow       *flow
+	number     int
+	pos        state.TaskPosition
+	step       *state.WorkflowStep
+	phase      taskPhase
+	run        uint64 // number of the last run
+	failures   int
+	checkpoint string
+	attempt    *attempt
+	avoid      map[string]bool // workers on which a run failed
+	readyAt    time.Duration
+}
+
+// openFlow starts to run a workflow. Its started tasks stay with their workers
+// until these were looked at.
+func (c *Controller) openFlow(w *state.Workflow) {
+	spec := &w.Spec
+	f := &flow{spec: spec, queue: spec.Queue, submittedAt: w.SubmittedAt, started: w.Phase == state.WorkflowActive}
+	f.deadline = w.SubmittedAt + objectiveMillis(spec)
+	f.open = make([][]int, max(1, spec.Occurrences))
+	for k := range f.open {
+		f.open[k] = make([]int, len(spec.Steps))
+	}
+	f.tasks = make([]*task, len(w.Tasks))
+	for n := range w.Tasks {
+		t := &task{flow: f, number: n, pos: spec.Position(n)}
+		t.step = &spec.Steps[t.pos.Step]
+		f.tasks[n] = t
+		f.open[t.pos.Occurrence][t.pos.Step]++
+	}
+	c.flows[spec.ID] = f
+	for n := range w.Tasks {
+		c.refresh(f.tasks[n], &w.Tasks[n])
+	}
+	c.release(f)
+	c.dirty = true
+}
+
+// refresh takes over what the replicated state says of a task.
+func (c *Controller) refresh(t *task, r *state.WorkflowTask) {
+	t.run, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	switch r.Phase {
+	case state.TaskDone:
+		c.finish(t)
+	case state.TaskStarted:
+		if t.attempt != nil && t.attempt.run.Number == r.Run {
+			return
+		}
+		c.adopt(t, r.Worker)
+	case state.TaskWaiting:
+		if t.phase == taskOnWorker && (t.attempt == nil || t.attempt.run.Number <= r.Run) {
+			c.dropAttempt(t.attempt)
+			t.phase = taskBlocked
+		}
+	}
+}
+
+// finish notes that a task is done. Other runs of it are stopped.
+func (c *Controller) finish(t *task) {
+	if t.phase == taskDone {
+		return
+	}
+	if t.phase == taskReady {
+		t.flow.ready--
+	}
+	t.phase = taskDone
+	t.flow.open[t.pos.Occurrence][t.pos.Step]--
+	if a := t.attempt; a != nil {
+		c.stop(a, "the task is done")
+	}
+	c.release(t.flow)
+}
+
+// release makes the tasks ready whose steps are no longer blocked.
+func (c *Controller) release(f *flow) {
+	wall := c.opts.Clock.Now().UnixMilli()
+	for _, t := range f.tasks {
+		if t.phase != taskBlocked || !t.unblocked() || t.dueAt() > wall {
+			continue
+		}
+		t.phase, t.readyAt = taskReady, c.now()
+		f.ready++
+		c.dirty = true
+	}
+}
+
+// unblocked reports whether all steps that the task depends on are done.
+func (t *task) unblocked() bool {
+	for _, s := range t.step.DependsOn {
+		if t.flow.open[t.pos.Occurrence][s] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// dueAt returns when the task's occurrence may start, Unix milliseconds.
+func (t *task) dueAt() int64 {
+	if t.flow.spec.Occurrences == 0 {
+		return 0
+	}
+	return t.flow.spec.FirstAtMillis + int64(t.pos.Occurrence)*t.flow.spec.IntervalMillis
+}
+
+// closeFlow stops what still runs of a workflow that has ended.
+func (c *Controller) closeFlow(f *flow, w *state.Workflow) {
+	delete(c.flows, f.spec.ID)
+	for _, t := range f.tasks {
+		t.phase = taskDone
+		if t.attempt != nil {
+			c.stop(t.attempt, "the workflow has ended")
+		}
+	}
+	c.dirty = true
+	if w == nil {
+		return
+	}
+	took := w.EndedAt - w.SubmittedAt
+	c.metrics.ended(w.Phase, took, f.deadline-f.submittedAt)
+	event.Log(c.opts.Logger, event.WorkflowEnded, slog.String("workflow", f.spec.ID), slog.String("queue", f.queue),
+		slog.String("phase", string(w.Phase)), slog.Int64("took_ms", took),
+		slog.Int64("objective_ms", f.deadline-f.submittedAt))
+}
+
+// objectiveMillis returns how long a workflow may take: the stretch allowed
+// for its longest chain of estimated work, and the queue's fixed allowance.
+func objectiveMillis(spec *state.WorkflowSpec) int64 {
+	return int64(spec.Stretch*float64(chainMillis(spec))) + spec.ObjectiveMillis
+}
+
+// chainMillis returns the longest chain of estimated work.
+func chainMillis(spec *state.WorkflowSpec) int64 {
+	longest := int64(0)
+	ends := make([]int64, len(spec.Steps))
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
+		var begin int64
+		for _, d := range s.DependsOn {
+			begin = max(begin, ends[d])
+		}
+		ends[i] = begin + s.EstimateMillis
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- /dev/null
+++ b/fleet/journal.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"context"
+
+	"apricotrouter/state"
+)
+
+const (
+	// maxStartsPerCommit bounds the starts in one log entry, so that one entry
+	// stays far below the size limit of commands.
+	maxStartsPerCommit = 512
+)
+
+// startRecord is a start to be committed and then sent.
+type startRecord struct {
+	attempt *attempt
+	start   state.TaskStart
+}
+
+// journal collects what the next log entry records. One entry is in flight at
+// a time: what comes meanwhile goes into the next.
+type journal struct {
+	ends     []state.TaskEnd
+	starts   []startRecord
+	after    []func() // run once the entry is committed
+	inFlight bool
+}
+
+func (j *journal) full() bool { return len(j.starts) >= maxStartsPerCommit }
+
+func (j *journal) empty() bool { return len(j.ends) == 0 && len(j.starts) == 0 && len(j.after) == 0 }
+
+// commit proposes what the journal holds.
+func (c *Controller) commit() {
+	if c.journal.inFlight || c.journal.empty() {
+		return
+	}
+	batch := c.journal
+	c.journal = journal{inFlight: true}
+	body := state.RecordTasks{Ends: batch.ends}
+	for _, s := range batch.starts {
+		body.Starts = append(body.Starts, s.start)
+	}
+	var err error
+	done := c.later(func() { c.committed(batch, err) })
+	begin := c.now()
+	go func() {
+		if len(body.Ends) > 0 || len(body.Starts) > 0 {
+			err = c.propose(state.NewCommand(body))
+		}
+		c.metrics.commit.Observe((c.now() - begin).Seconds())
+		done()
+	}()
+}
+
+func (c *Controller) propose(cmd state.Command) error {
+	ctx, cancel := context.WithTimeout(c.ctx, proposeTimeout)
+	defer cancel()
+	_, err := c.opts.Log.Propose(ctx, cmd)
+	return err
+}
+
+// committed sends the starts of a batch and frees the tasks of its ends.
+func (c *Controller) committed(batch journal, err error) {
+	c.journal.inFlight = false
+	if err != nil {
+		c.restart("outcome of a commit is unknown: " + err.Error())
+		return
+	}
+	s := c.opts.Log.State()
+	for _, e := range batch.ends {
+		c.endCommitted(s, e)
+	}
+	for _, r := range batch.starts {
+		c.startCommitted(s, r)
+	}
+	for _, f := range batch.after {
+		f()
+	}
+	c.dirty = true
+}
+
+// endCommitted follows what the state made of an end.
+func (c *Controller) endCommitted(s *state.State, e state.TaskEnd) {
+	f := c.flows[e.Workflow]
+	if f == nil {
+		return
+	}
+	w, ok := s.Workflows.Get(e.Workflow)
+	if !ok || w.Phase.Ended() {
+		c.closeFlow(f, w)
+		return
+	}
+	p := f.spec.Position(e.Task)
+	first, count := e.Task, 1
+	if f.spec.Steps[p.Step].Gang {
+		first, count = f.spec.FirstTask(p.Occurrence, p.Step), f.spec.Steps[p.Step].Count
+	}
+	for n := first; n < first+count; n++ {
+		c.refresh(f.tasks[n], &w.Tasks[n])
+	}
+	c.release(f)
+}
+
+// startCommitted sends a start if the state took it.
+func (c *Controller) startCommitted(s *state.State, r startRecord) {
+	a := r.attempt
+	if a.phase != attemptRecording {
+		return
+	}
+	w, ok := s.Workflows.Get(r.start.Workflow)
+	taken := ok && !w.Phase.Ended() && w.Tasks[r.start.Task].Phase == state.TaskStarted &&
+		w.Tasks[r.start.Task].Run == r.start.Run
+	if !taken {
+		c.dropAttempt(a)
+		if a.task.phase == taskOnWorker {
+			a.task.phase = taskBlocked
+		}
+		if f := c.flows[r.start.Workflow]; f != nil && ok && !w.Phase.Ended() {
+			c.refresh(a.task, &w.Tasks[r.start.Task])
+			c.release(f)
+		}
+		return
+	}
+	a.task.run = r.start.Run
+	c.send(a)
+}
--- /dev/null
+++ b/fleet/message.go
@@ -0,0 +1,85 @@
+package fleet
+
+import "apricotrouter/state"
+
+// Op is what a call asks the leader to do.
+type Op uint8
+
+// Operations. Numbers are part of the protocol between instances.
+const (
+	OpPing       Op = iota + 1
+	OpSubmit        // Host, Path, Workflow
+	OpStatus        // Host, Path
+	OpCancel        // Host, Path
+	OpSetQueues     // Queues
+	OpReadQueues    //
+	OpSetZone       // Zone, Out
+	OpHeartbeat     // Beat
+	OpWorkerLeft    // Beat.Worker.ID
+	OpStartWave     // Wave
+	OpReadWave      // Wave.Number
+)
+
+var opNames = [...]string{
+	"", "ping", "submit", "status", "cancel", "set-queues", "read-queues",
+	"set-zone", "heartbeat", "worker-left", "start-wave", "read-wave",
+}
+
+// String returns the name of the operation as in logs.
+func (o Op) String() string { return opNames[o] }
+
+// Heartbeat is a worker's report about itself.
+type Heartbeat struct {
+	Worker   state.PoolWorker `cbor:"1,keyasint"`
+	Sequence uint64           `cbor:"2,keyasint"`
+	// Clock is the reading of the worker's clock when it sent the report.
+	Clock int64 `cbor:"3,keyasint"`
+	// RemainingMillis is the time left to a draining worker, at least.
+	RemainingMillis int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Request is a call to the leader. All operations may be repeated.
+type Request struct {
+	Op       Op                  `cbor:"1,keyasint"`
+	Host     string              `cbor:"2,keyasint,omitempty"`
+	Path     string              `cbor:"3,keyasint,omitempty"`
+	Workflow *state.WorkflowSpec `cbor:"4,keyasint,omitempty"`
+	Queues   *state.QueueConfig  `cbor:"5,keyasint,omitempty"`
+	Zone     string              `cbor:"6,keyasint,omitempty"`
+	Out      bool                `cbor:"7,keyasint,omitempty"`
+	Beat     *Heartbeat          `cbor:"8,keyasint,omitempty"`
+	// RequestID identifies the client's call in the logs of all instances.
+	RequestID string `cbor:"9,keyasint,omitempty"`
+}
+
+// Outcome is the result of a call.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Done        Outcome = iota + 1
+	Refused             // not carried out and never will be; RetryAfterMillis says when to come back
+	NotFound            // no such queue
+	Gone                // no such workflow
+	Invalid             // malformed; Reason says why
+	Unavailable         // not carried out: no leader or no configuration yet
+	NotLeader           // not carried out here; Leader may name the leader
+	Unknown             // may have been carried out
+)
+
+var outcomeNames = [...]string{"", "done", "refused", "not-found", "gone", "invalid", "unavailable", "not-leader", "unknown"}
+
+// String returns the name of the outcome as in logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Response answers a Request.
+type Response struct {
+	Outcome          Outcome             `cbor:"1,keyasint"`
+	Reason           string              `cbor:"2,keyasint,omitempty"`
+	RetryAfterMillis int64               `cbor:"3,keyasint,omitempty"`
+	Leader           string              `cbor:"4,keyasint,omitempty"`
+	Members          []string            `cbor:"5,keyasint,omitempty"` // of the control group
+	Phase            state.WorkflowPhase `cbor:"6,keyasint,omitempty"`
+	Pending          *int                `cbor:"7,keyasint,omitempty"`
+	Source           []byte              `cbor:"8,keyasint,omitempty"` // of the configuration
+}
--- /dev/null
+++ b/fleet/metrics.go
@@ -0,0 +1,55 @@
+package fleet
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"apricotrouter/state"
+)
+
+// metrics of the controller and the service.
+type metrics struct {
+	looks    prometheus.Counter
+	start    prometheus.Histogram
+	commit   prometheus.Histogram
+	refusals *prometheus.CounterVec
+	took     *prometheus.HistogramVec
+	calls    *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		looks: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_looks_total", Help: "Looks at workers.",
+		}),
+		start: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "apricotrouter_fleet_start_seconds", Help: "Time until a worker answered a start.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+		}),
+		commit: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "apricotrouter_fleet_commit_seconds", Help: "Time until starts and ends of tasks were committed.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+		}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_start_refusals_total", Help: "Starts that workers refused, by reason.",
+		}, []string{"reason"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "apricotrouter_fleet_workflow_objective_ratio", Help: "Time that workflows took, as a share of their objective, by phase.",
+			Buckets: []float64{0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5},
+		}, []string{"phase"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_calls_total", Help: "Calls to the leader, by operation and outcome.",
+		}, []string{"operation", "outcome"}),
+	}
+	if r != nil {
+		r.MustRegister(m.looks, m.start, m.commit, m.refusals, m.took, m.calls)
+	}
+	return m
+}
+
+func (m *metrics) refused(r RefusalReason) { m.refusals.WithLabelValues(r.String()).Inc() }
+
+func (m *metrics) ended(phase state.WorkflowPhase, took, objective int64) {
+	if objective > 0 {
+		m.took.WithLabelValues(string(phase)).Observe(float64(took) / float64(objective))
+	}
+}
--- /dev/null
+++ b/fleet/schedule.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"apricotrouter/placement"
+	"apricotrouter/state"
+)
+
+// servingUse is the share of its reserved processors that a serving task is
+// assumed to use, in percent.
+const servingUse = 60
+
+// pool is the rooms of one pool during one round of placement.
+type pool struct {
+	sessions []*session
+	rooms    []*placement.PoolRoom
+}
+
+// schedule places ready tasks: queues by priority, then workflows by deadline.
+func (c *Controller) schedule() {
+	now := c.now()
+	var waiting []*flow
+	for _, f := range c.flows {
+		c.release(f)
+		if f.ready > 0 {
+			waiting = append(waiting, f)
+		}
+	}
+	if len(waiting) == 0 {
+		return
+	}
+	slices.SortFunc(waiting, func(a, b *flow) int {
+		return cmp.Or(cmp.Compare(a.spec.Priority, b.spec.Priority), cmp.Compare(a.deadline, b.deadline),
+			cmp.Compare(a.spec.ID, b.spec.ID))
+	})
+	pools := c.pools(now)
+	for _, f := range waiting {
+		if c.journal.full() {
+			c.dirty = true
+			return
+		}
+		if p := pools[f.spec.Pool]; p != nil {
+			c.placeFlow(f, p)
+		}
+	}
+}
+
+// pools returns the usable workers by pool, in the order of their ids.
+func (c *Controller) pools(now time.Duration) map[string]*pool {
+	s := c.opts.Log.State()
+	all := make(map[string]*pool)
+	for _, w := range c.sortedSessions() {
+		if !w.usable(c, now) || s.ZoneEvacuated(w.worker.Zone) {
+			continue
+		}
+		p := all[w.worker.Pool]
+		if p == nil {
+			p = new(pool)
+			all[w.worker.Pool] = p
+		}
+		p.sessions = append(p.sessions, w)
+		p.rooms = append(p.rooms, w.room())
+	}
+	return all
+}
+
+func (c *Controller) sortedSessions() []*session {
+	all := make([]*session, 0, len(c.sessions))
+	for _, s := range c.sessions {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b *session) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
+	return all
+}
+
+// room returns what the worker has left.
+func (s *session) room() *placement.PoolRoom {
+	r := &placement.PoolRoom{
+		Zone: s.worker.Zone, Labels: s.worker.Labels, Capacity: s.worker.Capacity, Free: s.free(),
+		IdleCPU: s.worker.Capacity.MilliCPU,
+	}
+	for _, a := range s.attempts {
+		step := a.task.step
+		use := step.Size.MilliCPU
+		if step.LongRunning {
+			r.Serving++
+			use = use * servingUse / 100
+		}
+		if step.Leftover {
+			r.Leftover++
+		}
+		r.IdleCPU -= use
+	}
+	return r
+}
+
+// placeFlow places the ready tasks of a workflow. Tasks of a step are equal:
+// when one finds no room, neither do the others.
+func (c *Controller) placeFlow(f *flow, p *pool) {
+	var fullStep, fullOccurrence = -1, -1
+	for _, t := range f.tasks {
+		if t.phase != taskReady || t.pos.Step == fullStep && t.pos.Occurrence == fullOccurrence {
+			continue
+		}
+		if t.step.Gang {
+			c.placeGang(t, p)
+			continue
+		}
+		i := placement.ChooseRoom(p.rooms, c.poolTask(t, p))
+		if i < 0 {
+			fullStep, fullOccurrence = t.pos.Step, t.pos.Occurrence
+			continue
+		}
+		p.rooms[i].Take(t.step)
+		c.place(t, p.sessions[i], t.run+1)
+	}
+}
+
+func (c *Controller) poolTask(t *task, p *pool) placement.PoolTask {
+	limit := t.step.MaxPerWorker
+	if limit == 0 && len(t.avoid) == 0 {
+		return placement.PoolTask{Step: t.step}
+	}
+	onWorker := make(map[*session]int)
+	first := t.flow.spec.FirstTask(t.pos.Occurrence, t.pos.Step)
+	for _, other := range t.flow.tasks[first : first+t.step.Count] {
+		if other.attempt != nil && other.attempt.phase != attemptEnded {
+			onWorker[other.attempt.session]++
+		}
+	}
+	avoid := t.avoid
+	if len(avoid)*2 >= len(p.sessions) {
+		avoid = nil // it failed nearly everywhere: the task itself is at fault
+	}
+	return placement.PoolTask{Step: t.step, Excluded: func(i int) bool {
+		s := p.sessions[i]
+		return limit > 0 && onWorker[s] >= limit || avoid[s.worker.ID]
+	}}
+}
+
+// placeGang places all tasks of a gang, or none. They share the run number.
+func (c *Controller) placeGang(t *task, p *pool) {
+	f := t.flow
+	first := f.spec.FirstTask(t.pos.Occurrence, t.pos.Step)
+	members := f.tasks[first : first+t.step.Count]
+	var number uint64
+	for _, m := range members {
+		if m.phase != taskReady {
+			return
+		}
+		number = max(number, m.run+1)
+	}
+	for _, rack := range gangRacks(t.step, p) {
+		if chosen := chooseGang(t.step, len(members), p.rooms, rack); chosen != nil {
+			for i, m := range members {
+				p.rooms[chosen[i]].Take(m.step)
+				c.place(m, p.sessions[chosen[i]], number)
+			}
+			return
+		}
+	}
+}
+
+// gangRacks returns the labels to which a gang is confined, in the order in
+// which they are tried; "" is no confinement.
+func gangRacks(s *state.WorkflowStep, p *pool) []string {
+	if !s.SameRack {
+		return []string{""}
+	}
+	seen := make(map[string]bool)
+	var racks []string
+	for _, r := range p.rooms {
+		for _, l := range r.Labels {
+			if !seen[l] && l != s.Label {
+				seen[l] = true
+				racks = append(racks, l)
+			}
+		}
+	}
+	slices.Sort(racks)
+	return append(racks, "")
+}
+
+// chooseGang returns a room for each member of a gang, or nil.
+func chooseGang(s *state.WorkflowStep, members int, rooms []*placement.PoolRoom, label string) []int {
+	trial := make([]*placement.PoolRoom, len(rooms))
+	for i, r := range rooms {
+		if label == "" || slices.Contains(r.Labels, label) {
+			room := *r
+			trial[i] = &room
+		}
+	}
+	onRoom := make(map[int]int)
+	task := placement.PoolTask{Step: s, Excluded: func(i int) bool { return s.MaxPerWorker > 0 && onRoom[i] >= s.MaxPerWorker }}
+	chosen := make([]int, 0, members)
+	for range members {
+		i := placement.ChooseRoom(trial, task)
+		if i < 0 {
+			return nil
+		}
+		trial[i].Take(s)
+		onRoom[i]++
+		chosen = append(chosen, i)
+	}
+	return chosen
+}
--- /dev/null
+++ b/fleet/service.go
@@ -0,0 +1,255 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"regexp"
+	"strings"
+
+	"apricotrouter/event"
+	"apricotrouter/replica"
+	"apricotrouter/state"
+	"apricotrouter/transport"
+)
+
+// Group is what the service needs of the control group besides the log.
+type Group interface {
+	replica.Log
+	// Confirm returns once this instance leads for certain and has applied
+	// every change that was committed before the call.
+	Confirm(ctx context.Context) error
+	// Members returns the instances of the control group's voters.
+	Members() []string
+}
+
+// Service carries out calls on the leader.
+type Service struct {
+	group      Group
+	controller *Controller
+	logger     *slog.Logger
+	metrics    *metrics
+}
+
+// NewService registers the handler of calls from other instances.
+func NewService(g Group, c *Controller, mux *transport.Mux, logger *slog.Logger) *Service {
+	s := &Service{group: g, controller: c, logger: logger, metrics: c.metrics}
+	transport.OnCall(mux, transport.KindFleet, func(ctx context.Context, from string, req *Request) (*Response, error) {
+		return s.handle(ctx, from, req), nil
+	})
+	return s
+}
+
+func (s *Service) handle(ctx context.Context, from string, req *Request) *Response {
+	if int(req.Op) >= len(opNames) || req.Op == 0 {
+		return &Response{Outcome: Invalid, Reason: "unknown operation"}
+	}
+	l := s.group.Leadership()
+	if !l.Self {
+		resp := &Response{Outcome: NotLeader, Members: s.group.Members()}
+		if l.Leader != from {
+			resp.Leader = l.Leader
+		}
+		return resp
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	resp := s.carryOut(ctx, req)
+	s.metrics.calls.WithLabelValues(req.Op.String(), resp.Outcome.String()).Inc()
+	return resp
+}
+
+func (s *Service) carryOut(ctx context.Context, req *Request) *Response {
+	switch req.Op {
+	case OpPing:
+		return &Response{Outcome: Done, Members: s.group.Members()}
+	case OpSubmit, OpStatus, OpCancel:
+		return s.workflow(ctx, req)
+	case OpSetQueues:
+		return s.setQueues(ctx, req.Queues)
+	case OpReadQueues:
+		return s.readQueues(ctx)
+	case OpSetZone:
+		return s.setZone(ctx, req.Zone, req.Out)
+	case OpHeartbeat:
+		return s.heartbeat(ctx, req.Beat)
+	case OpWorkerLeft:
+		s.controller.post(func() {
+			if s.controller.active {
+				s.controller.workerLeft(req.Beat.Worker.ID)
+			}
+		})
+		return &Response{Outcome: Done}
+	}
+	return &Response{Outcome: Invalid, Reason: "operation " + req.Op.String() + " is not supported"}
+}
+
+// idPattern is the form of the ids that clients choose for workflows.
+var idPattern = regexp.MustCompile(`^[0-9a-f]{16}$`)
+
+// route returns the queue with the longest matching prefix, and the rest of
+// the path.
+func route(c *state.QueueConfig, host, path string) (*state.WorkflowQueue, string) {
+	var best *state.WorkflowQueue
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if strings.EqualFold(q.Host, host) && strings.HasPrefix(path, q.PathPrefix) &&
+			(best == nil || len(q.PathPrefix) > len(best.PathPrefix)) {
+			best = q
+		}
+	}
+	if best == nil {
+		return nil, ""
+	}
+	return best, path[len(best.PathPrefix):]
+}
+
+func (s *Service) workflow(ctx context.Context, req *Request) *Response {
+	st := s.group.State()
+	if st.Queues == nil {
+		return &Response{Outcome: Unavailable, Reason: "no configuration yet"}
+	}
+	q, id := route(st.Queues, req.Host, req.Path)
+	if q == nil {
+		return &Response{Outcome: NotFound, Reason: "no queue for this host and path"}
+	}
+	if id == "" && req.Op == OpStatus {
+		pending := s.pending(st, q.Name)
+		return &Response{Outcome: Done, Pending: &pending}
+	}
+	if !idPattern.MatchString(id) {
+		return &Response{Outcome: Invalid, Reason: "the id of a workflow has 16 hexadecimal digits"}
+	}
+	switch req.Op {
+	case OpSubmit:
+		return s.submit(ctx, st, q, id, req)
+	case OpCancel:
+		return s.cancel(ctx, id)
+	}
+	w, ok := st.Workflows.Get(id)
+	if ok {
+		return &Response{Outcome: Done, Phase: w.Phase}
+	}
+	if err := s.group.Confirm(ctx); err != nil {
+		return &Response{Outcome: Unavailable, Reason: err.Error()}
+	}
+	if w, ok = s.group.State().Workflows.Get(id); ok {
+		return &Response{Outcome: Done, Phase: w.Phase}
+	}
+	return &Response{Outcome: Gone}
+}
+
+// pending counts the workflows of a queue for which nothing has started.
+func (s *Service) pending(st *state.State, queue string) int {
+	n := 0
+	for id := range st.OpenWorkflows() {
+		if w, ok := st.Workflows.Get(id); ok && w.Spec.Queue == queue && w.Phase == state.WorkflowQueued {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Service) submit(ctx context.Context, st *state.State, q *state.WorkflowQueue, id string, req *Request) *Response {
+	if _, ok := st.Workflows.Get(id); ok {
+		return &Response{Outcome: Done}
+	}
+	if req.Workflow == nil {
+		return &Response{Outcome: Invalid, Reason: "no workflow"}
+	}
+	spec := *req.Workflow
+	spec.ID, spec.Queue, spec.Pool, spec.Priority = id, q.Name, q.Pool, q.Priority
+	spec.MaxAttempts, spec.Stretch, spec.ObjectiveMillis = q.MaxAttempts, q.Stretch, q.ObjectiveMillis
+	if err := CheckWorkflow(&spec); err != nil {
+		return &Response{Outcome: Invalid, Reason: err.Error()}
+	}
+	result, err := s.group.Propose(ctx, state.NewCommand(state.SubmitWorkflow{Spec: spec}))
+	if err != nil {
+		return &Response{Outcome: Unknown, Reason: err.Error()}
+	}
+	if result.Code != state.CodeOK {
+		return &Response{Outcome: Invalid, Reason: result.Message}
+	}
+	event.Log(s.logger, event.WorkflowAccepted, slog.String("workflow", id), slog.String("request", req.RequestID),
+		slog.String("queue", q.Name), slog.Uint64("config_version", st.Queues.Version), slog.Int("tasks", spec.Width()),
+		slog.Int64("objective_ms", objectiveMillis(&spec)), slog.Uint64("index", result.Index))
+	s.resync()
+	return &Response{Outcome: Done}
+}
+
+// resync lets the controller see a change at once.
+func (s *Service) resync() {
+	s.controller.post(func() {
+		if s.controller.active {
+			s.controller.sync(s.group.State())
+		}
+	})
+}
+
+func (s *Service) cancel(ctx context.Context, id string) *Response {
+	result, err := s.group.Propose(ctx, state.NewCommand(state.CancelWorkflow{ID: id}))
+	switch {
+	case err != nil:
+		return &Response{Outcome: Unknown, Reason: err.Error()}
+	case result.Code == state.CodeNotFound:
+		return &Response{Outcome: Gone}
+	}
+	s.resync()
+	return &Response{Outcome: Done}
+}
+
+func (s *Service) setQueues(ctx context.Context, cfg *state.QueueConfig) *Response {
+	if cfg == nil {
+		return &Response{Outcome: Invalid, Reason: "no configuration"}
+	}
+	if err := CheckQueues(cfg); err != nil {
+		return &Response{Outcome: Invalid, Reason: err.Error()}
+	}
+	result, err := s.group.Propose(ctx, state.NewCommand(state.SetQueues{Config: *cfg}))
+	if err != nil {
+		return &Response{Outcome: Unknown, Reason: err.Error()}
+	}
+	event.Log(s.logger, event.QueuesChanged, slog.Uint64("version", cfg.Version), slog.String("code", string(result.Code)),
+		slog.Uint64("current", max(result.Current, cfg.Version)), slog.Int("queues", len(cfg.Queues)))
+	s.resync()
+	return &Response{Outcome: Done}
+}
+
+func (s *Service) readQueues(ctx context.Context) *Response {
+	if err := s.group.Confirm(ctx); err != nil {
+		return &Response{Outcome: Unavailable, Reason: err.Error()}
+	}
+	cfg := s.group.State().Queues
+	if cfg == nil {
+		return &Response{Outcome: Unavailable, Reason: "no configuration yet"}
+	}
+	return &Response{Outcome: Done, Source: cfg.Source}
+}
+
+func (s *Service) setZone(ctx context.Context, zone string, out bool) *Response {
+	_, err := s.group.Propose(ctx, state.NewCommand(state.SetEvacuation{Zone: zone, Out: out}))
+	if err != nil {
+		return &Response{Outcome: Unknown, Reason: err.Error()}
+	}
+	event.Log(s.logger, event.ZoneEvacuation, slog.String("zone", zone), slog.Bool("out", out))
+	return &Response{Outcome: Done}
+}
+
+func (s *Service) heartbeat(ctx context.Context, b *Heartbeat) *Response {
+	if b == nil || b.Worker.ID == "" || b.Worker.Address == "" {
+		return &Response{Outcome: Invalid, Reason: "a heartbeat names id and address of its worker"}
+	}
+	answer := make(chan Outcome, 1)
+	s.controller.post(func() {
+		if !s.controller.active {
+			answer <- NotLeader
+			return
+		}
+		s.controller.heartbeat(b, func(o Outcome) { answer <- o })
+	})
+	select {
+	case o := <-answer:
+		return &Response{Outcome: o}
+	case <-ctx.Done():
+		return &Response{Outcome: Unknown, Reason: ctx.Err().Error()}
+	}
+}
--- /dev/null
+++ b/fleet/session.go
@@ -0,0 +1,448 @@
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"apricotrouter/event"
+	"apricotrouter/state"
+)
+
+const (
+	// lookWait is how long an answer to a look waits for an end. It leaves
+	// several looks within one lease.
+	lookWait = time.Second
+	// lookRetry is the pause before a look without an answer is repeated.
+	lookRetry = 200 * time.Millisecond
+	// lookGap keeps the looks at one worker apart, so that ends that come
+	// close together are taken note of together.
+	lookGap = 20 * time.Millisecond
+	// roomPause keeps tasks off a worker that had no room although it should.
+	roomPause = 300 * time.Millisecond
+	// unhealthyPause keeps tasks off a worker that takes nothing.
+	unhealthyPause = 2 * time.Second
+	// leaseSlack covers workers' clocks that are 2% slow, and the way of the
+	// last extension to the worker.
+	leaseSlack     = 1.05
+	leaseAllowance = 500 * time.Millisecond
+	// leaveDelay is how long a worker that said that it leaves may take to end.
+	leaveDelay = 500 * time.Millisecond
+	// missedHeartbeats is after how many intervals without a heartbeat nothing
+	// is placed on a worker.
+	missedHeartbeats = 4
+	// forgetHeartbeats is after how many a silent worker without runs is forgotten.
+	forgetHeartbeats = 15
+	// maxReportedEnds is how many ends one answer to a look holds.
+	maxReportedEnds = 500
+)
+
+// runKey identifies a run on a worker.
+type runKey struct {
+	TaskPosition
+	number uint64
+}
+
+// session is the leader's view of one life of a worker.
+type session struct {
+	worker   state.PoolWorker
+	api      Worker
+	attempts map[runKey]*attempt
+	used     state.Resources
+	strays   map[runKey]time.Duration // runs that nobody should have, by the time of their last stop
+
+	contacted bool // looked at in this term, so that all its runs are known
+	gone      bool
+	looking   bool
+	ackWaits  bool // ends are being committed
+	nextLook  time.Duration
+	lastLook  time.Duration // when the last answered look began
+	silent    bool
+	leaseEnd  time.Duration // when its lease has ended if it is not extended
+
+	clock   int64         // reading of its clock
+	clockAt time.Duration // when the reading arrived
+
+	acked     uint64 // last end that it may forget
+	reported  uint64 // last end that is committed or being committed
+	unacked   bool   // acked is not known to the worker yet
+	sequence  uint64 // of the last heartbeat
+	lastBeat  time.Duration
+	drainEnd  time.Duration // when a draining worker may end
+	leaveAt   time.Duration // when a worker that left is given up; 0 if it did not
+	fullUntil time.Duration
+	// pauseUntil keeps tasks off a worker for another reason than room.
+	pauseUntil time.Duration
+	failures   failureWindow
+}
+
+func newSession(w state.PoolWorker, api Worker) *session {
+	return &session{
+		worker: w, api: api, attempts: make(map[runKey]*attempt), strays: make(map[runKey]time.Duration),
+	}
+}
+
+// openSession begins to hold a worker. A fresh worker is one that no earlier
+// leader knew, so that nothing runs there.
+func (c *Controller) openSession(w state.PoolWorker, fresh bool) *session {
+	s := newSession(w, c.opts.Dial(w))
+	now := c.now()
+	s.contacted, s.lastBeat = fresh, now
+	s.leaseEnd = now + c.fullLease()
+	c.sessions[w.ID] = s
+	c.dirty = true
+	return s
+}
+
+// openForgotten stands for a worker that is no longer known and may still have
+// runs until its lease has ended.
+func (c *Controller) openForgotten(id string) *session {
+	s := newSession(state.PoolWorker{ID: id}, unreachable{})
+	s.silent = true
+	s.leaseEnd = c.now() + c.fullLease()
+	c.sessions[id] = s
+	return s
+}
+
+// fullLease is how long after its last extension a lease has surely ended.
+func (c *Controller) fullLease() time.Duration {
+	return time.Duration(float64(c.opts.Limits.HoldMax)*leaseSlack) + leaseAllowance
+}
+
+func (s *session) key(a *attempt) runKey { return runKey{a.position(), a.run.Number} }
+
+func (s *session) add(a *attempt) {
+	a.session = s
+	s.attempts[s.key(a)] = a
+	s.used = s.used.Add(a.reserves())
+}
+
+func (s *session) remove(a *attempt) {
+	if s.attempts[s.key(a)] == a {
+		delete(s.attempts, s.key(a))
+		s.used = s.used.Sub(a.reserves())
+	}
+}
+
+// free returns the room that no run holds.
+func (s *session) free() state.Resources { return s.worker.Capacity.Sub(s.used) }
+
+// clockNow returns an estimate of the reading of the worker's clock.
+func (s *session) clockNow(now time.Duration) int64 {
+	return s.clock + (now - s.clockAt).Milliseconds()
+}
+
+// extendLease returns the lease to name in a call that is sent now.
+func (s *session) extendLease(c *Controller) int64 {
+	now := c.now()
+	s.leaseEnd = now + c.fullLease()
+	return s.clockNow(now) + c.opts.Limits.HoldMax.Milliseconds()
+}
+
+// answered notes that the worker answers.
+func (s *session) answered(time.Duration) { s.silent = false }
+
+// failedCall notes a call without an answer.
+func (s *session) failedCall(c *Controller, now time.Duration) {
+	s.nextLook = now + lookRetry
+	if s.silent {
+		return
+	}
+	s.silent = true
+	event.Log(c.opts.Logger, event.WorkerSilent, slog.String("worker", s.worker.ID),
+		slog.Int("runs", len(s.attempts)), slog.Int64("lease_left_ms", (s.leaseEnd-now).Milliseconds()))
+}
+
+// usable reports whether tasks may be placed on the worker.
+func (s *session) usable(c *Controller, now time.Duration) bool {
+	late := now-s.lastBeat > missedHeartbeats*c.opts.Limits.Heartbeat
+	return s.contacted && !s.gone && !s.silent && !s.worker.Draining && s.leaveAt == 0 && !late &&
+		now >= s.pauseUntil && now >= s.fullUntil && len(s.strays) == 0
+}
+
+// look sends a look if the worker has anything to tell.
+func (c *Controller) look(s *session) {
+	now := c.now()
+	needed := !s.contacted || len(s.attempts) > 0 || len(s.strays) > 0 || s.unacked
+	if s.gone || s.looking || s.ackWaits || !needed || now < s.nextLook {
+		return
+	}
+	s.looking = true
+	call := LookCall{Fence: c.fence, Acknowledged: s.acked, WaitMillis: s.lookWait().Milliseconds()}
+	if s.contacted {
+		call.Lease = s.extendLease(c)
+	}
+	var report *Report
+	var err error
+	done := c.later(func() { c.looked(s, now, call, report, err) })
+	timeout := startTimeout + time.Duration(call.WaitMillis)*time.Millisecond
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, timeout)
+		defer cancel()
+		report, err = s.api.Look(ctx, call)
+		done()
+	}()
+}
+
+// lookWait returns how long the answer may wait for an end. It doesn't wait if
+// the answer itself decides about a run.
+func (s *session) lookWait() time.Duration {
+	if !s.contacted || s.silent || len(s.attempts) == 0 {
+		return 0
+	}
+	for _, a := range s.attempts {
+		if a.phase == attemptUnknown || a.stopped && a.since > s.lastLook {
+			return 0
+		}
+	}
+	return lookWait
+}
+
+// looked takes over what a worker reported. begin is when the look was sent.
+func (c *Controller) looked(s *session, begin time.Duration, call LookCall, r *Report, err error) {
+	s.looking = false
+	if s.gone {
+		return
+	}
+	now := c.now()
+	c.metrics.looks.Inc()
+	if err != nil {
+		switch refusal(err) {
+		case RefusedOtherLife:
+			c.loseSession(s, "another life has its address")
+		case RefusedFence:
+			c.deactivate("a worker has seen a higher fence")
+		default:
+			s.failedCall(c, now)
+		}
+		return
+	}
+	if r.Born != 0 && r.Born != s.worker.Born {
+		c.loseSession(s, "it was started again")
+		return
+	}
+	if s.silent {
+		event.Log(c.opts.Logger, event.WorkerAnswers, slog.String("worker", s.worker.ID))
+	}
+	s.answered(now)
+	s.nextLook = now + lookGap
+	s.lastLook = begin
+	s.clock, s.clockAt = r.Clock, now
+	if call.Acknowledged == s.acked {
+		s.unacked = false
+	}
+	c.takeReport(s, begin, r)
+	if !s.contacted {
+		s.contacted = true
+		c.dirty = true
+	}
+}
+
+// takeReport compares a report with the attempts on the worker.
+func (c *Controller) takeReport(s *session, begin time.Duration, r *Report) {
+	seen := make(map[runKey]bool, len(r.Running)+len(r.Ended))
+	for _, e := range r.Ended {
+		seen[runKey{e.Position, e.Number}] = true
+		c.takeEnd(s, e)
+	}
+	for i := range r.Running {
+		seen[runKey{r.Running[i].Position, r.Running[i].Number}] = true
+		c.takeRunning(s, &r.Running[i])
+	}
+	if s.reported > s.acked {
+		s.ackWaits = true
+		reported := s.reported
+		c.journal.after = append(c.journal.after, func() {
+			s.acked, s.ackWaits, s.unacked = max(s.acked, reported), false, true
+		})
+	}
+	for k := range s.strays {
+		if !seen[k] {
+			delete(s.strays, k)
+			c.dirty = true
+		}
+	}
+	if len(r.Ended) >= maxReportedEnds {
+		return
+	}
+	for k, a := range s.attempts {
+		decided := a.phase == attemptRunning || a.phase == attemptUnknown && !a.stopping || a.stopped
+		if !seen[k] && decided && a.since < begin {
+			c.void(a, "not on the worker")
+		}
+	}
+}
+
+// takeEnd records an end that the worker lists.
+func (c *Controller) takeEnd(s *session, e RunEnd) {
+	if e.Sequence <= s.reported {
+		return
+	}
+	s.reported = e.Sequence
+	outcome := state.OutcomeLost
+	switch e.How {
+	case EndDone:
+		outcome = state.OutcomeDone
+	case EndFailed:
+		outcome = state.OutcomeFailed
+	}
+	if a := s.attempts[runKey{e.Position, e.Number}]; a != nil {
+		if outcome != state.OutcomeLost {
+			s.failures.note(c, s, a, outcome == state.OutcomeFailed)
+		}
+		c.end(a, outcome, e.Checkpoint, e.How.String())
+		return
+	}
+	f := c.flows[e.Position.Workflow]
+	if f == nil || !f.has(e.Position) {
+		return
+	}
+	c.journal.ends = append(c.journal.ends, state.TaskEnd{
+		Workflow: e.Position.Workflow, Task: f.number(e.Position), Run: e.Number,
+		Outcome: outcome, Checkpoint: e.Checkpoint,
+	})
+}
+
+var endNames = [...]string{"", "done", "failed", "stopped", "lease ended", "gang broken", "gang alone"}
+
+// String returns the kind of end as in logs.
+func (k EndKind) String() string { return endNames[k] }
+
+// has reports whether the workflow has a task at the position.
+func (f *flow) has(p TaskPosition) bool {
+	return p.Occurrence >= 0 && p.Occurrence < len(f.open) && p.Step >= 0 && p.Step < len(f.spec.Steps) &&
+		p.Index >= 0 && p.Index < f.spec.Steps[p.Step].Count
+}
+
+// number returns the flat number of the task at the position.
+func (f *flow) number(p TaskPosition) int { return f.spec.FirstTask(p.Occurrence, p.Step) + p.Index }
+
+// takeRunning matches a run on the worker with its attempt. A run without one
+// is stopped.
+func (c *Controller) takeRunning(s *session, r *RunStatus) {
+	k := runKey{r.Position, r.Number}
+	if a := s.attempts[k]; a != nil {
+		if a.phase == attemptUnknown && !a.stopping || a.phase == attemptStarting {
+			a.phase = attemptRunning
+		}
+		if a.stopping && a.phase != attemptStarting {
+			c.sendStop(a)
+		}
+		c.measured(a, r)
+		return
+	}
+	if last, ok := s.strays[k]; ok && c.now()-last < stopRetry {
+		return
+	}
+	s.strays[k] = c.now()
+	event.Log(c.opts.Logger, event.TaskStopping, slog.String("workflow", r.Position.Workflow),
+		slog.Int("step", r.Position.Step), slog.Int("index", r.Position.Index), slog.Uint64("run", r.Number),
+		slog.String("worker", s.worker.ID), slog.String("reason", "no record of this run"))
+	call := StopCall{Run: Run{Workflow: r.Position.Workflow, Number: r.Number}, Position: r.Position, Fence: c.fence}
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
+		defer cancel()
+		// The next look shows whether the run has ended, and repeats the stop.
+		_ = s.api.Stop(ctx, call)
+	}()
+}
+
+// watchSession does what depends on time alone.
+func (c *Controller) watchSession(s *session, now time.Duration) {
+	switch {
+	case s.gone:
+		return
+	case s.leaveAt != 0 && now >= s.leaveAt:
+		c.loseSession(s, "it left")
+		return
+	case s.silent && now >= s.leaseEnd:
+		c.leaseEnded(s, now)
+		return
+	}
+	for _, a := range s.attempts {
+		if a.stopping && now >= a.nextStop {
+			if a.phase == attemptUnknown || a.phase == attemptRunning || a.phase == attemptStopping {
+				c.sendStop(a)
+			}
+		}
+	}
+	c.drain(s, now)
+}
+
+// leaseEnded gives up the runs of a worker that was silent for a whole lease.
+func (c *Controller) leaseEnded(s *session, now time.Duration) {
+	for _, a := range s.attempts {
+		c.void(a, "the worker's lease ended")
+	}
+	s.contacted = false
+	if now-s.lastBeat > forgetHeartbeats*c.opts.Limits.Heartbeat {
+		c.loseSession(s, "it was silent and its lease ended")
+	}
+}
+
+// drain moves runs off a draining worker: serving tasks at once, others that
+// keep checkpoints when the worker's time is nearly over.
+func (c *Controller) drain(s *session, now time.Duration) {
+	if !s.worker.Draining {
+		return
+	}
+	last := now+2*c.opts.Limits.StopGrace+drainReserve >= s.drainEnd
+	for _, a := range s.attempts {
+		if a.task.step.LongRunning || last && a.task.step.Checkpoints {
+			c.stop(a, "the worker is draining")
+		}
+	}
+}
+
+// drainReserve is the time for the stop to reach a draining worker, and for
+// its checkpoint to come back, before the worker ends.
+const drainReserve = 400 * time.Millisecond
+
+// loseSession ends a life of a worker, and with it all its runs.
+func (c *Controller) loseSession(s *session, reason string) {
+	if s.gone {
+		return
+	}
+	s.gone = true
+	for _, a := range s.attempts {
+		c.void(a, reason)
+	}
+	s.api.Close()
+	if c.sessions[s.worker.ID] == s {
+		delete(c.sessions, s.worker.ID)
+	}
+	c.dirty = true
+	event.Log(c.opts.Logger, event.WorkerGone, slog.String("worker", s.worker.ID), slog.Int64("born", s.worker.Born),
+		slog.String("reason", reason))
+	c.change(state.SetPoolWorkers{Gone: []state.PoolWorker{s.worker}}, func(error) {})
+}
+
+// change commits a change beside the journal and reports to the loop.
+func (c *Controller) change(body state.Body, then func(err error)) {
+	var err error
+	done := c.later(func() { then(err) })
+	go func() {
+		err = c.propose(state.NewCommand(body))
+		done()
+	}()
+}
+
+// unreachable is the interface of a worker whose address is not known.
+type unreachable struct{}
+
+var errUnreachable = &RefusedError{Reason: RefusedInvalid}
+
+// Start implements Worker.
+func (unreachable) Start(context.Context, StartCall) error { return errUnreachable }
+
+// Stop implements Worker.
+func (unreachable) Stop(context.Context, StopCall) error { return errUnreachable }
+
+// Pace implements Worker.
+func (unreachable) Pace(context.Context, PaceCall) error { return errUnreachable }
+
+// Look implements Worker.
+func (unreachable) Look(context.Context, LookCall) (*Report, error) { return nil, errUnreachable }
+
+// Close implements Worker.
+func (unreachable) Close() {}
--- a/replica/formation.go
+++ b/replica/formation.go
@@ -4,16 +4,27 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"slices"
 
 	"golang.org/x/sync/errgroup"
 
+	"apricotrouter/event"
 	"apricotrouter/raft"
 	"apricotrouter/state"
 	"apricotrouter/steperr"
 	"apricotrouter/transport"
 )
 
+const (
+	// bootstrapTimeout bounds one attempt to form the group; it covers the
+	// transport's time to notice a connection that is silent.
+	bootstrapTimeout = transport.SilenceTimeout
+	// bootstrapInterval is the pause between attempts, as long as that between
+	// attempts to dial a peer.
+	bootstrapInterval = transport.RedialInterval
+)
+
 // firstPosition is the place in the log at which every group begins.
 const firstPosition = 1
 
@@ -67,6 +78,23 @@
 	return resp.Group, resp.Voters, nil
 }
 
+// bootstrap forms the group once the initial voters answer. Every instance
+// may try: the lowest initial voter forms the group once.
+func (r *Replica) bootstrap(ctx context.Context) error {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+		_, _, err := r.Init(attempt)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return nil
+		}
+		event.Log(r.opts.Logger, event.ReplicaBootstrapWaits, slog.Any("error", err))
+		if r.pause(ctx, bootstrapInterval) != nil {
+			return nil
+		}
+	}
+}
+
 func (r *Replica) onFormation(ctx context.Context, from string, req *formationRequest) (*formationResponse, error) {
 	switch req.Step {
 	case formationInit:
--- a/replica/freshness.go
+++ b/replica/freshness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,13 +88,13 @@
 	if leader != "" {
 		return []string{leader}
 	}
-	var all []string
-	for _, id := range r.opts.PeerIDs {
-		if id != r.opts.Self {
-			all = append(all, id)
-		}
+	known := slices.Clone(r.opts.PeerIDs)
+	for _, m := range r.view.Load().voters {
+		known = append(known, m.Instance)
 	}
-	return all
+	slices.Sort(known)
+	known = slices.Compact(known)
+	return slices.DeleteFunc(known, func(id string) bool { return id == r.opts.Self })
 }
 
 // askFreshness asks one instance. The lease counts from before the request is
--- a/replica/options.go
+++ b/replica/options.go
@@ -45,7 +45,13 @@
 	OperatorServer string
 	DataDir        string   // empty without a disk
 	InitialVoters  []string // instances that form the group
-	PeerIDs        []string // all entry instances
+	PeerIDs        []string // all entry instances, or those through which the leader is found
+	// TargetVoters is the number of voters that the leader keeps; 0 for the
+	// number of initial voters. More are added as instances with a disk join.
+	TargetVoters int
+	// Bootstrap forms the group without an operator. It must be set only at
+	// the first start of the whole cluster, with empty data folders.
+	Bootstrap bool
 	// PeerZone returns an instance's availability zone by the settings. It is
 	// asked if the instance does not name its zone itself.
 	PeerZone func(instance string) string
@@ -80,6 +86,7 @@
 	if o.PeerZone == nil {
 		o.PeerZone = func(string) string { return "" }
 	}
+	o.TargetVoters = cmp.Or(o.TargetVoters, len(o.InitialVoters))
 	o.Tick = cmp.Or(o.Tick, DefaultTick)
 	o.HeartbeatTicks = cmp.Or(o.HeartbeatTicks, raft.DefaultHeartbeatTicks)
 	o.ElectionTicks = cmp.Or(o.ElectionTicks, raft.DefaultElectionTicks)
--- a/replica/repair.go
+++ b/replica/repair.go
@@ -74,7 +74,7 @@
 	if len(r.opts.InitialVoters) == 0 || !r.confirmed(v) {
 		return
 	}
-	s := planStep(len(r.opts.InitialVoters), r.plannedVoters(), r.candidates(now))
+	s := planStep(r.opts.TargetVoters, r.plannedVoters(), r.candidates(now))
 	r.takeStep(s, now)
 }
 
@@ -97,7 +97,7 @@
 		voters = append(voters, voter{
 			Member:   m,
 			self:     m.ID == r.id.Replica,
-			silent:   time.Duration(ticks)*r.opts.Tick >= r.opts.RepairAfter,
+			silent:   time.Duration(ticks)*r.opts.Tick >= r.opts.RepairAfter || r.lostDisk(m),
 			zoneOut:  s.ZoneOut(m.Zone),
 			caughtUp: r.core.CaughtUp(m.ID),
 		})
@@ -105,6 +105,13 @@
 	return voters
 }
 
+// lostDisk reports whether the voter's instance has another replica now. Its
+// data folder was emptied, so the voter never comes back.
+func (r *Replica) lostDisk(m raft.Member) bool {
+	info := r.members.info[m.Instance]
+	return info != nil && info.disk && info.replica != m.ID
+}
+
 // candidates returns the learners that could become voters.
 func (r *Replica) candidates(now time.Duration) []raft.Member {
 	s := r.State()
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -150,6 +150,9 @@
 	})
 	g.Go(func() error { return r.pollFreshness(ctx) })
 	g.Go(func() error { return r.registerSelf(ctx) })
+	if r.opts.Bootstrap {
+		g.Go(func() error { return r.bootstrap(ctx) })
+	}
 	err := g.Wait()
 	r.tasks.Wait()
 	if cerr := r.store.close(); err == nil {
--- /dev/null
+++ b/state/apply_workflow.go
@@ -0,0 +1,246 @@
+package state
+
+import (
+	"fmt"
+	"slices"
+)
+
+const (
+	// workflowRetentionMillis is how long an ended workflow is kept. It covers
+	// the time for which clients ask for the state of a workflow and the time
+	// in which a late copy of a submission may arrive.
+	workflowRetentionMillis = 10 * 60 * 1000
+	// maxWorkflowTasks bounds the tasks of one workflow over all occurrences.
+	maxWorkflowTasks = 1 << 16
+)
+
+// setQueues takes a configuration with a higher version than the current one.
+func (tx *txn) setQueues(b *SetQueues) Result {
+	const object = "queues"
+	if tx.Queues != nil && b.Config.Version <= tx.Queues.Version {
+		r := tx.refuse(CodeStale, object, "version %d is not higher than %d", b.Config.Version, tx.Queues.Version)
+		r.Current = tx.Queues.Version
+		return r
+	}
+	tx.Queues = &b.Config
+	return tx.changed(object)
+}
+
+func (tx *txn) setEvacuation(b *SetEvacuation) Result {
+	if b.Out {
+		tx.Evacuated = tx.Evacuated.Put(b.Zone, b.Zone)
+	} else {
+		tx.Evacuated = tx.Evacuated.Delete(b.Zone)
+	}
+	return tx.changed("zone/" + b.Zone)
+}
+
+func (tx *txn) setPoolWorkers(b *SetPoolWorkers) Result {
+	for _, w := range b.Gone {
+		if old, ok := tx.PoolWorkers.Get(w.ID); ok && old.Born == w.Born {
+			tx.PoolWorkers = tx.PoolWorkers.Delete(w.ID)
+		}
+	}
+	for i := range b.Workers {
+		w := &b.Workers[i]
+		if old, ok := tx.PoolWorkers.Get(w.ID); ok && old.Born > w.Born {
+			continue
+		}
+		tx.PoolWorkers = tx.PoolWorkers.Put(w.ID, w)
+	}
+	return tx.changed("pool-workers")
+}
+
+func (tx *txn) submitWorkflow(b *SubmitWorkflow) Result {
+	object := "workflow/" + b.Spec.ID
+	if _, ok := tx.workflows.get(b.Spec.ID); ok {
+		return Result{Code: CodeOK, Object: object}
+	}
+	tasks := b.Spec.Width() * max(1, b.Spec.Occurrences)
+	if tasks <= 0 || tasks > maxWorkflowTasks {
+		return tx.refuse(CodeInvalid, object, "a workflow has 1 to %d tasks, not %d", maxWorkflowTasks, tasks)
+	}
+	w := &Workflow{Spec: b.Spec, Phase: WorkflowQueued, SubmittedAt: tx.now, Tasks: make([]WorkflowTask, tasks)}
+	tx.workflows.put(b.Spec.ID, w)
+	tx.openWorkflows.put(b.Spec.ID, struct{}{})
+	return tx.changed(object)
+}
+
+func (tx *txn) cancelWorkflow(b *CancelWorkflow) Result {
+	object := "workflow/" + b.ID
+	old, ok := tx.workflows.get(b.ID)
+	if !ok {
+		return tx.refuse(CodeNotFound, object, "%s does not exist", object)
+	}
+	if !old.Phase.Ended() {
+		w := *old
+		tx.endWorkflow(&w, WorkflowCancelled)
+	}
+	return tx.changed(object)
+}
+
+// endWorkflow keeps of an ended workflow what clients may still ask for.
+func (tx *txn) endWorkflow(w *Workflow, phase WorkflowPhase) {
+	w.Phase, w.EndedAt, w.Tasks = phase, tx.now, nil
+	w.Spec.Steps, w.Spec.Payload = nil, ""
+	tx.workflows.put(w.Spec.ID, w)
+	tx.openWorkflows.delete(w.Spec.ID)
+	tx.endedWorkflows.put(endedWorkflowKey(w), w.Spec.ID)
+}
+
+func endedWorkflowKey(w *Workflow) string { return key(fmt.Sprintf("%016x", w.EndedAt), w.Spec.ID) }
+
+// recordTasks applies the ends before the starts: a task may end and start
+// again in one command.
+func (tx *txn) recordTasks(b *RecordTasks) Result {
+	changed := make(map[string]*Workflow)
+	open := func(id string) *Workflow {
+		if w := changed[id]; w != nil {
+			return w
+		}
+		old, ok := tx.workflows.get(id)
+		if !ok || old.Phase.Ended() {
+			return nil
+		}
+		w := *old
+		w.Tasks = slices.Clone(old.Tasks)
+		changed[id] = &w
+		return &w
+	}
+	for _, e := range b.Ends {
+		if w := open(e.Workflow); w != nil {
+			w.end(e)
+		}
+	}
+	for _, s := range b.Starts {
+		if w := open(s.Workflow); w != nil {
+			w.start(s)
+		}
+	}
+	for _, id := range sortedKeys(changed) {
+		w := changed[id]
+		if phase := w.outcome(); phase.Ended() {
+			tx.endWorkflow(w, phase)
+			continue
+		}
+		tx.workflows.put(id, w)
+	}
+	return Result{Code: CodeOK}
+}
+
+func sortedKeys(m map[string]*Workflow) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// start records a run. Run numbers only rise, and a task that is done or has
+// a run is not started again.
+func (w *Workflow) start(s TaskStart) {
+	if s.Task < 0 || s.Task >= len(w.Tasks) {
+		return
+	}
+	t := &w.Tasks[s.Task]
+	if t.Phase != TaskWaiting || s.Run <= t.Run {
+		return
+	}
+	t.Phase, t.Run, t.Worker = TaskStarted, s.Run, s.Worker
+	w.Phase = WorkflowActive
+}
+
+// end records how a run ended. A run that completed counts even if a later one
+// was started, because its work is done.
+func (w *Workflow) end(e TaskEnd) {
+	if e.Task < 0 || e.Task >= len(w.Tasks) {
+		return
+	}
+	t := &w.Tasks[e.Task]
+	current := t.Phase == TaskStarted && e.Run == t.Run
+	switch {
+	case t.Phase == TaskDone || e.Run > t.Run:
+	case e.Outcome == OutcomeDone && (current || !w.Spec.Steps[w.Spec.Position(e.Task).Step].LongRunning):
+		w.complete(e.Task)
+	case current:
+		t.Phase, t.Worker = TaskWaiting, ""
+		if e.Checkpoint != "" {
+			w.keepCheckpoint(e.Task, e.Checkpoint)
+		}
+		if e.Outcome == OutcomeFailed {
+			w.fail(e.Task)
+		}
+	}
+}
+
+// gang returns the tasks of the gang that a task belongs to, or the task alone.
+func (w *Workflow) gang(task int) []WorkflowTask {
+	p := w.Spec.Position(task)
+	if !w.Spec.Steps[p.Step].Gang {
+		return w.Tasks[task : task+1]
+	}
+	first := w.Spec.FirstTask(p.Occurrence, p.Step)
+	return w.Tasks[first : first+w.Spec.Steps[p.Step].Count]
+}
+
+// complete marks a task, and with it its whole gang, as done. A long-running
+// task is restarted instead.
+func (w *Workflow) complete(task int) {
+	long := w.Spec.Steps[w.Spec.Position(task).Step].LongRunning
+	tasks := w.gang(task)
+	for i := range tasks {
+		tasks[i].Worker = ""
+		tasks[i].Phase = TaskDone
+		if long {
+			tasks[i].Phase = TaskWaiting
+		}
+	}
+}
+
+// fail counts a failed run. The failures of a gang are counted at its first
+// task, once for each run number.
+func (w *Workflow) fail(task int) {
+	w.gang(task)[0].Failures++
+}
+
+func (w *Workflow) keepCheckpoint(task int, checkpoint string) {
+	tasks := w.gang(task)
+	for i := range tasks {
+		tasks[i].Checkpoint = checkpoint
+	}
+}
+
+// outcome returns the phase that follows from the tasks.
+func (w *Workflow) outcome() WorkflowPhase {
+	done := 0
+	for i := range w.Tasks {
+		t := &w.Tasks[i]
+		if t.Phase == TaskDone {
+			done++
+			continue
+		}
+		if w.Spec.MaxAttempts > 0 && t.Failures >= w.Spec.MaxAttempts &&
+			!w.Spec.Steps[w.Spec.Position(i).Step].LongRunning {
+			return WorkflowFailed
+		}
+	}
+	if done == len(w.Tasks) {
+		return WorkflowCompleted
+	}
+	return w.Phase
+}
+
+// pruneWorkflow removes the workflow that ended first once it is older than
+// its retention.
+func (tx *txn) pruneWorkflow() {
+	for age, id := range tx.EndedWorkflows() {
+		w, ok := tx.Workflows.Get(id)
+		if ok && tx.now-w.EndedAt < workflowRetentionMillis {
+			return
+		}
+		tx.Workflows = tx.Workflows.Delete(id)
+		tx.State.endedWorkflows = tx.State.endedWorkflows.Delete(age)
+		return
+	}
+}
--- a/state/command.go
+++ b/state/command.go
@@ -37,6 +37,12 @@
 	KindHandOver
 	KindSetLedgerBuckets
 	KindAddReplicas
+	KindSetQueues
+	KindSubmitWorkflow
+	KindCancelWorkflow
+	KindRecordTasks
+	KindSetPoolWorkers
+	KindSetEvacuation
 )
 
 // Body is the typed content of a command.
--- a/state/kind.go
+++ b/state/kind.go
@@ -28,6 +28,12 @@
 	KindHandOver:         "hand-over",
 	KindSetLedgerBuckets: "set-ledger-buckets",
 	KindAddReplicas:      "add-replicas",
+	KindSetQueues:        "set-queues",
+	KindSubmitWorkflow:   "submit-workflow",
+	KindCancelWorkflow:   "cancel-workflow",
+	KindRecordTasks:      "record-tasks",
+	KindSetPoolWorkers:   "set-pool-workers",
+	KindSetEvacuation:    "set-evacuation",
 }
 
 // String returns the name of the kind, as in the audit trail.
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -29,6 +29,10 @@
 	Requests    []*RequestResult `cbor:"15,keyasint"`
 	AuditBlocks [][]byte         `cbor:"16,keyasint"`
 	AuditRecent []*AuditRecord   `cbor:"17,keyasint"`
+	Queues      *QueueConfig     `cbor:"18,keyasint,omitempty"`
+	Workflows   []*Workflow      `cbor:"19,keyasint,omitempty"`
+	PoolWorkers []*PoolWorker    `cbor:"20,keyasint,omitempty"`
+	Evacuated   []string         `cbor:"21,keyasint,omitempty"`
 }
 
 // snapshotDecoding allows as many elements as the retention limits need.
@@ -60,6 +64,10 @@
 		Requests:    values(s.Requests),
 		AuditBlocks: values(s.Audit.blocks),
 		AuditRecent: s.Audit.recent,
+		Queues:      s.Queues,
+		Workflows:   values(s.Workflows),
+		PoolWorkers: values(s.PoolWorkers),
+		Evacuated:   values(s.Evacuated),
 	})
 }
 
@@ -97,6 +105,10 @@
 		return nil, err
 	}
 	s.Audit = trail
+	s.Queues = sn.Queues
+	s.Workflows = tableOf(sn.Workflows, func(v *Workflow) string { return v.Spec.ID })
+	s.PoolWorkers = tableOf(sn.PoolWorkers, func(v *PoolWorker) string { return v.ID })
+	s.Evacuated = tableOf(sn.Evacuated, func(v string) string { return v })
 	s.rebuildIndexes()
 	return s, nil
 }
@@ -131,6 +143,13 @@
 	for k, a := range s.Assignments.All() {
 		tx.byOwner.put(key(a.Owner, k), struct{}{})
 	}
+	for id, w := range s.Workflows.All() {
+		if w.Phase.Ended() {
+			tx.endedWorkflows.put(endedWorkflowKey(w), id)
+		} else {
+			tx.openWorkflows.put(id, struct{}{})
+		}
+	}
 	tx.commit()
 	for id, r := range s.Requests.All() {
 		s.requestAges = s.requestAges.Put(requestAgeKey(r), id)
--- a/state/state.go
+++ b/state/state.go
@@ -3,6 +3,8 @@
 // A State is immutable, so a reader may keep one for as long as it likes.
 package state
 
+import "iter"
+
 // State is the value of all replicated state at one log index.
 type State struct {
 	Index uint64 // log index of the last applied command
@@ -21,6 +23,11 @@
 	Requests    Table[*RequestResult]
 	Audit       AuditTrail
 
+	Queues      *QueueConfig // nil before the first configuration
+	Workflows   Table[*Workflow]
+	PoolWorkers Table[*PoolWorker]
+	Evacuated   Table[string] // availability zones that workflows must not use
+
 	// NextAudit is the sequence number of the next audit record.
 	NextAudit uint64
 
@@ -33,6 +40,21 @@
 	requestAges   Table[string]    // age order of Requests
 	endedJobs     Table[string]    // age order of jobs whose tasks have all ended
 	teamUsed      Table[Resources] // what the batch tasks of a team hold
+
+	openWorkflows  Table[struct{}] // ids of workflows that have not ended
+	endedWorkflows Table[string]   // age order of the others
+}
+
+// OpenWorkflows yields the ids of the workflows that have not ended.
+func (s *State) OpenWorkflows() iter.Seq2[string, struct{}] { return s.openWorkflows.All() }
+
+// EndedWorkflows yields the ids of the workflows that have ended, oldest first.
+func (s *State) EndedWorkflows() iter.Seq2[string, string] { return s.endedWorkflows.All() }
+
+// ZoneEvacuated reports whether workflows must not use the availability zone.
+func (s *State) ZoneEvacuated(zone string) bool {
+	_, out := s.Evacuated.Get(zone)
+	return out
 }
 
 // New returns the empty state before the first command.
--- a/state/txn.go
+++ b/state/txn.go
@@ -37,6 +37,10 @@
 	pending       edit[struct{}]
 	byOwner       edit[struct{}]
 	teamUsed      edit[Resources]
+
+	workflows      edit[*Workflow]
+	openWorkflows  edit[struct{}]
+	endedWorkflows edit[string]
 }
 
 // Apply returns the state after the command at the given log index, and the
@@ -66,6 +70,10 @@
 		pending:       edit[struct{}]{table: &s.pending},
 		byOwner:       edit[struct{}]{table: &s.byOwner},
 		teamUsed:      edit[Resources]{table: &s.teamUsed},
+
+		workflows:      edit[*Workflow]{table: &s.Workflows},
+		openWorkflows:  edit[struct{}]{table: &s.openWorkflows},
+		endedWorkflows: edit[string]{table: &s.endedWorkflows},
 	}
 }
 
@@ -79,6 +87,9 @@
 	tx.pending.commit()
 	tx.byOwner.commit()
 	tx.teamUsed.commit()
+	tx.workflows.commit()
+	tx.openWorkflows.commit()
+	tx.endedWorkflows.commit()
 }
 
 // applyOnce applies the command unless it is a resend of a request.
@@ -147,6 +158,7 @@
 		}
 	}
 	tx.pruneJob()
+	tx.pruneWorkflow()
 }
 
 func (tx *txn) pruneRequest() bool {
@@ -261,6 +273,26 @@
 		return applyBody(c, tx.handOver)
 	case KindSetLedgerBuckets:
 		return applyBody(c, tx.setLedgerBuckets)
+	default:
+		return tx.dispatchWorkflow(c)
+	}
+}
+
+// dispatchWorkflow applies the commands on workflows and their workers.
+func (tx *txn) dispatchWorkflow(c Command) Result {
+	switch c.Kind {
+	case KindSetQueues:
+		return applyBody(c, tx.setQueues)
+	case KindSubmitWorkflow:
+		return applyBody(c, tx.submitWorkflow)
+	case KindCancelWorkflow:
+		return applyBody(c, tx.cancelWorkflow)
+	case KindRecordTasks:
+		return applyBody(c, tx.recordTasks)
+	case KindSetPoolWorkers:
+		return applyBody(c, tx.setPoolWorkers)
+	case KindSetEvacuation:
+		return applyBody(c, tx.setEvacuation)
 	default:
 		return Result{Code: CodeInvalid, Message: fmt.Sprintf("unknown kind of command %d", c.Kind)}
 	}
--- a/transport/mesh.go
+++ b/transport/mesh.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -33,7 +34,11 @@
 	Self string
 	// Addresses gives the peer address (IP and port) of every other instance.
 	Addresses map[string]string
-	Mux       *Mux
+	// OnDemand names instances by their peer address: one that is not in
+	// Addresses is dialled when it is first used, until it is not used for
+	// DemandTimeout. Connections of any instance are accepted.
+	OnDemand bool
+	Mux      *Mux
 	// TLS is used to dial; nil dials without TLS.
 	TLS        *tls.Config
 	Logger     *slog.Logger
@@ -53,6 +58,8 @@
 	conns map[string]*conn   // dialled and open, by peer
 	open  map[*conn]struct{} // all that run, dialled and accepted
 
+	demand  map[string]*atomic.Int64 // monotonic time of the last use, by peer address
+	demands chan string              // peers to be dialled
 	metrics *metrics
 }
 
@@ -63,6 +70,8 @@
 		conns:   make(map[string]*conn),
 		open:    make(map[*conn]struct{}),
 		accepts: make(chan *conn),
+		demand:  make(map[string]*atomic.Int64),
+		demands: make(chan string, demandQueue),
 		client:  &http.Client{Transport: &http.Transport{TLSClientConfig: opts.TLS, DisableKeepAlives: true}},
 		metrics: newMetrics(opts.Registerer),
 	}
@@ -89,6 +98,8 @@
 			return ctx.Err()
 		case <-watch.C:
 			m.closeExpired()
+		case peer := <-m.demands:
+			wg.Go(func() { m.dialOnDemand(ctx, peer) })
 		case c := <-m.accepts:
 			wg.Go(func() { m.report(c.peer, m.serve(ctx, c)) })
 		}
@@ -137,6 +148,57 @@
 	}
 }
 
+// dialOnDemand keeps a connection open for as long as the peer is used.
+func (m *Mesh) dialOnDemand(ctx context.Context, peer string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	go func() {
+		defer close(stop)
+		m.awaitDisuse(ctx, peer)
+		cancel()
+	}()
+	m.dialLoop(ctx, peer, peer)
+	<-stop
+}
+
+// awaitDisuse returns once the peer was not used for DemandTimeout.
+func (m *Mesh) awaitDisuse(ctx context.Context, peer string) {
+	for sleep(ctx, time.Second) == nil {
+		m.mu.Lock()
+		idle := monotonic() - m.demand[peer].Load()
+		if idle > int64(DemandTimeout) {
+			delete(m.demand, peer)
+			m.mu.Unlock()
+			return
+		}
+		m.mu.Unlock()
+	}
+}
+
+// use notes that a peer is used, and asks for a connection if it is new.
+func (m *Mesh) use(peer string) {
+	m.mu.RLock()
+	last := m.demand[peer]
+	m.mu.RUnlock()
+	if last != nil {
+		last.Store(monotonic())
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.demand[peer] != nil {
+		return
+	}
+	select {
+	case m.demands <- peer:
+		last = new(atomic.Int64)
+		last.Store(monotonic())
+		m.demand[peer] = last
+	default: // the next use asks again
+	}
+}
+
 // report logs why a connection ended.
 func (m *Mesh) report(peer string, err error) {
 	var bad *FrameError
@@ -186,6 +248,9 @@
 }
 
 func (m *Mesh) conn(peer string) *conn {
+	if _, fixed := m.opts.Addresses[peer]; m.opts.OnDemand && !fixed {
+		m.use(peer)
+	}
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.conns[peer]
@@ -220,7 +285,7 @@
 	if to := r.Header.Get(headerTo); to != m.opts.Self {
 		return "this instance is " + m.opts.Self + ", not " + strconv.Quote(to)
 	}
-	if _, ok := m.opts.Addresses[from]; !ok || from == m.opts.Self {
+	if _, ok := m.opts.Addresses[from]; !ok && !m.opts.OnDemand || from == m.opts.Self {
 		return "instance " + strconv.Quote(from) + " is not among the peers"
 	}
 	return ""
--- a/transport/metrics.go
+++ b/transport/metrics.go
@@ -19,6 +19,7 @@
 	KindLedgerRecord:    "ledger_record",
 	KindLedgerReplicate: "ledger_replicate",
 	KindLedgerFetch:     "ledger_fetch",
+	KindFleet:           "fleet",
 }
 
 // metrics counts what goes over the connections.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -30,6 +30,11 @@
 	watchInterval = 250 * time.Millisecond
 	// RedialInterval is the pause before a new attempt to dial.
 	RedialInterval = 200 * time.Millisecond
+	// DemandTimeout is how long a connection that was dialled on demand is kept
+	// without use. It covers several rounds of every periodic message.
+	DemandTimeout = 10 * time.Second
+	// demandQueue is how many peers may wait to be dialled on demand.
+	demandQueue = 256
 	// sendQueue is the number of frames that wait for one connection. More
 	// are dropped: notices may be lost, and a call then fails.
 	sendQueue = 4096
@@ -72,6 +77,7 @@
 	KindLedgerRecord
 	KindLedgerReplicate
 	KindLedgerFetch
+	KindFleet
 )
 
 // Peers sends messages to other entry instances.
