fleet: pace tasks on leftover processors by learned pressures

Ruled out: their own load, which alone keeps the tail under the target in nine of ten reports. Change: placement.Pressure learns how much each pair of images disturbs, from the reported tails; Paces slows the worst neighbours; placement keeps new ones off workers without headroom.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -45,7 +45,7 @@
 	nextStop  time.Duration
 	startedAt time.Duration
 	ticket    string
-	pace      pacing
+	measures  measures
 }
 
 func (a *attempt) reserves() state.Resources { return a.task.step.Reserves() }
@@ -60,7 +60,8 @@
 func (c *Controller) place(t *task, s *session, number uint64) *attempt {
 	a := &attempt{
 		task: t, session: s, phase: attemptRecording,
-		run: Run{Workflow: t.flow.spec.ID, Task: t.number, Number: number},
+		run:      Run{Workflow: t.flow.spec.ID, Task: t.number, Number: number},
+		measures: measures{pace: full},
 	}
 	if t.phase == taskReady {
 		t.flow.ready--
@@ -77,7 +78,8 @@
 func (c *Controller) adopt(t *task, worker string) {
 	a := &attempt{
 		task: t, phase: attemptUnknown, since: c.now(), startedAt: c.now(),
-		run: Run{Workflow: t.flow.spec.ID, Task: t.number, Number: t.run},
+		run:      Run{Workflow: t.flow.spec.ID, Task: t.number, Number: t.run},
+		measures: measures{pace: full},
 	}
 	t.phase, t.attempt = taskOnWorker, a
 	s := c.sessions[worker]
@@ -169,7 +171,6 @@
 	a.phase = attemptEnded
 	a.session.remove(a)
 	c.dirty = true
-	c.images.ended(a, outcome, c.now())
 	event.Log(c.opts.Logger, event.TaskEnded, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
 		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.String("reason", reason),
 		slog.Int("outcome", int(outcome)), slog.Int64("ran_ms", (c.now()-a.startedAt).Milliseconds()))
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"apricotrouter/event"
+	"apricotrouter/placement"
 	"apricotrouter/replica"
 	"apricotrouter/state"
 )
@@ -69,7 +70,7 @@
 	flows    map[string]*flow
 	sessions map[string]*session // by worker id
 	journal  journal
-	images   imageStats
+	pressure *placement.Pressure
 }
 
 // boxSize bounds the work that waits for the loop. Senders wait beyond it.
@@ -82,7 +83,7 @@
 	}
 	return &Controller{
 		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), box: make(chan func(), boxSize),
-		images: newImageStats(),
+		pressure: placement.NewPressure(),
 	}
 }
 
@@ -211,7 +212,6 @@
 	for _, s := range c.sessions {
 		c.watchSession(s, now)
 	}
-	c.pace(now)
 }
 
 // work does what the last events made possible.
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -1,17 +1,147 @@
 package fleet
 
-import "time"
+import (
+	"context"
+	"log/slog"
+	"time"
 
-// pacing is how fast a run may work, in percent.
-type pacing struct {
-	percent int
-	measure int64
-	at      time.Duration
+	"apricotrouter/event"
+	"apricotrouter/placement"
+)
+
+const (
+	// measureLag is the time that a worker's measures look back.
+	measureLag = 500 * time.Millisecond
+	// settleTime is after how long a measure shows the effect of a change: the
+	// lag of measures and the time a pace takes to come into force.
+	settleTime = measureLag + 150*time.Millisecond
+	// warmTime is how long the measures of a new serving task are not used.
+	warmTime = 2 * time.Second
+	// peakDecay is how slowly the highest own load of a serving task is
+	// forgotten, for each report.
+	peakDecay = 0.99
+	// fullProgress is the progress at which a serving task is at work.
+	fullProgress = 100
+)
+
+// measures is what the reports of a worker say of one run.
+type measures struct {
+	progress int           // percent of the work, or of the startup of a serving task
+	value    int64         // tail in milliseconds, or processors in thousandths
+	pace     int           // percent last asked for
+	pacedAt  time.Duration // when the pace was changed
+	calling  bool
+	load     float64 // own load of a serving task
+	peak     float64 // its highest lately
 }
 
+// full is the pace of a run that was not slowed.
+const full = 100
+
 // measured notes what a worker reported about a run.
 func (c *Controller) measured(a *attempt, r *RunStatus) {
-	a.pace.percent, a.pace.measure, a.pace.at = r.Percent, r.Measure, c.now()
+	a.measures.progress, a.measures.value = r.Progress, r.Measure
+}
+
+// observe learns from the tails of a worker's serving tasks, and paces their
+// neighbours.
+func (c *Controller) observe(s *session) {
+	now := c.now()
+	var servers, leftovers []*attempt
+	settled := true
+	for _, a := range s.attempts {
+		switch {
+		case a.phase != attemptRunning || a.stopping:
+		case a.task.step.LongRunning && a.task.step.TailMillis > 0:
+			if a.measures.progress >= fullProgress && now-a.startedAt > warmTime {
+				servers = append(servers, a)
+			}
+		case a.task.step.Leftover:
+			leftovers = append(leftovers, a)
+			settled = settled && now-max(a.startedAt, a.measures.pacedAt) > settleTime
+		}
+	}
+	uses := make(map[string]float64)
+	for _, a := range leftovers {
+		uses[a.task.step.Image] += s.share(a.measures.value)
+	}
+	for _, a := range servers {
+		c.observeServer(a, uses, settled)
+	}
+	if len(servers) > 0 && len(leftovers) > 0 {
+		c.setPaces(s, servers, leftovers, now)
+	}
+}
+
+// share returns a part of the worker's processors.
+func (s *session) share(milliCPU int64) float64 {
+	if s.worker.Capacity.MilliCPU <= 0 {
+		return 0
+	}
+	return float64(milliCPU) / float64(s.worker.Capacity.MilliCPU)
+}
+
+func (c *Controller) observeServer(a *attempt, uses map[string]float64, settled bool) {
+	step := a.task.step
+	if settled {
+		c.pressure.Observe(step.Image, a.measures.value, step.TailMillis, uses)
+	}
+	load := c.pressure.Utilisation(step.Image, a.measures.value, step.TailMillis)
+	for image, use := range uses {
+		load -= c.pressure.Of(step.Image, image) * use
+	}
+	a.measures.load = max(0, load)
+	a.measures.peak = max(a.measures.load, a.measures.peak*peakDecay)
 }
 
-func (c *Controller) pace(time.Duration) {}
+func (c *Controller) setPaces(s *session, servers, leftovers []*attempt, now time.Duration) {
+	model := make([]placement.Server, len(servers))
+	for i, a := range servers {
+		step := a.task.step
+		model[i] = placement.Server{
+			Image:       step.Image,
+			Utilisation: c.pressure.Utilisation(step.Image, a.measures.value, step.TailMillis),
+			Limit:       c.pressure.Limit(step.Image, step.TailMillis),
+		}
+	}
+	neighbours := make([]placement.Neighbour, len(leftovers))
+	for i, a := range leftovers {
+		neighbours[i] = placement.Neighbour{
+			Image: a.task.step.Image, Use: s.share(a.task.step.Size.MilliCPU), Percent: a.measures.pace,
+			Settled: now-a.measures.pacedAt > settleTime,
+		}
+	}
+	for i, pace := range placement.Paces(c.pressure, model, neighbours) {
+		if pace != leftovers[i].measures.pace {
+			c.setPace(leftovers[i], pace)
+		}
+	}
+}
+
+// setPace asks the worker for another pace. Without an answer the pace is
+// taken as it was, and the next report decides anew.
+func (c *Controller) setPace(a *attempt, pace int) {
+	if a.measures.calling {
+		return
+	}
+	old := a.measures.pace
+	a.measures.pace, a.measures.pacedAt, a.measures.calling = pace, c.now(), true
+	event.Log(c.opts.Logger, event.TaskPaced, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
+		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.Int("percent", pace),
+		slog.Int("before", old), slog.String("image", a.task.step.Image))
+	call := PaceCall{Run: a.run, Position: a.position(), Fence: c.fence, Percent: pace}
+	s := a.session
+	var err error
+	done := c.later(func() {
+		a.measures.calling = false
+		if err != nil {
+			a.measures.pace = old
+		}
+	})
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
+		defer cancel()
+		err = s.api.Pace(ctx, call)
+		done()
+	}()
+}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -62,7 +62,7 @@
 			all[w.worker.Pool] = p
 		}
 		p.sessions = append(p.sessions, w)
-		p.rooms = append(p.rooms, w.room())
+		p.rooms = append(p.rooms, c.room(w))
 	}
 	return all
 }
@@ -77,26 +77,47 @@
 }
 
 // room returns what the worker has left.
-func (s *session) room() *placement.PoolRoom {
+func (c *Controller) room(s *session) *placement.PoolRoom {
 	r := &placement.PoolRoom{
 		Zone: s.worker.Zone, Labels: s.worker.Labels, Capacity: s.worker.Capacity, Free: s.free(),
 		IdleCPU: s.worker.Capacity.MilliCPU,
 	}
+	uses := make(map[string]float64)
 	for _, a := range s.attempts {
 		step := a.task.step
 		use := step.Size.MilliCPU
 		if step.LongRunning {
-			r.Serving++
 			use = use * servingUse / 100
 		}
 		if step.Leftover {
 			r.Leftover++
+			uses[step.Image] += s.share(step.Size.MilliCPU)
 		}
 		r.IdleCPU -= use
 	}
+	for _, a := range s.attempts {
+		if a.task.step.LongRunning && a.task.step.TailMillis > 0 {
+			r.Servers = append(r.Servers, c.roomServer(a, uses))
+		}
+	}
 	return r
 }
 
+// roomServer returns how much more a serving task bears. Its own load counts
+// between what it is now and its highest lately, as it swings.
+func (c *Controller) roomServer(a *attempt, uses map[string]float64) placement.RoomServer {
+	step := a.task.step
+	load := c.pressure.Load(step.Image)
+	if a.measures.peak > 0 {
+		load = (a.measures.load + a.measures.peak) / 2
+	}
+	headroom := c.pressure.Limit(step.Image, step.TailMillis) - load
+	for image, use := range uses {
+		headroom -= c.pressure.Of(step.Image, image) * use
+	}
+	return placement.RoomServer{Image: step.Image, Headroom: headroom}
+}
+
 // placeFlow places the ready tasks of a workflow. Tasks of a step are equal:
 // when one finds no room, neither do the others.
 func (c *Controller) placeFlow(f *flow, p *pool) {
@@ -109,12 +130,13 @@
 			c.placeGang(t, p)
 			continue
 		}
-		i := placement.ChooseRoom(p.rooms, c.poolTask(t, p))
+		request := c.poolTask(t, p)
+		i := placement.ChooseRoom(p.rooms, request)
 		if i < 0 {
 			fullStep, fullOccurrence = t.pos.Step, t.pos.Occurrence
 			continue
 		}
-		p.rooms[i].Take(t.step)
+		p.rooms[i].Take(request)
 		c.place(t, p.sessions[i], t.run+1)
 	}
 }
@@ -122,7 +144,7 @@
 func (c *Controller) poolTask(t *task, p *pool) placement.PoolTask {
 	limit := t.step.MaxPerWorker
 	if limit == 0 && len(t.avoid) == 0 {
-		return placement.PoolTask{Step: t.step}
+		return placement.PoolTask{Step: t.step, Pressure: c.pressure}
 	}
 	onWorker := make(map[*session]int)
 	first := t.flow.spec.FirstTask(t.pos.Occurrence, t.pos.Step)
@@ -135,7 +157,7 @@
 	if len(avoid)*2 >= len(p.sessions) {
 		avoid = nil // it failed nearly everywhere: the task itself is at fault
 	}
-	return placement.PoolTask{Step: t.step, Excluded: func(i int) bool {
+	return placement.PoolTask{Step: t.step, Pressure: c.pressure, Excluded: func(i int) bool {
 		s := p.sessions[i]
 		return limit > 0 && onWorker[s] >= limit || avoid[s.worker.ID]
 	}}
@@ -154,9 +176,9 @@
 		number = max(number, m.run+1)
 	}
 	for _, rack := range gangRacks(t.step, p) {
-		if chosen := chooseGang(t.step, len(members), p.rooms, rack); chosen != nil {
+		if chosen := chooseGang(c.poolTask(t, p), len(members), p.rooms, rack); chosen != nil {
 			for i, m := range members {
-				p.rooms[chosen[i]].Take(m.step)
+				p.rooms[chosen[i]].Take(c.poolTask(m, p))
 				c.place(m, p.sessions[chosen[i]], number)
 			}
 			return
@@ -185,23 +207,25 @@
 }
 
 // chooseGang returns a room for each member of a gang, or nil.
-func chooseGang(s *state.WorkflowStep, members int, rooms []*placement.PoolRoom, label string) []int {
+func chooseGang(task placement.PoolTask, members int, rooms []*placement.PoolRoom, label string) []int {
 	trial := make([]*placement.PoolRoom, len(rooms))
 	for i, r := range rooms {
 		if label == "" || slices.Contains(r.Labels, label) {
 			room := *r
+			room.Servers = slices.Clone(r.Servers)
 			trial[i] = &room
 		}
 	}
 	onRoom := make(map[int]int)
-	task := placement.PoolTask{Step: s, Excluded: func(i int) bool { return s.MaxPerWorker > 0 && onRoom[i] >= s.MaxPerWorker }}
+	limit := task.Step.MaxPerWorker
+	task.Excluded = func(i int) bool { return limit > 0 && onRoom[i] >= limit }
 	chosen := make([]int, 0, members)
 	for range members {
 		i := placement.ChooseRoom(trial, task)
 		if i < 0 {
 			return nil
 		}
-		trial[i].Take(s)
+		trial[i].Take(task)
 		onRoom[i]++
 		chosen = append(chosen, i)
 	}
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -232,6 +232,7 @@
 		s.unacked = false
 	}
 	c.takeReport(s, begin, r)
+	c.observe(s)
 	if !s.contacted {
 		s.contacted = true
 		c.dirty = true
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -100,7 +100,7 @@
 	Position   TaskPosition
 	Number     uint64
 	Checkpoint string
-	Percent    int // share of its speed at which it works
+	Progress   int // percent of its work, or of the startup of a serving task
 	// Measure is the tail latency in milliseconds of a serving task, and the
 	// processors in use, in thousandths, of any other. It lags by half a second.
 	Measure int64
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -15,13 +15,24 @@
 	// IdleCPU is an estimate of the processors that nothing uses, in
 	// thousandths. Tasks that use leftover processors share it.
 	IdleCPU int64
-	// Serving and Leftover are the numbers of tasks of these kinds.
-	Serving, Leftover int
+	// Servers are the serving tasks, and Leftover the number of tasks on
+	// leftover processors.
+	Servers  []RoomServer
+	Leftover int
+}
+
+// RoomServer is a serving task as far as new neighbours are concerned.
+type RoomServer struct {
+	Image string
+	// Headroom is the utilisation that its neighbours may still add.
+	Headroom float64
 }
 
 // PoolTask is a task of a workflow that waits for a worker.
 type PoolTask struct {
 	Step *state.WorkflowStep
+	// Pressure tells how tasks disturb each other; nil if nothing does.
+	Pressure *Pressure
 	// Excluded reports whether the task must not go to the room with the
 	// index: its limit for each worker is reached, or a run failed there.
 	Excluded func(room int) bool
@@ -37,7 +48,15 @@
 		if r == nil || !admits(r, t.Step) || t.Excluded != nil && t.Excluded(i) {
 			continue
 		}
-		if score := roomScore(r, t.Step); best < 0 || score < bestScore {
+		score := roomScore(r, t.Step)
+		if t.Step.Leftover && t.Pressure != nil {
+			excess := leftoverExcess(r, t)
+			if excess > maxExcess {
+				continue
+			}
+			score += excessWeight * excess
+		}
+		if best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -51,16 +70,32 @@
 	return !s.Leftover || r.IdleCPU >= s.Size.MilliCPU/minLeftoverShare || r.Leftover == 0
 }
 
+// leftoverExcess returns by how much a new task would push a server of the
+// room over what keeps its target, at worst.
+func leftoverExcess(r *PoolRoom, t PoolTask) float64 {
+	use := share(t.Step.Size.MilliCPU, r.Capacity.MilliCPU)
+	worst := 0.0
+	for _, s := range r.Servers {
+		worst = max(worst, t.Pressure.Of(s.Image, t.Step.Image)*use-s.Headroom)
+	}
+	return worst
+}
+
 const (
 	// minLeftoverShare is the inverse of the share of its processors that a
 	// task on leftover processors must find: below it, waiting is faster.
 	minLeftoverShare = 2
 	// Weights of roomScore in units of a whole worker's load.
-	servingWeight    = 0.3 // of a serving neighbour, for a task on leftover processors
-	leftoverWeight   = 0.1 // of such a task, for a serving one
-	remoteWeight     = 4.0 // of a worker away from the step's data
-	memoryWeight     = 0.5 // of the memory in use
-	acceleratorSpare = 2.0 // of a worker with accelerators, for a task that needs none
+	excessWeight     = 10.0 // of the utilisation by which a server would be pushed over its limit
+	otherImageWeight = 0.3  // of a server with another image, for a serving task
+	leftoverWeight   = 0.1  // of a task on leftover processors, for a serving task
+	remoteWeight     = 4.0  // of a worker away from the step's data
+	memoryWeight     = 0.5  // of the memory in use
+	acceleratorSpare = 2.0  // of a worker with accelerators, for a task that needs none
+
+	// maxExcess is the utilisation over its limit to which a server may be
+	// pushed: beyond it the new task would only be paced down again.
+	maxExcess = 0.0
 )
 
 // roomScore returns how bad a worker is for a task; lower is better.
@@ -68,12 +103,18 @@
 	score := memoryWeight * share(r.Capacity.MemoryMiB-r.Free.MemoryMiB+s.Size.MemoryMiB, r.Capacity.MemoryMiB)
 	if s.Leftover {
 		score += share(r.Capacity.MilliCPU-r.IdleCPU+s.Size.MilliCPU, r.Capacity.MilliCPU)
-		score += servingWeight * float64(r.Serving)
 	} else {
 		score += share(r.Capacity.MilliCPU-r.Free.MilliCPU+s.Size.MilliCPU, r.Capacity.MilliCPU)
 	}
 	if s.LongRunning {
 		score += leftoverWeight * float64(r.Leftover)
+		// Servers with one image are disturbed by the same neighbours, which
+		// leaves other workers to those.
+		for _, other := range r.Servers {
+			if other.Image != s.Image {
+				score += otherImageWeight
+			}
+		}
 	}
 	if s.DataRack != "" && !slices.Contains(r.Labels, s.DataRack) {
 		score += remoteWeight
@@ -92,13 +133,20 @@
 }
 
 // Take books a task on the room.
-func (r *PoolRoom) Take(s *state.WorkflowStep) {
+func (r *PoolRoom) Take(t PoolTask) {
+	s := t.Step
 	r.Free = r.Free.Sub(s.Reserves())
 	r.IdleCPU -= s.Size.MilliCPU
 	if s.Leftover {
 		r.Leftover++
+		use := share(s.Size.MilliCPU, r.Capacity.MilliCPU)
+		for i := range r.Servers {
+			if t.Pressure != nil {
+				r.Servers[i].Headroom -= t.Pressure.Of(r.Servers[i].Image, s.Image) * use
+			}
+		}
 	}
-	if s.LongRunning {
-		r.Serving++
+	if s.LongRunning && s.TailMillis > 0 {
+		r.Servers = append(r.Servers, RoomServer{Image: s.Image})
 	}
 }
