fleet: move runs off workers whose serving tasks they disturb

Change: a run with a checkpoint is stopped and started elsewhere if its pair does not fit; paces rise by up to half; placement weighs the pressure that a task adds, and puts serving tasks of one image together.

--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -112,10 +112,36 @@
 		}
 	}
 	for i, pace := range placement.Paces(c.pressure, model, neighbours) {
-		if pace != leftovers[i].measures.pace {
-			c.setPace(leftovers[i], pace)
+		a := leftovers[i]
+		if pace == a.measures.pace {
+			continue
 		}
+		if pace < movePace && a.task.step.Checkpoints && a.measures.progress < moveProgress &&
+			c.worstPressure(a, servers) >= movePressure {
+			c.stop(a, "it disturbs a serving task")
+			continue
+		}
+		c.setPace(a, pace)
+	}
+}
+
+const (
+	// movePace is the pace below which a run with a checkpoint is rather moved
+	// to another worker.
+	movePace = 40
+	// moveProgress is the progress from which a run is rather finished.
+	moveProgress = 80
+	// movePressure is the pressure from which a pair does not fit together.
+	movePressure = 0.6
+)
+
+// worstPressure returns the highest pressure of a run on the servers.
+func (c *Controller) worstPressure(a *attempt, servers []*attempt) float64 {
+	worst := 0.0
+	for _, s := range servers {
+		worst = max(worst, c.pressure.Of(s.task.step.Image, a.task.step.Image))
 	}
+	return worst
 }
 
 // setPace asks the worker for another pace. Without an answer the pace is
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -27,7 +27,7 @@
 const (
 	// paceStep bounds how much a pace is raised at a time, in percent: a raise
 	// is judged before the next.
-	paceStep = 25
+	paceStep = 50
 	// paceMargin is the utilisation kept free when a pace is raised.
 	paceMargin = 0.08
 	// minPace is the pace below which a task is rather held: it would keep its
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -54,7 +54,7 @@
 			if excess > maxExcess {
 				continue
 			}
-			score += excessWeight * excess
+			score += excessWeight*excess + pressureWeight*addedPressure(r, t)
 		}
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
@@ -87,7 +87,8 @@
 	minLeftoverShare = 2
 	// Weights of roomScore in units of a whole worker's load.
 	excessWeight     = 10.0 // of the utilisation by which a server would be pushed over its limit
-	otherImageWeight = 0.3  // of a server with another image, for a serving task
+	pressureWeight   = 5.0  // of the utilisation that a server gets from a new neighbour
+	otherImageWeight = 0.5  // of a server with another image, for a serving task
 	leftoverWeight   = 0.1  // of a task on leftover processors, for a serving task
 	remoteWeight     = 4.0  // of a worker away from the step's data
 	memoryWeight     = 0.5  // of the memory in use
@@ -98,6 +99,17 @@
 	maxExcess = 0.0
 )
 
+// addedPressure returns the most utilisation that a new task adds to a server
+// of the room.
+func addedPressure(r *PoolRoom, t PoolTask) float64 {
+	use := share(t.Step.Size.MilliCPU, r.Capacity.MilliCPU)
+	worst := 0.0
+	for _, s := range r.Servers {
+		worst = max(worst, t.Pressure.Of(s.Image, t.Step.Image)*use)
+	}
+	return worst
+}
+
 // roomScore returns how bad a worker is for a task; lower is better.
 func roomScore(r *PoolRoom, s *state.WorkflowStep) float64 {
 	score := memoryWeight * share(r.Capacity.MemoryMiB-r.Free.MemoryMiB+s.Size.MemoryMiB, r.Capacity.MemoryMiB)
