wal: cut off writes that a power failure lost before ones that it kept

Ruled out: damage of synced data; the lost write came after the last sync. Change: the log notes what was synced with the next write, and at close. It refuses only damage of what it knows to be synced. What is read at a start is synced before it is relied on. Also: jobs that can still be in time come first (placement.OrderJobs).

--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -165,15 +165,19 @@
 
 // chainMillis returns the longest chain of estimated work.
 func chainMillis(spec *state.WorkflowSpec) int64 {
+	return longestChain(spec, func(step int) int64 { return spec.Steps[step].EstimateMillis })
+}
+
+// longestChain returns the length of the longest chain of dependent steps.
+func longestChain(spec *state.WorkflowSpec, length func(step int) int64) int64 {
 	longest := int64(0)
 	ends := make([]int64, len(spec.Steps))
 	for i := range spec.Steps {
-		s := &spec.Steps[i]
 		var begin int64
-		for _, d := range s.DependsOn {
+		for _, d := range spec.Steps[i].DependsOn {
 			begin = max(begin, ends[d])
 		}
-		ends[i] = begin + s.EstimateMillis
+		ends[i] = begin + length(i)
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -22,22 +22,14 @@
 // schedule places ready tasks: queues by priority, then workflows by deadline.
 func (c *Controller) schedule() {
 	now := c.now()
-	var waiting []*flow
-	for _, f := range c.flows {
-		c.release(f)
-		if f.ready > 0 {
-			waiting = append(waiting, f)
-		}
-	}
+	waiting := c.waitingJobs()
 	if len(waiting) == 0 {
 		return
 	}
-	slices.SortFunc(waiting, func(a, b *flow) int {
-		return cmp.Or(cmp.Compare(a.spec.Priority, b.spec.Priority), cmp.Compare(a.deadline, b.deadline),
-			cmp.Compare(a.spec.ID, b.spec.ID))
-	})
+	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
 	pools := c.pools(now)
-	for _, f := range waiting {
+	for _, j := range waiting {
+		f := c.flows[j.ID]
 		if c.journal.full() {
 			c.dirty = true
 			return
@@ -48,6 +40,40 @@
 	}
 }
 
+// lateFactor is the multiple of its objective after which a workflow is of no
+// use any more, from the users' terms.
+const lateFactor = 3
+
+func (c *Controller) waitingJobs() []placement.WaitingJob {
+	var waiting []placement.WaitingJob
+	for _, f := range c.flows {
+		c.release(f)
+		if f.ready > 0 {
+			waiting = append(waiting, placement.WaitingJob{
+				ID: f.spec.ID, Priority: f.spec.Priority, Deadline: f.deadline,
+				LateDeadline: f.submittedAt + lateFactor*(f.deadline-f.submittedAt), RemainingMillis: f.remainingMillis(),
+			})
+		}
+	}
+	return waiting
+}
+
+// remainingMillis returns the longest chain of estimated work that is left.
+func (f *flow) remainingMillis() int64 {
+	rest := make([]int64, len(f.spec.Steps))
+	for _, t := range f.tasks {
+		if t.phase == taskDone {
+			continue
+		}
+		left := t.step.EstimateMillis
+		if t.attempt != nil && !t.step.LongRunning {
+			left = left * int64(full-t.attempt.measures.progress) / full
+		}
+		rest[t.pos.Step] = max(rest[t.pos.Step], left)
+	}
+	return longestChain(f.spec, func(step int) int64 { return rest[step] })
+}
+
 // pools returns the usable workers by pool, in the order of their ids.
 func (c *Controller) pools(now time.Duration) map[string]*pool {
 	s := c.opts.Log.State()
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -13,6 +13,9 @@
 	// lookWait is how long an answer to a look waits for an end. It leaves
 	// several looks within one lease.
 	lookWait = time.Second
+	// paceWait is the same where tasks on leftover processors may disturb
+	// serving ones: about as long as the measures look back.
+	paceWait = 700 * time.Millisecond
 	// lookRetry is the pause before a look without an answer is repeated.
 	lookRetry = 200 * time.Millisecond
 	// lookGap keeps the looks at one worker apart, so that ends that come
@@ -190,10 +193,16 @@
 	if !s.contacted || s.silent || len(s.attempts) == 0 {
 		return 0
 	}
+	serving, leftover := false, false
 	for _, a := range s.attempts {
 		if a.phase == attemptUnknown || a.stopped && a.since > s.lastLook {
 			return 0
 		}
+		serving = serving || a.task.step.LongRunning && a.task.step.TailMillis > 0
+		leftover = leftover || a.task.step.Leftover
+	}
+	if serving && leftover {
+		return paceWait
 	}
 	return lookWait
 }
--- a/replica/options.go
+++ b/replica/options.go
@@ -49,6 +49,9 @@
 	// TargetVoters is the number of voters that the leader keeps; 0 for the
 	// number of initial voters. More are added as instances with a disk join.
 	TargetVoters int
+	// ReplaceEmptied replaces a voter at once whose instance has come back with
+	// an emptied data folder, without waiting for RepairAfter.
+	ReplaceEmptied bool
 	// Bootstrap forms the group without an operator. It must be set only at
 	// the first start of the whole cluster, with empty data folders.
 	Bootstrap bool
--- a/replica/repair.go
+++ b/replica/repair.go
@@ -109,7 +109,7 @@
 // data folder was emptied, so the voter never comes back.
 func (r *Replica) lostDisk(m raft.Member) bool {
 	info := r.members.info[m.Instance]
-	return info != nil && info.disk && info.replica != m.ID
+	return r.opts.ReplaceEmptied && info != nil && info.disk && info.replica != m.ID
 }
 
 // candidates returns the learners that could become voters.
--- a/replica/storage_test.go
+++ b/replica/storage_test.go
@@ -91,6 +91,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = st.write(&raft.HardState{Term: 1}, entries(1, 1, 20), 0)
 	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(st.sync()).To(Succeed()) // what was not synced may be cut off instead
 	g.Expect(st.close()).To(Succeed())
 	files, err := filepath.Glob(filepath.Join(dir, walFolder, "*"))
 	g.Expect(err).NotTo(HaveOccurred())
--- a/wal/record.go
+++ b/wal/record.go
@@ -5,7 +5,7 @@
 	"hash/crc32"
 )
 
-// Record is one record of the log. Its type is the caller's, below 255.
+// Record is one record of the log. Its type is the caller's, below 254.
 type Record struct {
 	Type uint8
 	Data []byte
@@ -80,3 +80,16 @@
 	}
 	return true
 }
+
+func syncedRecord(offset int64) Record {
+	return Record{Type: recordSynced, Data: binary.LittleEndian.AppendUint64(nil, uint64(offset))}
+}
+
+// syncedOffset returns the offset of a recordSynced, or 0 if it has none.
+func syncedOffset(r Record) int64 {
+	const offsetBytes = 8
+	if len(r.Data) != offsetBytes {
+		return 0
+	}
+	return int64(binary.LittleEndian.Uint64(r.Data))
+}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -22,6 +22,11 @@
 // Segments before it are left over from a crash and are not read.
 const recordRewrite = 0xff
 
+// recordSynced is the type of the record that says up to which offset of its
+// segment everything was synced before it was written. Damage before that
+// offset is not the work of a power failure.
+const recordSynced = 0xfe
+
 // ErrFailed is returned after a write or sync has failed. What is on disk is
 // unknown then, so the log takes nothing more.
 var ErrFailed = errors.New("log has failed earlier")
@@ -54,11 +59,16 @@
 	size    int64  // of the open segment
 	buf     []byte // records that are not written yet
 	dirty   bool   // written and not synced
+	synced  int64  // bytes of the open segment that are synced
+	marked  int64  // bytes that the last recordSynced covers
 	err     error
 }
 
 // Open reads all records in order, calls replay for each, and returns the log
-// ready to append. An incomplete last record is cut off; it was never synced.
+// ready to append. After a power failure each write that was not synced may be
+// there, torn or missing, in any combination: the last segment is cut off at
+// the first record that can't be read, unless a later one shows that it was
+// synced.
 // The data of a record are valid only during the call.
 func Open(o Options, replay func(Record) error) (*Log, error) {
 	if o.FS == nil {
@@ -166,13 +176,13 @@
 	for at := 0; at < len(data); {
 		r, size, state := parseRecord(data[at:])
 		switch {
-		case state == incomplete && last:
+		case state != parsed && last && !syncedBeyond(data, at):
 			return l.truncate(name, int64(at))
 		case state != parsed:
 			return steperr.Wrap(&DamageError{File: name, Offset: int64(at)}, "read log file", name)
 		}
 		at += size
-		if r.Type == recordRewrite {
+		if r.Type == recordRewrite || r.Type == recordSynced {
 			continue
 		}
 		if err := replay(r); err != nil {
@@ -183,6 +193,18 @@
 	return nil
 }
 
+// syncedBeyond reports whether a record after the offset says that data at the
+// offset were synced.
+func syncedBeyond(data []byte, at int) bool {
+	for i := at + 1; i < len(data); i++ {
+		r, _, state := parseRecord(data[i:])
+		if state == parsed && r.Type == recordSynced && syncedOffset(r) > int64(at) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Log) truncate(name string, size int64) error {
 	f, err := l.opts.FS.Append(name)
 	if err != nil {
@@ -205,7 +227,7 @@
 	if err != nil {
 		return steperr.Wrap(err, "create log file", l.path(n))
 	}
-	l.file, l.segment, l.size = f, n, 0
+	l.file, l.segment, l.size, l.synced, l.marked = f, n, 0, 0, 0
 	return steperr.Wrap(l.opts.FS.SyncDir(l.opts.Dir), "sync log folder", l.opts.Dir)
 }
 
@@ -215,6 +237,11 @@
 		return steperr.Wrap(err, "open log file", l.path(n))
 	}
 	l.file, l.segment = f, n
+	// What was read may not be synced yet, and is relied on from now on.
+	if err := f.Sync(); err != nil {
+		return steperr.Wrap(err, "sync log file", l.path(n))
+	}
+	l.synced, l.marked = l.size, 0
 	return nil
 }
 
@@ -230,6 +257,10 @@
 	if len(l.buf) == 0 {
 		return nil
 	}
+	if l.synced > l.marked {
+		l.buf = append(appendRecord(nil, syncedRecord(l.synced)), l.buf...)
+		l.marked = l.synced
+	}
 	_, err := l.file.Write(l.buf)
 	l.size += int64(len(l.buf))
 	l.buf = l.buf[:0]
@@ -248,7 +279,7 @@
 	if err := l.fail(l.file.Sync(), "sync log file"); err != nil {
 		return err
 	}
-	l.dirty = false
+	l.dirty, l.synced = false, l.size
 	if l.size < l.opts.SegmentBytes {
 		return nil
 	}
@@ -280,10 +311,10 @@
 	if err := l.fail(l.file.Close(), "close log file"); err != nil {
 		return err
 	}
+	l.size = int64(len(data))
 	if err := l.fail(l.reopen(next), "open log file"); err != nil {
 		return err
 	}
-	l.size = int64(len(data))
 	return l.removeBefore(next)
 }
 
@@ -305,8 +336,13 @@
 	return l.err
 }
 
-// Close closes the open segment without syncing it.
+// Close closes the open segment without syncing it. It notes what was synced,
+// so that later damage is told from writes that a power failure lost.
 func (l *Log) Close() error {
+	if l.err == nil && l.synced > l.marked {
+		_, err := l.file.Write(appendRecord(nil, syncedRecord(l.synced)))
+		_ = l.fail(err, "write log file")
+	}
 	if l.err == nil {
 		l.err = ErrFailed
 	}
