fleet: tell answers of an earlier generation, and test the controller

Change: a silent worker's lease is left to end; answers carry a generation; rooms of workers are kept between rounds, pressures are looked up by leftover image, and a round doesn't search again for what found no room.

--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -61,16 +61,20 @@
 	ctx     context.Context // of Run
 
 	// Of the loop.
-	epoch    uint64 // leadership epoch in which the controller is active
-	fence    uint64 // its term
-	active   bool
-	takeover time.Duration // when it became active
-	nextSync time.Duration
-	dirty    bool // something changed that may let a task start
-	flows    map[string]*flow
-	sessions map[string]*session // by worker id
-	journal  journal
-	pressure *placement.Pressure
+	epoch uint64 // leadership epoch in which the controller is active
+	// generation changes whenever the controller starts or stops to be active,
+	// so that answers to what it did before are told from later ones.
+	generation uint64
+	fence      uint64 // its term
+	active     bool
+	takeover   time.Duration // when it became active
+	nextSync   time.Duration
+	dirty      bool // something changed that may let a task start
+	flows      map[string]*flow
+	sessions   map[string]*session // by worker id
+	sorted     []*session          // nil once sessions has changed
+	journal    journal
+	pressure   *placement.Pressure
 }
 
 // boxSize bounds the work that waits for the loop. Senders wait beyond it.
@@ -130,12 +134,12 @@
 }
 
 // later returns a function that runs f in the loop if the controller is then
-// still active in the epoch of the call.
+// still active in the generation of the call.
 func (c *Controller) later(f func()) func() {
-	epoch := c.epoch
+	generation := c.generation
 	return func() {
 		c.post(func() {
-			if c.active && c.epoch == epoch {
+			if c.generation == generation {
 				f()
 			}
 		})
@@ -165,9 +169,10 @@
 // activate takes the workflows and workers of the replicated state over.
 func (c *Controller) activate(l replica.Leadership) {
 	c.active, c.epoch, c.fence = true, l.Epoch, l.Term
+	c.generation++
 	c.takeover = c.now()
 	c.flows = make(map[string]*flow)
-	c.sessions = make(map[string]*session)
+	c.sessions, c.sorted = make(map[string]*session), nil
 	c.journal = journal{}
 	c.dirty = true
 	s := c.opts.Log.State()
@@ -184,7 +189,9 @@
 		return
 	}
 	c.active = false
+	c.generation++
 	for _, s := range c.sessions {
+		s.gone = true
 		s.api.Close()
 	}
 	c.flows, c.sessions = nil, nil
--- /dev/null
+++ b/fleet/harness_test.go
@@ -0,0 +1,183 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+
+	"apricotrouter/fleet"
+	"apricotrouter/replica"
+	"apricotrouter/standin/pool"
+	"apricotrouter/state"
+	"apricotrouter/transport"
+)
+
+const (
+	holdMax  = 600 * time.Millisecond
+	patience = 10 * time.Second
+	host     = "queue.example"
+)
+
+// group is a control group of one instance whose leadership a test sets.
+type group struct {
+	*replica.Memory
+}
+
+func (g group) Confirm(context.Context) error { return nil }
+
+func (g group) Members() []string { return []string{"memory"} }
+
+// harness runs a controller and its service with stand-in workers.
+type harness struct {
+	*WithT
+	t       *testing.T
+	log     *replica.Memory
+	service *fleet.Service
+	client  *fleet.Client
+	mu      sync.Mutex
+	workers map[string]*pool.Worker // by address
+	beats   uint64
+}
+
+func newHarness(t *testing.T) *harness {
+	h := &harness{
+		WithT: NewWithT(t), t: t, log: replica.NewMemory(clockwork.NewRealClock()),
+		workers: make(map[string]*pool.Worker),
+	}
+	g := group{h.log}
+	c := fleet.New(fleet.Options{Log: g, Dial: h.dial, Limits: fleet.Limits{
+		HoldMax: holdMax, StopGrace: 50 * time.Millisecond, DrainTime: 200 * time.Millisecond, Heartbeat: 10 * time.Second,
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = c.Run(ctx) }()
+	mux := transport.NewMux()
+	h.service = fleet.NewService(g, c, mux, nil)
+	h.client = fleet.NewClient(fleet.ClientOptions{
+		Peers: transport.NewMesh(transport.MeshOptions{Self: "memory", Mux: mux}),
+		Seeds: func() []string { return []string{"memory"} },
+	})
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	})
+	h.configure()
+	return h
+}
+
+func (h *harness) dial(w state.PoolWorker) fleet.Worker {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.workers[w.Address]
+}
+
+func (h *harness) call(req *fleet.Request) *fleet.Response {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	return h.client.Call(ctx, req)
+}
+
+func (h *harness) configure() {
+	cfg := &state.QueueConfig{
+		Version: 1, Source: []byte("{}"), Pools: []state.Pool{{Name: "pool", Guarded: true}},
+		Queues: []state.WorkflowQueue{{
+			Name: "queue", Host: host, PathPrefix: "/jobs/", Pool: "pool", MaxAttempts: 2, Stretch: 2,
+			ObjectiveMillis: 1000, TimeoutMillis: 3000,
+		}},
+	}
+	h.Expect(h.call(&fleet.Request{Op: fleet.OpSetQueues, Queues: cfg}).Outcome).To(Equal(fleet.Done))
+}
+
+// worker adds a worker and reports it.
+func (h *harness) worker(id string, o pool.Options) *pool.Worker {
+	o.ID, o.HoldMax = id, holdMax
+	if o.Born == 0 {
+		o.Born = time.Now().UnixMilli()
+	}
+	w := pool.New(o)
+	h.mu.Lock()
+	h.workers[address(id, o.Born)] = w
+	h.mu.Unlock()
+	h.Expect(h.beat(id, o.Born, w, false)).To(Equal(fleet.Done))
+	return w
+}
+
+func address(id string, born int64) string { return fmt.Sprintf("%s:%d", id, born) }
+
+func (h *harness) beat(id string, born int64, w *pool.Worker, draining bool) fleet.Outcome {
+	h.beats++
+	return h.call(&fleet.Request{Op: fleet.OpHeartbeat, Beat: &fleet.Heartbeat{
+		Worker: state.PoolWorker{
+			ID: id, Born: born, Pool: "pool", Address: address(id, born), Zone: "zone-a", Draining: draining,
+			Capacity: state.Resources{MilliCPU: 4000, MemoryMiB: 4000},
+		},
+		Sequence: h.beats, Clock: w.Clock(), RemainingMillis: 300,
+	}}).Outcome
+}
+
+func step(count int, mod ...func(*state.WorkflowStep)) state.WorkflowStep {
+	s := state.WorkflowStep{Count: count, Size: state.Resources{MilliCPU: 1000, MemoryMiB: 1000}, EstimateMillis: 10}
+	for _, m := range mod {
+		m(&s)
+	}
+	return s
+}
+
+const jobID = "00000000000000aa"
+
+func (h *harness) submit(steps ...state.WorkflowStep) fleet.Outcome {
+	return h.call(&fleet.Request{
+		Op: fleet.OpSubmit, Host: host, Path: "/jobs/" + jobID, Workflow: &state.WorkflowSpec{Payload: "p", Steps: steps},
+	}).Outcome
+}
+
+func (h *harness) phase() state.WorkflowPhase {
+	return h.call(&fleet.Request{Op: fleet.OpStatus, Host: host, Path: "/jobs/" + jobID}).Phase
+}
+
+func (h *harness) eventually(want state.WorkflowPhase) {
+	h.t.Helper()
+	h.Eventually(h.phase, patience, 5*time.Millisecond).Should(Equal(want))
+}
+
+// running returns how many runs a worker has now.
+func running(w *pool.Worker) int {
+	n := 0
+	for _, r := range w.Records() {
+		if r.Ended.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// expectOnce checks that no task was done twice or ran in two places at once.
+func (h *harness) expectOnce(workers ...*pool.Worker) {
+	h.t.Helper()
+	done := make(map[fleet.TaskPosition]int)
+	var all []pool.Record
+	for _, w := range workers {
+		all = append(all, w.Records()...)
+	}
+	for i, a := range all {
+		if a.How == fleet.EndDone {
+			done[a.Position]++
+		}
+		for _, b := range all[:i] {
+			if a.Position == b.Position {
+				apart := !a.Ended.IsZero() && !a.Ended.After(b.Started) || !b.Ended.IsZero() && !b.Ended.After(a.Started)
+				h.Expect(apart).To(BeTrue(), "%+v and %+v overlap", a, b)
+			}
+		}
+	}
+	for p, n := range done {
+		h.Expect(n).To(Equal(1), "task %v was done %d times", p, n)
+	}
+}
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -98,7 +98,7 @@
 			reply(Unknown)
 			return
 		}
-		s.worker = b.Worker
+		s.worker, s.cached = b.Worker, nil
 		event.Log(c.opts.Logger, event.WorkerKnown, slog.String("worker", s.worker.ID),
 			slog.Int64("born", s.worker.Born), slog.Uint64("sequence", b.Sequence), slog.Bool("draining", s.worker.Draining))
 		reply(Done)
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -17,6 +17,26 @@
 type pool struct {
 	sessions []*session
 	rooms    []*placement.PoolRoom
+	// tight holds the smallest tasks on leftover processors that found no room
+	// in this round, by image: larger ones find none either.
+	tight map[string]state.Resources
+}
+
+// full reports whether a smaller task of the same image found no room.
+func (p *pool) full(s *state.WorkflowStep) bool {
+	least, ok := p.tight[s.Image]
+	return ok && s.Leftover && least.Fits(s.Size)
+}
+
+// noRoom notes that a task found no room. One that is bound to some workers
+// says nothing about others.
+func (p *pool) noRoom(s *state.WorkflowStep) {
+	if !s.Leftover || s.Label != "" || s.DataRack != "" || s.MaxPerWorker > 0 {
+		return
+	}
+	if least, ok := p.tight[s.Image]; !ok || s.Size.Fits(least) {
+		p.tight[s.Image] = s.Size
+	}
 }
 
 // schedule places ready tasks: queues by priority, then workflows by deadline.
@@ -82,24 +102,29 @@
 		if !w.usable(c, now) || s.ZoneEvacuated(w.worker.Zone) {
 			continue
 		}
+		if w.cached == nil {
+			w.cached = c.room(w)
+		}
 		p := all[w.worker.Pool]
 		if p == nil {
-			p = new(pool)
+			p = &pool{tight: make(map[string]state.Resources)}
 			all[w.worker.Pool] = p
 		}
 		p.sessions = append(p.sessions, w)
-		p.rooms = append(p.rooms, c.room(w))
+		p.rooms = append(p.rooms, w.cached)
 	}
 	return all
 }
 
+// sortedSessions returns all sessions in the order of their workers' ids.
 func (c *Controller) sortedSessions() []*session {
-	all := make([]*session, 0, len(c.sessions))
-	for _, s := range c.sessions {
-		all = append(all, s)
+	if c.sorted == nil {
+		for _, s := range c.sessions {
+			c.sorted = append(c.sorted, s)
+		}
+		slices.SortFunc(c.sorted, func(a, b *session) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
 	}
-	slices.SortFunc(all, func(a, b *session) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
-	return all
+	return c.sorted
 }
 
 // room returns what the worker has left.
@@ -157,8 +182,12 @@
 			continue
 		}
 		request := c.poolTask(t, p)
-		i := placement.ChooseRoom(p.rooms, request)
+		i := -1
+		if !p.full(t.step) {
+			i = placement.ChooseRoom(p.rooms, request)
+		}
 		if i < 0 {
+			p.noRoom(t.step)
 			fullStep, fullOccurrence = t.pos.Step, t.pos.Occurrence
 			continue
 		}
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"apricotrouter/event"
+	"apricotrouter/placement"
 	"apricotrouter/state"
 )
 
@@ -13,6 +14,9 @@
 	// lookWait is how long an answer to a look waits for an end. It leaves
 	// several looks within one lease.
 	lookWait = time.Second
+	// looksPerLease is how many looks go into one lease at least, so that one
+	// that fails does not let it end.
+	looksPerLease = 4
 	// paceWait is the same where tasks on leftover processors may disturb
 	// serving ones: about as long as the measures look back.
 	paceWait = 700 * time.Millisecond
@@ -52,6 +56,7 @@
 	api      Worker
 	attempts map[runKey]*attempt
 	used     state.Resources
+	cached   *placement.PoolRoom      // nil once it may be out of date
 	strays   map[runKey]time.Duration // runs that nobody should have, by the time of their last stop
 
 	contacted bool // looked at in this term, so that all its runs are known
@@ -92,7 +97,7 @@
 	now := c.now()
 	s.contacted, s.lastBeat = fresh, now
 	s.leaseEnd = now + c.fullLease()
-	c.sessions[w.ID] = s
+	c.sessions[w.ID], c.sorted = s, nil
 	c.dirty = true
 	return s
 }
@@ -103,7 +108,7 @@
 	s := newSession(state.PoolWorker{ID: id}, unreachable{})
 	s.silent = true
 	s.leaseEnd = c.now() + c.fullLease()
-	c.sessions[id] = s
+	c.sessions[id], c.sorted = s, nil
 	return s
 }
 
@@ -118,12 +123,14 @@
 	a.session = s
 	s.attempts[s.key(a)] = a
 	s.used = s.used.Add(a.reserves())
+	s.cached = nil
 }
 
 func (s *session) remove(a *attempt) {
 	if s.attempts[s.key(a)] == a {
 		delete(s.attempts, s.key(a))
 		s.used = s.used.Sub(a.reserves())
+		s.cached = nil
 	}
 }
 
@@ -171,8 +178,10 @@
 		return
 	}
 	s.looking = true
-	call := LookCall{Fence: c.fence, Acknowledged: s.acked, WaitMillis: s.lookWait().Milliseconds()}
-	if s.contacted {
+	call := LookCall{Fence: c.fence, Acknowledged: s.acked, WaitMillis: s.lookWait(c.opts.Limits.HoldMax).Milliseconds()}
+	// A silent worker's lease is left to end: its runs are given up then, and a
+	// look whose answer is lost must not extend it.
+	if s.contacted && !s.silent {
 		call.Lease = s.extendLease(c)
 	}
 	var report *Report
@@ -189,7 +198,7 @@
 
 // lookWait returns how long the answer may wait for an end. It doesn't wait if
 // the answer itself decides about a run.
-func (s *session) lookWait() time.Duration {
+func (s *session) lookWait(holdMax time.Duration) time.Duration {
 	if !s.contacted || s.silent || len(s.attempts) == 0 {
 		return 0
 	}
@@ -201,10 +210,11 @@
 		serving = serving || a.task.step.LongRunning && a.task.step.TailMillis > 0
 		leftover = leftover || a.task.step.Leftover
 	}
+	wait := lookWait
 	if serving && leftover {
-		return paceWait
+		wait = paceWait
 	}
-	return lookWait
+	return min(wait, holdMax/looksPerLease)
 }
 
 // looked takes over what a worker reported. begin is when the look was sent.
@@ -242,6 +252,7 @@
 	}
 	c.takeReport(s, begin, r)
 	c.observe(s)
+	s.cached = nil
 	if !s.contacted {
 		s.contacted = true
 		c.dirty = true
@@ -420,6 +431,7 @@
 	s.api.Close()
 	if c.sessions[s.worker.ID] == s {
 		delete(c.sessions, s.worker.ID)
+		c.sorted = nil
 	}
 	c.dirty = true
 	event.Log(c.opts.Logger, event.WorkerGone, slog.String("worker", s.worker.ID), slog.Int64("born", s.worker.Born),
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -44,17 +44,22 @@
 // costs little, and tasks on leftover processors keep away from serving tasks.
 func ChooseRoom(rooms []*PoolRoom, t PoolTask) int {
 	best, bestScore := -1, 0.0
+	var by Pressures
+	disturbs := t.Step.Leftover && t.Pressure != nil
+	if disturbs {
+		by = t.Pressure.By(t.Step.Image)
+	}
 	for i, r := range rooms {
 		if r == nil || !admits(r, t.Step) || t.Excluded != nil && t.Excluded(i) {
 			continue
 		}
 		score := roomScore(r, t.Step)
-		if t.Step.Leftover && t.Pressure != nil {
-			excess := leftoverExcess(r, t)
+		if disturbs {
+			excess, added := pressureOn(r, share(t.Step.Size.MilliCPU, r.Capacity.MilliCPU), by)
 			if excess > maxExcess {
 				continue
 			}
-			score += excessWeight*excess + pressureWeight*addedPressure(r, t)
+			score += pressureWeight * added
 		}
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
@@ -70,15 +75,15 @@
 	return !s.Leftover || r.IdleCPU >= s.Size.MilliCPU/minLeftoverShare || r.Leftover == 0
 }
 
-// leftoverExcess returns by how much a new task would push a server of the
-// room over what keeps its target, at worst.
-func leftoverExcess(r *PoolRoom, t PoolTask) float64 {
-	use := share(t.Step.Size.MilliCPU, r.Capacity.MilliCPU)
-	worst := 0.0
-	for _, s := range r.Servers {
-		worst = max(worst, t.Pressure.Of(s.Image, t.Step.Image)*use-s.Headroom)
+// pressureOn returns by how much a new task would push a server of the room
+// over what keeps its target, and the utilisation that it adds, both at worst.
+func pressureOn(r *PoolRoom, use float64, by Pressures) (excess, added float64) {
+	for i := range r.Servers {
+		one := by.Of(r.Servers[i].Image) * use
+		added = max(added, one)
+		excess = max(excess, one-r.Servers[i].Headroom)
 	}
-	return worst
+	return excess, added
 }
 
 const (
@@ -86,30 +91,18 @@
 	// task on leftover processors must find: below it, waiting is faster.
 	minLeftoverShare = 2
 	// Weights of roomScore in units of a whole worker's load.
-	excessWeight     = 10.0 // of the utilisation by which a server would be pushed over its limit
-	pressureWeight   = 5.0  // of the utilisation that a server gets from a new neighbour
-	otherImageWeight = 0.5  // of a server with another image, for a serving task
-	leftoverWeight   = 0.1  // of a task on leftover processors, for a serving task
-	remoteWeight     = 4.0  // of a worker away from the step's data
-	memoryWeight     = 0.5  // of the memory in use
-	acceleratorSpare = 2.0  // of a worker with accelerators, for a task that needs none
+	pressureWeight   = 5.0 // of the utilisation that a server gets from a new neighbour
+	otherImageWeight = 0.5 // of a server with another image, for a serving task
+	leftoverWeight   = 0.1 // of a task on leftover processors, for a serving task
+	remoteWeight     = 4.0 // of a worker away from the step's data
+	memoryWeight     = 0.5 // of the memory in use
+	acceleratorSpare = 2.0 // of a worker with accelerators, for a task that needs none
 
 	// maxExcess is the utilisation over its limit to which a server may be
 	// pushed: beyond it the new task would only be paced down again.
 	maxExcess = 0.0
 )
 
-// addedPressure returns the most utilisation that a new task adds to a server
-// of the room.
-func addedPressure(r *PoolRoom, t PoolTask) float64 {
-	use := share(t.Step.Size.MilliCPU, r.Capacity.MilliCPU)
-	worst := 0.0
-	for _, s := range r.Servers {
-		worst = max(worst, t.Pressure.Of(s.Image, t.Step.Image)*use)
-	}
-	return worst
-}
-
 // roomScore returns how bad a worker is for a task; lower is better.
 func roomScore(r *PoolRoom, s *state.WorkflowStep) float64 {
 	score := memoryWeight * share(r.Capacity.MemoryMiB-r.Free.MemoryMiB+s.Size.MemoryMiB, r.Capacity.MemoryMiB)
@@ -151,10 +144,10 @@
 	r.IdleCPU -= s.Size.MilliCPU
 	if s.Leftover {
 		r.Leftover++
-		use := share(s.Size.MilliCPU, r.Capacity.MilliCPU)
-		for i := range r.Servers {
-			if t.Pressure != nil {
-				r.Servers[i].Headroom -= t.Pressure.Of(r.Servers[i].Image, s.Image) * use
+		if t.Pressure != nil {
+			use, by := share(s.Size.MilliCPU, r.Capacity.MilliCPU), t.Pressure.By(s.Image)
+			for i := range r.Servers {
+				r.Servers[i].Headroom -= by.Of(r.Servers[i].Image) * use
 			}
 		}
 	}
--- a/placement/pressure.go
+++ b/placement/pressure.go
@@ -13,11 +13,21 @@
 type Pressure struct {
 	floors map[string]float64 // shortest tail seen, by serving image, milliseconds
 	loads  map[string]float64 // mean own load, by serving image
-	pairs  map[Pair]float64
+	// pairs holds the pressures by leftover and then by serving image: a
+	// search for room asks for many serving images of one leftover image.
+	pairs map[string]Pressures
 }
 
-// Pair is the images of a serving task and of a task on leftover processors.
-type Pair struct{ Serving, Leftover string }
+// Pressures are those of one leftover image, by serving image.
+type Pressures map[string]float64
+
+// Of returns the pressure on a serving image.
+func (p Pressures) Of(serving string) float64 {
+	if v, ok := p[serving]; ok {
+		return v
+	}
+	return priorPressure
+}
 
 const (
 	// priorPressure is assumed of a pair that was not seen: between a pair
@@ -43,16 +53,14 @@
 
 // NewPressure returns an estimate that has seen nothing.
 func NewPressure() *Pressure {
-	return &Pressure{floors: make(map[string]float64), loads: make(map[string]float64), pairs: make(map[Pair]float64)}
+	return &Pressure{floors: make(map[string]float64), loads: make(map[string]float64), pairs: make(map[string]Pressures)}
 }
 
 // Of returns the pressure of a pair.
-func (p *Pressure) Of(serving, leftover string) float64 {
-	if v, ok := p.pairs[Pair{serving, leftover}]; ok {
-		return v
-	}
-	return priorPressure
-}
+func (p *Pressure) Of(serving, leftover string) float64 { return p.pairs[leftover].Of(serving) }
+
+// By returns the pressures of a leftover image.
+func (p *Pressure) By(leftover string) Pressures { return p.pairs[leftover] }
 
 // Load returns the mean own load of a serving image.
 func (p *Pressure) Load(serving string) float64 {
@@ -103,6 +111,9 @@
 	p.loads[serving] = p.Load(serving) + loadRate*miss
 	for image, use := range uses {
 		v := p.Of(serving, image) + learnRate*miss*use/(squares+minUse)
-		p.pairs[Pair{serving, image}] = max(0, v)
+		if p.pairs[image] == nil {
+			p.pairs[image] = make(Pressures)
+		}
+		p.pairs[image][serving] = max(0, v)
 	}
 }
