fleet: raise the fence with each activation, stay active within a term

Change: the fence holds term and activation; the controller is passive while the leader isn't confirmed, and starts anew only in another term; it looks at workers only where something changed; the collector runs later.

--- a/cmd/apricotrouterd/main.go
+++ b/cmd/apricotrouterd/main.go
@@ -56,6 +56,9 @@
 			// stacks, buffers of the kernel and temporary files.
 			const percentOfLimit = 70
 			debug.SetMemoryLimit(settings.Limits.MemoryMiB << 20 * percentOfLimit / 100)
+			// Below the limit, memory is cheaper than processor time.
+			const percentOfLive = 200
+			debug.SetGCPercent(percentOfLive)
 		}
 		out := event.NewWriter(os.Stdout, event.DefaultBufferedLines)
 		defer out.Close()
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -97,6 +97,7 @@
 		return
 	}
 	a.phase, a.startedAt = attemptStarting, c.now()
+	c.touched[s] = true
 	call := StartCall{
 		Run: a.run, Position: a.position(), Payload: a.task.flow.spec.Payload, Fence: c.fence,
 		Lease: s.extendLease(c), Checkpoint: a.task.checkpoint, Ticket: a.ticket,
@@ -242,6 +243,7 @@
 		return
 	}
 	a.session.answered(now)
+	c.touched[a.session] = true
 	a.stopped, a.since = true, now
 	if a.phase != attemptEnded {
 		a.phase = attemptStopping
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -61,11 +61,11 @@
 	ctx     context.Context // of Run
 
 	// Of the loop.
-	epoch uint64 // leadership epoch in which the controller is active
+	term uint64 // in which the controller is active
 	// generation changes whenever the controller starts or stops to be active,
 	// so that answers to what it did before are told from later ones.
 	generation uint64
-	fence      uint64 // its term
+	fence      uint64
 	active     bool
 	takeover   time.Duration // when it became active
 	nextSync   time.Duration
@@ -73,6 +73,7 @@
 	flows      map[string]*flow
 	sessions   map[string]*session // by worker id
 	sorted     []*session          // nil once sessions has changed
+	touched    map[*session]bool   // sessions that may have to be looked at
 	journal    journal
 	pressure   *placement.Pressure
 }
@@ -149,30 +150,40 @@
 // now returns the monotonic time since the start of the process.
 func (c *Controller) now() time.Duration { return c.opts.Clock.Since(c.started) }
 
-// leads reports whether this instance is the confirmed leader of the epoch.
+// leads reports whether this instance is the confirmed leader of the term in
+// which the controller is active.
 func (c *Controller) leads() bool {
 	l := c.opts.Log.Leadership()
-	return c.active && l.Self && l.Epoch == c.epoch
+	return c.active && l.Self && l.Term == c.term
 }
 
+// followLeadership follows the term. A leader that is not confirmed for a
+// while does nothing meanwhile; if it is confirmed again in the same term, no
+// other one can have changed anything.
 func (c *Controller) followLeadership() {
 	l := c.opts.Log.Leadership()
 	switch {
-	case l.Self && (!c.active || l.Epoch != c.epoch):
+	case l.Self && (!c.active || l.Term != c.term):
 		c.deactivate("leadership changed")
 		c.activate(l)
-	case c.active && !l.Self:
-		c.deactivate("no longer confirmed as the leader")
+	case c.active && !l.Self && l.Term != c.term:
+		c.deactivate("another term has begun")
 	}
 }
 
+// fenceShift makes room in a fence for the activations within one term, so
+// that what an earlier activation sent is refused once a later one has looked.
+const fenceShift = 16
+
 // activate takes the workflows and workers of the replicated state over.
 func (c *Controller) activate(l replica.Leadership) {
-	c.active, c.epoch, c.fence = true, l.Epoch, l.Term
 	c.generation++
+	c.active, c.term = true, l.Term
+	c.fence = l.Term<<fenceShift | c.generation&(1<<fenceShift-1)
 	c.takeover = c.now()
 	c.flows = make(map[string]*flow)
 	c.sessions, c.sorted = make(map[string]*session), nil
+	c.touched = make(map[*session]bool)
 	c.journal = journal{}
 	c.dirty = true
 	s := c.opts.Log.State()
@@ -218,6 +229,7 @@
 	}
 	for _, s := range c.sessions {
 		c.watchSession(s, now)
+		c.touched[s] = true
 	}
 }
 
@@ -231,9 +243,10 @@
 		c.schedule()
 	}
 	c.commit()
-	for _, s := range c.sessions {
+	for s := range c.touched {
 		c.look(s)
 	}
+	clear(c.touched)
 }
 
 // sync opens workflows that are new and closes those that have ended.
--- a/fleet/controller_test.go
+++ b/fleet/controller_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -108,12 +109,32 @@
 func TestEarlierLeaderIsRefusedByItsFence(t *testing.T) {
 	h := newHarness(t)
 	a := h.worker("a", pool.Options{})
-	_, err := a.Look(t.Context(), fleet.LookCall{Fence: 100})
+	_, err := a.Look(t.Context(), fleet.LookCall{Fence: 1 << 40})
 	h.Expect(err).NotTo(HaveOccurred())
 	h.Expect(h.submit(step(1))).To(Equal(fleet.Done))
 	h.Consistently(func() int { return len(a.Records()) }, "300ms").Should(BeZero())
 }
 
+// Guards against a start that an earlier activation in the same term sent and
+// that arrives after a later one has found its task not running.
+func TestCommitWithUnknownOutcomeRaisesTheFence(t *testing.T) {
+	h := newHarness(t)
+	a := h.worker("a", pool.Options{Work: forever})
+	h.Expect(h.submit(step(1, longRunning))).To(Equal(fleet.Done))
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
+	before := a.Fence()
+	h.log.SetError(errors.New("no answer"))
+	stray := fleet.TaskPosition{Workflow: jobID, Index: 0}
+	h.Expect(a.Stop(t.Context(), fleet.StopCall{Run: fleet.Run{Number: 1}, Position: stray, Fence: before})).To(Succeed())
+	time.Sleep(100 * time.Millisecond) // the end can't be committed
+	h.log.SetError(nil)
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
+	err := a.Start(t.Context(), fleet.StartCall{
+		Run: fleet.Run{Workflow: jobID, Number: 9}, Position: stray, Fence: before, Lease: a.Clock() + 500,
+	})
+	h.Expect(err).To(MatchError(&fleet.RefusedError{Reason: fleet.RefusedFence}))
+}
+
 // Guards against runs that go on after their workflow was cancelled, and
 // against a cancelled workflow that is shown as anything else.
 func TestCancelStopsAllRuns(t *testing.T) {
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -220,6 +220,7 @@
 // looked takes over what a worker reported. begin is when the look was sent.
 func (c *Controller) looked(s *session, begin time.Duration, call LookCall, r *Report, err error) {
 	s.looking = false
+	c.touched[s] = true
 	if s.gone {
 		return
 	}
@@ -275,6 +276,7 @@
 		reported := s.reported
 		c.journal.after = append(c.journal.after, func() {
 			s.acked, s.ackWaits, s.unacked = max(s.acked, reported), false, true
+			c.touched[s] = true
 		})
 	}
 	for k := range s.strays {
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -131,6 +131,13 @@
 	return all
 }
 
+// Fence returns the highest fence that the worker has seen.
+func (w *Worker) Fence() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.fence
+}
+
 // Clock returns the reading of the worker's clock in milliseconds.
 func (w *Worker) Clock() int64 { return time.Since(w.started).Milliseconds() }
 
