fleet: calls may arrive before the controller runs

Cause: TestNewLeaderTakesOverWhatRuns panicked when a call came before Run had set its context. Change: the end of Run is a channel made with the controller.

--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -59,6 +59,7 @@
 	started time.Time
 	box     chan func()
 	ctx     context.Context // of Run
+	done    chan struct{}   // closed when Run has ended
 
 	// Of the loop.
 	term uint64 // in which the controller is active
@@ -87,7 +88,7 @@
 		o.Clock = clockwork.NewRealClock()
 	}
 	return &Controller{
-		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), box: make(chan func(), boxSize),
+		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), box: make(chan func(), boxSize), done: make(chan struct{}),
 		pressure: placement.NewPressure(),
 	}
 }
@@ -95,6 +96,7 @@
 // Run drives the controller until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.ctx = ctx
+	defer close(c.done)
 	ticker := c.opts.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -130,7 +132,7 @@
 func (c *Controller) post(f func()) {
 	select {
 	case c.box <- f:
-	case <-c.ctx.Done():
+	case <-c.done:
 	}
 }
 
