--- /dev/null
+++ b/event/writer_test.go
@@ -0,0 +1,60 @@
+package event_test
+
+import (
+	"bytes"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/event"
+)
+
+// stuck is a reader that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	buf     bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(p)
+}
+
+// Guards against a process that waits for the reader of its log, and against
+// lines that are dropped without a word.
+func TestStuckReaderBlocksNobody(t *testing.T) {
+	g := NewWithT(t)
+	out := &stuck{release: make(chan struct{})}
+	w := event.NewWriter(out, 10)
+	logger := slog.New(slog.NewJSONHandler(w, nil))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 100 {
+			event.Log(logger, event.TaskPlaced)
+		}
+	}()
+	g.Eventually(done, 5*time.Second).Should(BeClosed())
+	g.Expect(w.Dropped()).To(BeNumerically(">=", 89))
+	close(out.release)
+	w.Close()
+	g.Expect(out.buf.String()).To(ContainSubstring(`"msg":"log lines dropped"`))
+	g.Expect(w.Dropped()).To(BeZero())
+}
+
+// BenchmarkLine measures one log line with its fields.
+func BenchmarkLine(b *testing.B) {
+	w := event.NewWriter(new(bytes.Buffer), event.DefaultBufferedLines)
+	defer w.Close()
+	logger := slog.New(slog.NewJSONHandler(w, nil))
+	for b.Loop() {
+		event.Log(logger, event.TaskPlaced, slog.String("workflow", "5c0e7a21d94b36f8"), slog.Int("task", 17),
+			slog.Uint64("run", 2), slog.String("worker", "i-7f3a91c2"))
+	}
+}
--- /dev/null
+++ b/placement/order_test.go
@@ -0,0 +1,100 @@
+package placement_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/placement"
+)
+
+// serve runs jobs of one chain each on a number of places, in the order that
+// next chooses at each start, and returns how many were in time.
+func serve(jobs []placement.WaitingJob, arrival map[string]int64, places int, order func(now int64, jobs []placement.WaitingJob)) int {
+	free := make([]int64, places) // when each place is free
+	inTime := 0
+	for len(jobs) > 0 {
+		slices.Sort(free)
+		now := free[0]
+		var there []placement.WaitingJob
+		first := int64(1 << 62)
+		for _, j := range jobs {
+			first = min(first, arrival[j.ID])
+			if arrival[j.ID] <= now {
+				there = append(there, j)
+			}
+		}
+		if len(there) == 0 {
+			free[0] = first
+			continue
+		}
+		order(now, there)
+		j := there[0]
+		jobs = slices.DeleteFunc(jobs, func(o placement.WaitingJob) bool { return o.ID == j.ID })
+		free[0] = now + j.RemainingMillis
+		if free[0] <= j.Deadline {
+			inTime++
+		}
+	}
+	return inTime
+}
+
+// burst is a load of 0.8 with six seconds of 2.6 times as much, as on the
+// users' worst days.
+func burst() ([]placement.WaitingJob, map[string]int64) {
+	var jobs []placement.WaitingJob
+	arrival := make(map[string]int64)
+	at := int64(0)
+	for i := range 400 {
+		gap := int64(250)
+		if at > 10_000 && at < 16_000 {
+			gap = 96
+		}
+		at += gap
+		work := int64(1000 + 400*(i%4))
+		id := fmt.Sprintf("%03d", i)
+		arrival[id] = at
+		jobs = append(jobs, placement.WaitingJob{
+			ID: id, Deadline: at + 2*work + 1000, LateDeadline: at + 3*(2*work+1000), RemainingMillis: work,
+		})
+	}
+	return jobs, arrival
+}
+
+// Guards against a burst that makes everything after it late: jobs that can
+// still be in time go before those that can't, which first-in-first-out and
+// the earliest deadline alone don't do.
+func TestOrderAfterABurstServesMoreInTimeThanBaselines(t *testing.T) {
+	g := NewWithT(t)
+	run := func(order func(int64, []placement.WaitingJob)) int {
+		jobs, arrival := burst()
+		return serve(jobs, arrival, 8, order)
+	}
+	byDeadline := run(func(_ int64, jobs []placement.WaitingJob) {
+		slices.SortFunc(jobs, func(a, b placement.WaitingJob) int { return cmp.Compare(a.Deadline, b.Deadline) })
+	})
+	fifo := run(func(_ int64, jobs []placement.WaitingJob) {
+		slices.SortFunc(jobs, func(a, b placement.WaitingJob) int { return cmp.Compare(a.ID, b.ID) })
+	})
+	got := run(placement.OrderJobs)
+	t.Logf("in time of 400: %d, by deadline %d, first in first out %d", got, byDeadline, fifo)
+	g.Expect(got).To(BeNumerically(">", byDeadline))
+	g.Expect(got).To(BeNumerically(">", fifo))
+}
+
+// Guards against a less urgent queue that is served first.
+func TestPriorityComesFirst(t *testing.T) {
+	g := NewWithT(t)
+	jobs := []placement.WaitingJob{
+		{ID: "low", Priority: 2, Deadline: 10_000, LateDeadline: 30_000, RemainingMillis: 10},
+		{ID: "late", Priority: 0, Deadline: 10, LateDeadline: 50_000, RemainingMillis: 100},
+		{ID: "high", Priority: 0, Deadline: 20_000, LateDeadline: 30_000, RemainingMillis: 10},
+	}
+	placement.OrderJobs(0, jobs)
+	g.Expect(jobs[0].ID).To(Equal("high"))
+	g.Expect(jobs[1].ID).To(Equal("late"))
+	g.Expect(jobs[2].ID).To(Equal("low"))
+}
--- /dev/null
+++ b/placement/pressure_test.go
@@ -0,0 +1,162 @@
+package placement_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/placement"
+	"apricotrouter/state"
+)
+
+// truth is a worker as the estimate assumes it: the tail of a serving task
+// grows like that of a queue, and only one pair of images disturbs.
+type truth struct {
+	floor   float64
+	heavy   [2]string
+	rng     *rand.Rand
+	seconds float64
+}
+
+func (w *truth) pressure(serving, leftover string) float64 {
+	if serving == w.heavy[0] && leftover == w.heavy[1] {
+		return 1.2
+	}
+	return 0.1
+}
+
+// tail returns a tail at a load that swings between 0.2 and 0.7.
+func (w *truth) tail(serving string, uses map[string]float64) int64 {
+	w.seconds++
+	const mean, swing, period = 0.45, 0.25, 14.0
+	u := mean + swing*math.Sin(2*math.Pi*w.seconds/period)
+	for image, use := range uses {
+		u += w.pressure(serving, image) * use
+	}
+	return int64(w.floor / math.Max(0.01, 1-u) * (0.95 + 0.1*w.rng.Float64()))
+}
+
+// Guards against an estimate that takes a harmless pair for a disturbing one
+// or the reverse, while the load of the serving tasks swings.
+func TestPressureFindsTheDisturbingPair(t *testing.T) {
+	g := NewWithT(t)
+	w := &truth{floor: 10, heavy: [2]string{"s1", "l2"}, rng: rand.New(rand.NewPCG(1, 2))}
+	p := placement.NewPressure()
+	for i := range 400 {
+		image := []string{"l1", "l2", "l3"}[i%3]
+		uses := map[string]float64{image: 0.1 + 0.2*w.rng.Float64()}
+		for _, serving := range []string{"s1", "s2"} {
+			p.Observe(serving, w.tail(serving, uses), 50, uses)
+		}
+	}
+	g.Expect(p.Of("s1", "l2")).To(BeNumerically(">", 0.6))
+	for _, pair := range [][2]string{{"s1", "l1"}, {"s1", "l3"}, {"s2", "l1"}, {"s2", "l2"}, {"s2", "l3"}} {
+		g.Expect(p.Of(pair[0], pair[1])).To(BeNumerically("<", 0.45), "%v", pair)
+	}
+}
+
+// Guards against a serving task that stays over its target, or a neighbour
+// that stays slowed although nothing suffers: a worker with a disturbing and a
+// harmless neighbour is replayed under a swinging load.
+func TestPacesKeepTheTargetAndLetHarmlessWorkGo(t *testing.T) {
+	g := NewWithT(t)
+	w := &truth{floor: 10, heavy: [2]string{"s", "bad"}, rng: rand.New(rand.NewPCG(3, 4))}
+	p := placement.NewPressure()
+	neighbours := []placement.Neighbour{
+		{Image: "bad", Use: 0.25, Percent: 100, Settled: true},
+		{Image: "good", Use: 0.25, Percent: 100, Settled: true},
+	}
+	over, inRow, worst, good, bad := 0, 0, 0, 0, 0
+	const reports = 300
+	for range reports {
+		uses := make(map[string]float64)
+		for _, n := range neighbours {
+			uses[n.Image] = n.Use * float64(n.Percent) / 100
+		}
+		tail := w.tail("s", uses)
+		p.Observe("s", tail, 50, uses)
+		server := placement.Server{Image: "s", Utilisation: p.Utilisation("s", tail, 50), Limit: p.Limit("s", 50)}
+		for i, pace := range placement.Paces(p, []placement.Server{server}, neighbours) {
+			neighbours[i].Percent = pace
+		}
+		inRow++
+		if tail <= 50 {
+			inRow = 0
+		} else {
+			over++
+		}
+		worst = max(worst, inRow)
+		good += neighbours[1].Percent
+		bad += neighbours[0].Percent
+	}
+	// A serving task may be over its target for 4 s because of a neighbour, and
+	// reports come every second.
+	g.Expect(worst).To(BeNumerically("<", 4))
+	g.Expect(over).To(BeNumerically("<", reports/5))
+	g.Expect(good).To(BeNumerically(">", bad))
+}
+
+// Guards against a change of pace that is judged by measures from before it.
+func TestPacesWaitUntilMeasuresShowTheLastChange(t *testing.T) {
+	g := NewWithT(t)
+	p := placement.NewPressure()
+	suffering := []placement.Server{{Image: "s", Utilisation: 0.95, Limit: 0.7}}
+	n := placement.Neighbour{Image: "l", Use: 0.3, Percent: 60}
+	g.Expect(placement.Paces(p, suffering, []placement.Neighbour{n})).To(Equal([]int{60}))
+	n.Settled = true
+	g.Expect(placement.Paces(p, suffering, []placement.Neighbour{n})[0]).To(BeNumerically("<", 60))
+}
+
+func room(cpu int64, mod ...func(*placement.PoolRoom)) *placement.PoolRoom {
+	r := &placement.PoolRoom{
+		Zone: "z", Capacity: state.Resources{MilliCPU: 64000, MemoryMiB: 256000},
+		Free: state.Resources{MilliCPU: cpu, MemoryMiB: 256000}, IdleCPU: cpu,
+	}
+	for _, m := range mod {
+		m(r)
+	}
+	return r
+}
+
+// Guards against choices that break a limit of a step or ignore what a worker
+// lacks.
+func TestChooseRoom(t *testing.T) {
+	size := state.Resources{MilliCPU: 8000, MemoryMiB: 16000}
+	serving := func(image string, headroom float64) func(*placement.PoolRoom) {
+		return func(r *placement.PoolRoom) {
+			r.Servers = append(r.Servers, placement.RoomServer{Image: image, Headroom: headroom})
+		}
+	}
+	labelled := func(l ...string) func(*placement.PoolRoom) {
+		return func(r *placement.PoolRoom) { r.Labels = l }
+	}
+	for name, c := range map[string]struct {
+		rooms    []*placement.PoolRoom
+		step     state.WorkflowStep
+		excluded func(int) bool
+		want     int
+	}{
+		"the least loaded":              {[]*placement.PoolRoom{room(10000), room(50000)}, state.WorkflowStep{Size: size}, nil, 1},
+		"no room":                       {[]*placement.PoolRoom{room(7000)}, state.WorkflowStep{Size: size}, nil, -1},
+		"leftover needs no reservation": {[]*placement.PoolRoom{room(7000)}, state.WorkflowStep{Size: size, Leftover: true}, nil, 0},
+		"leftover waits for idle processors": {
+			[]*placement.PoolRoom{room(3000, func(r *placement.PoolRoom) { r.Leftover = 1 })},
+			state.WorkflowStep{Size: size, Leftover: true}, nil, -1,
+		},
+		"label":      {[]*placement.PoolRoom{room(60000), room(20000, labelled("gpu"))}, state.WorkflowStep{Size: size, Label: "gpu"}, nil, 1},
+		"data":       {[]*placement.PoolRoom{room(60000), room(20000, labelled("a", "r1"))}, state.WorkflowStep{Size: size, DataRack: "r1"}, nil, 1},
+		"excluded":   {[]*placement.PoolRoom{room(60000), room(20000)}, state.WorkflowStep{Size: size}, func(i int) bool { return i == 0 }, 1},
+		"same image": {[]*placement.PoolRoom{room(40000, serving("x", 1)), room(38000, serving("y", 1))}, state.WorkflowStep{Size: size, Image: "y", LongRunning: true}, nil, 1},
+		"a server without headroom": {
+			[]*placement.PoolRoom{room(60000, serving("x", 0)), room(20000, serving("x", 0.5))},
+			state.WorkflowStep{Size: size, Leftover: true, Image: "l"}, nil, 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			task := placement.PoolTask{Step: &c.step, Pressure: placement.NewPressure(), Excluded: c.excluded}
+			NewWithT(t).Expect(placement.ChooseRoom(c.rooms, task)).To(Equal(c.want))
+		})
+	}
+}
--- a/replica/failure_test.go
+++ b/replica/failure_test.go
@@ -87,6 +87,19 @@
 	c.g.Expect(c.nodes["e2"].Status().GroupID).To(Equal(groups[0]))
 }
 
+// Guards against an emptied data folder that waits for RepairAfter although its
+// old replica can never come back, and against one that votes meanwhile.
+func TestEmptiedDiskIsReplacedAtOnceIfAllowed(t *testing.T) {
+	c := newCluster(t, 4, 3, 3, func(o *replica.Options) { o.RepairAfter, o.ReplaceEmptied = time.Hour, true })
+	c.form("e1")
+	lost := c.follower()
+	old := c.stop(lost.id)
+	c.g.Expect(os.RemoveAll(old.dir)).To(Succeed())
+	c.start(old.id, old.dir)
+	c.g.Eventually(func() bool { return c.nodes[old.id].Status().Voter }, patience, "10ms").Should(BeTrue())
+	c.put(c.nodes[old.id], "after")
+}
+
 // Guards against an emptied data folder that votes in the place of the old
 // one, and against a group that does not take it back as a new voter.
 func TestEmptiedDiskHasNoVoteUntilAdded(t *testing.T) {
--- a/transport/mesh_test.go
+++ b/transport/mesh_test.go
@@ -212,3 +212,38 @@
 	_ = a.conn("b").ws.CloseNow()
 	g.Eventually(errs, "5s").Should(Receive(MatchError(ErrConnLost)))
 }
+
+// Guards against an instance that is known by its address alone and is not
+// dialled, or stays dialled by a mesh that no longer uses it.
+func TestInstancesAreDialledOnDemand(t *testing.T) {
+	g := NewWithT(t)
+	la, a := listener(t)
+	lb, b := listener(t)
+	start := func(self string, l net.Listener) *Mesh {
+		m := NewMesh(MeshOptions{Self: self, OnDemand: true, Mux: echoMux()})
+		srv := &httptest.Server{Listener: l, Config: &http.Server{Handler: m}}
+		srv.Start()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = m.Run(ctx) }()
+		t.Cleanup(func() {
+			cancel()
+			<-done
+			srv.CloseClientConnections()
+			srv.Close()
+		})
+		return m
+	}
+	ma := start(a, la)
+	start(b, lb)
+	g.Expect(ma.Connected(b)).To(BeFalse())
+	g.Eventually(func() (string, error) { return callEcho(ma, b) }, 5*time.Second).Should(Equal(a + ":hello"))
+	ma.mu.Lock()
+	ma.demand[b].Store(monotonic() - int64(2*DemandTimeout))
+	ma.mu.Unlock()
+	g.Eventually(func() bool {
+		ma.mu.RLock()
+		defer ma.mu.RUnlock()
+		return ma.conns[b] != nil || ma.demand[b] != nil
+	}, 5*time.Second, "50ms").Should(BeFalse())
+}
