fleet: start runs elsewhere that stand still or are several times slower

Cause: workers on which tasks hang, or that are several times slower, kept their tasks until they ended. Change: placement.Straggles judges progress against estimates and runs of the same step; a worker on which several runs stand still is left alone for a while; a serving task that is not at work is moved. Log lines of placements and ends name queue, image and estimate.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -104,6 +104,7 @@
 	}
 	event.Log(c.opts.Logger, event.TaskPlaced, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
 		slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID), slog.Uint64("fence", c.fence),
+		slog.String("queue", a.task.flow.queue), slog.String("image", a.task.step.Image), slog.Int64("late_in_ms", a.task.flow.deadline-c.opts.Clock.Now().UnixMilli()),
 		slog.Int64("waited_ms", (a.startedAt-a.task.readyAt).Milliseconds()))
 	begin := a.startedAt
 	var err error
@@ -174,12 +175,13 @@
 	c.dirty = true
 	event.Log(c.opts.Logger, event.TaskEnded, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
 		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.String("reason", reason),
-		slog.Int("outcome", int(outcome)), slog.Int64("ran_ms", (c.now()-a.startedAt).Milliseconds()))
-	if outcome == state.OutcomeFailed {
-		if a.task.avoid == nil {
-			a.task.avoid = make(map[string]bool)
-		}
-		a.task.avoid[a.session.worker.ID] = true
+		slog.Int("outcome", int(outcome)), slog.Int64("ran_ms", (c.now()-a.startedAt).Milliseconds()),
+		slog.Int64("estimate_ms", a.task.step.EstimateMillis), slog.Int("pace", a.measures.pace))
+	switch outcome {
+	case state.OutcomeFailed:
+		c.avoid(a)
+	case state.OutcomeDone:
+		a.task.flow.noteDuration(a, c.now())
 	}
 	c.journal.ends = append(c.journal.ends, state.TaskEnd{
 		Workflow: a.run.Workflow, Task: a.run.Task, Run: a.run.Number, Outcome: outcome, Checkpoint: checkpoint,
--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -19,6 +19,8 @@
 	open     [][]int // tasks not done, by occurrence and step
 	ready    int     // tasks that wait for a worker
 	started  bool
+	// doneRuns and doneMillis are the runs that did a whole task, by step.
+	doneRuns, doneMillis []int64
 }
 
 // taskPhase is where a task is, as the leader sees it.
@@ -44,6 +46,7 @@
 	attempt    *attempt
 	avoid      map[string]bool // workers on which a run failed
 	readyAt    time.Duration
+	moves      int // how often it was moved because it was slow
 }
 
 // openFlow starts to run a workflow. Its started tasks stay with their workers
@@ -52,6 +55,7 @@
 	spec := &w.Spec
 	f := &flow{spec: spec, queue: spec.Queue, submittedAt: w.SubmittedAt, started: w.Phase == state.WorkflowActive}
 	f.deadline = w.SubmittedAt + objectiveMillis(spec)
+	f.doneRuns, f.doneMillis = make([]int64, len(spec.Steps)), make([]int64, len(spec.Steps))
 	f.open = make([][]int, max(1, spec.Occurrences))
 	for k := range f.open {
 		f.open[k] = make([]int, len(spec.Steps))
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -27,6 +27,10 @@
 // measures is what the reports of a worker say of one run.
 type measures struct {
 	progress int           // percent of the work, or of the startup of a serving task
+	seen     bool          // it was reported
+	begin    int           // progress at the first report
+	beganAt  time.Duration // of the first report
+	movedAt  time.Duration // when progress was last seen to change
 	value    int64         // tail in milliseconds, or processors in thousandths
 	pace     int           // percent last asked for
 	pacedAt  time.Duration // when the pace was changed
@@ -40,7 +44,8 @@
 
 // measured notes what a worker reported about a run.
 func (c *Controller) measured(a *attempt, r *RunStatus) {
-	a.measures.progress, a.measures.value = r.Progress, r.Measure
+	a.measures.notice(r.Progress, c.now())
+	a.measures.value = r.Measure
 }
 
 // observe learns from the tails of a worker's serving tasks, and paces their
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -253,6 +253,7 @@
 	}
 	c.takeReport(s, begin, r)
 	c.observe(s)
+	c.moveStragglers(s)
 	s.cached = nil
 	if !s.contacted {
 		s.contacted = true
