placement: serving tasks that wait too long go first

Ruled out: lack of room; workers had room for two such tasks. Change: a serving job goes first once a task of it has waited 800 ms, and keeps the worker with the most room if none is large enough.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -28,6 +28,23 @@
 	return ok && s.Leftover && least.Fits(s.Size)
 }
 
+// hold keeps other tasks off the worker with the most processors free, for
+// this round.
+func (p *pool) hold(t placement.PoolTask) {
+	best := -1
+	for i, r := range p.rooms {
+		if r == nil || t.Excluded != nil && t.Excluded(i) || !t.Step.Size.Fits(r.Capacity) {
+			continue
+		}
+		if best < 0 || r.Free.MilliCPU > p.rooms[best].Free.MilliCPU {
+			best = i
+		}
+	}
+	if best >= 0 {
+		p.rooms[best] = nil
+	}
+}
+
 // noRoom notes that a task found no room. One that is bound to some workers
 // says nothing about others.
 func (p *pool) noRoom(s *state.WorkflowStep) {
@@ -55,7 +72,7 @@
 			return
 		}
 		if p := pools[f.spec.Pool]; p != nil {
-			c.placeFlow(f, p)
+			c.placeFlow(f, p, j.Pressing())
 		}
 	}
 }
@@ -65,11 +82,14 @@
 const lateFactor = 3
 
 func (c *Controller) waitingJobs() []placement.WaitingJob {
+	now := c.now()
 	var waiting []placement.WaitingJob
 	for _, f := range c.flows {
 		c.release(f)
 		if f.ready > 0 {
+			serving, waited := f.servingWait(now)
 			waiting = append(waiting, placement.WaitingJob{
+				Serving: serving, WaitedMillis: waited.Milliseconds(),
 				ID: f.spec.ID, Priority: f.spec.Priority, Deadline: f.deadline,
 				LateDeadline: f.submittedAt + lateFactor*(f.deadline-f.submittedAt), RemainingMillis: f.remainingMillis(),
 			})
@@ -78,6 +98,18 @@
 	return waiting
 }
 
+// servingWait reports whether serving tasks of the workflow wait, and how long
+// the first of them has waited.
+func (f *flow) servingWait(now time.Duration) (bool, time.Duration) {
+	serving, waited := false, time.Duration(0)
+	for _, t := range f.tasks {
+		if t.phase == taskReady && t.step.LongRunning {
+			serving, waited = true, max(waited, now-t.readyAt)
+		}
+	}
+	return serving, waited
+}
+
 // remainingMillis returns the longest chain of estimated work that is left.
 func (f *flow) remainingMillis() int64 {
 	rest := make([]int64, len(f.spec.Steps))
@@ -170,8 +202,10 @@
 }
 
 // placeFlow places the ready tasks of a workflow. Tasks of a step are equal:
-// when one finds no room, neither do the others.
-func (c *Controller) placeFlow(f *flow, p *pool) {
+// when one finds no room, neither do the others. A pressing serving task that
+// finds none keeps the worker with the most room for itself, until enough of
+// it is free.
+func (c *Controller) placeFlow(f *flow, p *pool, pressing bool) {
 	var fullStep, fullOccurrence = -1, -1
 	for _, t := range f.tasks {
 		if t.phase != taskReady || t.pos.Step == fullStep && t.pos.Occurrence == fullOccurrence {
@@ -188,6 +222,9 @@
 		}
 		if i < 0 {
 			p.noRoom(t.step)
+			if pressing && t.step.LongRunning {
+				p.hold(request)
+			}
 			fullStep, fullOccurrence = t.pos.Step, t.pos.Occurrence
 			continue
 		}
@@ -250,6 +287,9 @@
 	seen := make(map[string]bool)
 	var racks []string
 	for _, r := range p.rooms {
+		if r == nil {
+			continue
+		}
 		for _, l := range r.Labels {
 			if !seen[l] && l != s.Label {
 				seen[l] = true
@@ -265,7 +305,7 @@
 func chooseGang(task placement.PoolTask, members int, rooms []*placement.PoolRoom, label string) []int {
 	trial := make([]*placement.PoolRoom, len(rooms))
 	for i, r := range rooms {
-		if label == "" || slices.Contains(r.Labels, label) {
+		if r != nil && (label == "" || slices.Contains(r.Labels, label)) {
 			room := *r
 			room.Servers = slices.Clone(r.Servers)
 			trial[i] = &room
--- a/placement/order.go
+++ b/placement/order.go
@@ -14,13 +14,26 @@
 	Deadline, LateDeadline int64
 	// RemainingMillis is the longest chain of work that is left.
 	RemainingMillis int64
+	// Serving jobs have no end. WaitedMillis is how long the first of their
+	// tasks has waited.
+	Serving      bool
+	WaitedMillis int64
 }
 
+// maxServingWait is how long tasks of serving jobs wait for room beside jobs
+// with an objective before they go first, in milliseconds: users of the service
+// notice a missing task within seconds.
+const maxServingWait = 800
+
+// Pressing reports whether a serving job has waited too long.
+func (j *WaitingJob) Pressing() bool { return j.Serving && j.WaitedMillis >= maxServingWait }
+
 // chance is what a job can still reach.
 type chance uint8
 
 const (
-	inTime chance = iota
+	pressing chance = iota
+	inTime
 	late
 	hopeless
 )
@@ -32,7 +45,8 @@
 // OrderJobs sorts jobs in the order in which they get room. It answers a burst
 // that no order could serve in time: within a priority, jobs that can still
 // meet their objective come first, the most urgent one at the head, and those
-// that can't no longer make others late too. They get what room is left.
+// that can't no longer make others late too. They get what room is left. Serving
+// jobs that lost tasks don't wait behind a stream of jobs with an objective.
 func OrderJobs(now int64, jobs []WaitingJob) {
 	slices.SortFunc(jobs, func(a, b WaitingJob) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.chance(now), b.chance(now)),
@@ -43,7 +57,9 @@
 func (j *WaitingJob) chance(now int64) chance {
 	end := now + int64(float64(j.RemainingMillis)*remainingMargin)
 	switch {
-	case end <= j.Deadline:
+	case j.Pressing():
+		return pressing
+	case j.Serving || end <= j.Deadline:
 		return inTime
 	case end <= j.LateDeadline:
 		return late
--- a/placement/order_test.go
+++ b/placement/order_test.go
@@ -98,3 +98,18 @@
 	g.Expect(jobs[1].ID).To(Equal("late"))
 	g.Expect(jobs[2].ID).To(Equal("low"))
 }
+
+// Guards against serving tasks that wait as long as jobs with an objective
+// keep coming, after workers were drained.
+func TestServingJobsDoNotWaitBehindAStream(t *testing.T) {
+	g := NewWithT(t)
+	jobs := []placement.WaitingJob{
+		{ID: "job", Deadline: 5000, LateDeadline: 9000, RemainingMillis: 10},
+		{ID: "serving", Serving: true, Deadline: -90_000, LateDeadline: -80_000, WaitedMillis: 1000},
+		{ID: "new serving", Serving: true, Deadline: 6000, WaitedMillis: 10},
+	}
+	placement.OrderJobs(0, jobs)
+	g.Expect(jobs[0].ID).To(Equal("serving"))
+	g.Expect(jobs[1].ID).To(Equal("job"))
+	g.Expect(jobs[2].ID).To(Equal("new serving"))
+}
