config: node settings may be fractions; drop settings that nothing uses

Cause: the platform may give bounds as fractions, which the settings refused. Change: bounds are decimal numbers, missing ones get the platform's example.

--- a/config/node.go
+++ b/config/node.go
@@ -24,11 +24,10 @@
 	// LostInstances is how many control instances may be lost at once.
 	LostInstances int `yaml:"lost_instances"`
 
-	Listen   NodeListen   `yaml:"listen"`
-	Services NodeServices `yaml:"services"`
-	Limits   NodeLimits   `yaml:"limits"`
-	Workers  NodeWorkers  `yaml:"workers"`
-	Log      Log          `yaml:"log"`
+	Listen  NodeListen  `yaml:"listen"`
+	Limits  NodeLimits  `yaml:"limits"`
+	Workers NodeWorkers `yaml:"workers"`
+	Log     Log         `yaml:"log"`
 }
 
 // NodeListen holds the addresses on which a node listens, each IP:port; one
@@ -40,42 +39,26 @@
 	Metrics   string `yaml:"metrics"`
 }
 
-// NodeServices holds the addresses of the platform's services.
-type NodeServices struct {
-	Machines string `yaml:"machines"`
-	Policy   string `yaml:"policy"`
-	// MachineReadsPerSecond and MachineChangesPerSecond are what the platform
-	// accepts of all instances together.
-	MachineReadsPerSecond   float64 `yaml:"machine_reads_per_second"`
-	MachineChangesPerSecond float64 `yaml:"machine_changes_per_second"`
-}
-
 // NodeLimits holds what the process may use.
 type NodeLimits struct {
-	MemoryMiB int64 `yaml:"memory_mib"`
-	GraceMS   int64 `yaml:"grace_ms"` // from SIGTERM to SIGKILL
+	MemoryMiB int64   `yaml:"memory_mib"`
+	GraceS    float64 `yaml:"grace_s"` // from SIGTERM to SIGKILL
 }
 
 // Grace returns the time from SIGTERM to SIGKILL.
-func (l NodeLimits) Grace() time.Duration { return millis(l.GraceMS) }
+func (l NodeLimits) Grace() time.Duration { return time.Duration(l.GraceS * float64(time.Second)) }
 
 // NodeWorkers holds the bounds of the workers' platform, in milliseconds.
 type NodeWorkers struct {
-	HeartbeatMS     int64   `yaml:"heartbeat_ms"`
-	LeaseMS         int64   `yaml:"lease_ms"` // the longest that a worker accepts
-	StopGraceMS     int64   `yaml:"stop_grace_ms"`
-	DrainMS         int64   `yaml:"drain_ms"`
-	RestoreMS       int64   `yaml:"restore_ms"`
-	InterferenceMS  int64   `yaml:"interference_ms"` // how long a serving task may suffer from a neighbour
-	PaceDelayMS     int64   `yaml:"pace_delay_ms"`
-	NoticeMS        int64   `yaml:"notice_ms"`
-	RemoteFactor    float64 `yaml:"remote_factor"`
-	MaintenanceMS   int64   `yaml:"maintenance_ms"`
-	GangTimeoutMS   int64   `yaml:"gang_timeout_ms"`
-	CheckpointEvery int64   `yaml:"checkpoint_ms"`
+	HeartbeatMS float64 `yaml:"heartbeat_ms"` // interval of heartbeats
+	LeaseMS     float64 `yaml:"lease_ms"`     // the longest that a worker accepts
+	StopGraceMS float64 `yaml:"stop_grace_ms"`
+	RestoreMS   float64 `yaml:"restore_ms"`    // until a run has resumed from a checkpoint
+	PaceDelayMS float64 `yaml:"pace_delay_ms"` // until a pace is in force
 }
 
-func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// Millis converts a setting in milliseconds.
+func Millis(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
 
 // LoadNode reads the settings of a node.
 func LoadNode(path string) (*Node, error) {
@@ -93,14 +76,15 @@
 	return n, nil
 }
 
-// defaultMillis holds what applies where the settings name no bound.
+// Defaults where the settings name no bound, in the units of the settings:
+// those of the platform's own example.
 const (
 	defaultHeartbeatMS = 1000
 	defaultLeaseMS     = 6000
 	defaultStopGraceMS = 500
-	defaultDrainMS     = 2000
-	defaultImpactMS    = 4000
-	defaultGraceMS     = 6000
+	// defaultLostInstances makes five voters.
+	defaultLostInstances = 2
+	defaultGraceS        = 6
 )
 
 func (n *Node) validate() error {
@@ -112,19 +96,17 @@
 	case len(n.Seeds) == 0:
 		return fmt.Errorf("seeds names no control instance")
 	}
+	if n.LostInstances <= 0 {
+		n.LostInstances = defaultLostInstances
+	}
 	setDefault(&n.Workers.HeartbeatMS, defaultHeartbeatMS)
 	setDefault(&n.Workers.LeaseMS, defaultLeaseMS)
 	setDefault(&n.Workers.StopGraceMS, defaultStopGraceMS)
-	setDefault(&n.Workers.DrainMS, defaultDrainMS)
-	setDefault(&n.Workers.InterferenceMS, defaultImpactMS)
-	setDefault(&n.Limits.GraceMS, defaultGraceMS)
-	if n.Workers.RemoteFactor < 1 {
-		n.Workers.RemoteFactor = 1
-	}
+	setDefault(&n.Limits.GraceS, defaultGraceS)
 	return nil
 }
 
-func setDefault(v *int64, d int64) {
+func setDefault(v *float64, d float64) {
 	if *v <= 0 {
 		*v = d
 	}
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -19,9 +19,6 @@
 	// callPause is the pause after all known instances were tried, about a
 	// round trip between availability zones.
 	callPause = 30 * time.Millisecond
-	// answerReserve is what is kept of a client's deadline for the way back of
-	// the answer.
-	answerReserve = 100 * time.Millisecond
 )
 
 // ClientOptions configures a Client.
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -30,15 +30,11 @@
 type Limits struct {
 	HoldMax   time.Duration // longest lease that a worker accepts
 	StopGrace time.Duration // longest time that a stop takes
-	DrainTime time.Duration // how long a draining worker goes on at least
 	Heartbeat time.Duration // interval of the workers' heartbeats
-	// RemoteFactor is how many times as long a step takes away from its rack.
-	RemoteFactor float64
 	// Restore is how long a run takes to resume from a checkpoint.
 	Restore time.Duration
-	// Impact is how long a serving task may be over its target because of a
-	// neighbour.
-	Impact time.Duration
+	// PaceDelay is how long a pace takes to come into force.
+	PaceDelay time.Duration
 }
 
 // Options configures a Controller. Log and Dial are required.
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -52,7 +52,7 @@
 	}
 	g := group{h.log}
 	c := fleet.New(fleet.Options{Log: g, Dial: h.dial, Limits: fleet.Limits{
-		HoldMax: holdMax, StopGrace: 50 * time.Millisecond, DrainTime: 200 * time.Millisecond, Heartbeat: 10 * time.Second,
+		HoldMax: holdMax, StopGrace: 50 * time.Millisecond, Heartbeat: 10 * time.Second,
 	}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -16,13 +16,11 @@
 	OpSetZone       // Zone, Out
 	OpHeartbeat     // Beat
 	OpWorkerLeft    // Beat.Worker.ID
-	OpStartWave     // Wave
-	OpReadWave      // Wave.Number
 )
 
 var opNames = [...]string{
 	"", "ping", "submit", "status", "cancel", "set-queues", "read-queues",
-	"set-zone", "heartbeat", "worker-left", "start-wave", "read-wave",
+	"set-zone", "heartbeat", "worker-left",
 }
 
 // String returns the name of the operation as in logs.
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -12,9 +12,8 @@
 const (
 	// measureLag is the time that a worker's measures look back.
 	measureLag = 500 * time.Millisecond
-	// settleTime is after how long a measure shows the effect of a change: the
-	// lag of measures and the time a pace takes to come into force.
-	settleTime = measureLag + 150*time.Millisecond
+	// paceSlack covers the way of a pace to its worker.
+	paceSlack = 50 * time.Millisecond
 	// warmTime is how long the measures of a new serving task are not used.
 	warmTime = 2 * time.Second
 	// peakDecay is how slowly the highest own load of a serving task is
@@ -24,6 +23,11 @@
 	fullProgress = 100
 )
 
+// settleTime is after how long a measure shows the effect of a change.
+func (c *Controller) settleTime() time.Duration {
+	return measureLag + c.opts.Limits.PaceDelay + paceSlack
+}
+
 // measures is what the reports of a worker say of one run.
 type measures struct {
 	progress int           // percent of the work, or of the startup of a serving task
@@ -63,7 +67,7 @@
 			}
 		case a.task.step.Leftover:
 			leftovers = append(leftovers, a)
-			settled = settled && now-max(a.startedAt, a.measures.pacedAt) > settleTime
+			settled = settled && now-max(a.startedAt, a.measures.pacedAt) > c.settleTime()
 		}
 	}
 	uses := make(map[string]float64)
@@ -113,7 +117,7 @@
 	for i, a := range leftovers {
 		neighbours[i] = placement.Neighbour{
 			Image: a.task.step.Image, Use: s.share(a.task.step.Size.MilliCPU), Percent: a.measures.pace,
-			Settled: now-a.measures.pacedAt > settleTime,
+			Settled: now-a.measures.pacedAt > c.settleTime(),
 		}
 	}
 	for i, pace := range placement.Paces(c.pressure, model, neighbours) {
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -206,7 +206,7 @@
 // finds none keeps the worker with the most room for itself, until enough of
 // it is free.
 func (c *Controller) placeFlow(f *flow, p *pool, pressing bool) {
-	var fullStep, fullOccurrence = -1, -1
+	fullStep, fullOccurrence := -1, -1
 	for _, t := range f.tasks {
 		if t.phase != taskReady || t.pos.Step == fullStep && t.pos.Occurrence == fullOccurrence {
 			continue
--- a/fleet/straggler.go
+++ b/fleet/straggler.go
@@ -79,7 +79,7 @@
 		ObservedMillis: (now - m.beganAt).Milliseconds(), StillMillis: (now - m.movedAt).Milliseconds(),
 		Percent: m.pace, RestartMillis: restartCost.Milliseconds(),
 	}
-	if now-m.pacedAt < settleTime {
+	if now-m.pacedAt < c.settleTime() {
 		p.Percent = 0 // its speed at this pace is not known yet
 	}
 	if a.task.step.Checkpoints {
--- a/placement/pressure_test.go
+++ b/placement/pressure_test.go
@@ -143,7 +143,8 @@
 		"leftover needs no reservation": {[]*placement.PoolRoom{room(7000)}, state.WorkflowStep{Size: size, Leftover: true}, nil, 0},
 		"leftover waits for idle processors": {
 			[]*placement.PoolRoom{room(3000, func(r *placement.PoolRoom) { r.Leftover = 1 })},
-			state.WorkflowStep{Size: size, Leftover: true}, nil, -1,
+			state.WorkflowStep{Size: size, Leftover: true},
+			nil, -1,
 		},
 		"label":      {[]*placement.PoolRoom{room(60000), room(20000, labelled("gpu"))}, state.WorkflowStep{Size: size, Label: "gpu"}, nil, 1},
 		"data":       {[]*placement.PoolRoom{room(60000), room(20000, labelled("a", "r1"))}, state.WorkflowStep{Size: size, DataRack: "r1"}, nil, 1},
@@ -151,7 +152,8 @@
 		"same image": {[]*placement.PoolRoom{room(40000, serving("x", 1)), room(38000, serving("y", 1))}, state.WorkflowStep{Size: size, Image: "y", LongRunning: true}, nil, 1},
 		"a server without headroom": {
 			[]*placement.PoolRoom{room(60000, serving("x", 0)), room(20000, serving("x", 0.5))},
-			state.WorkflowStep{Size: size, Leftover: true, Image: "l"}, nil, 1,
+			state.WorkflowStep{Size: size, Leftover: true, Image: "l"},
+			nil, 1,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
