--- a/cmd/apricotrouterd/main.go
+++ b/cmd/apricotrouterd/main.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -24,12 +26,25 @@
 const nodeFileVariable = "APRICOTROUTER_NODE_FILE"
 
 func main() {
-	if err := command().Execute(); err != nil {
+	root := command()
+	root.SetArgs(longFlags(os.Args[1:]))
+	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "apricotrouterd:", err)
 		os.Exit(1)
 	}
 }
 
+// longFlags accepts flags with one dash, as earlier versions did.
+func longFlags(args []string) []string {
+	all := slices.Clone(args)
+	for i, a := range all {
+		if strings.HasPrefix(a, "-config") {
+			all[i] = "-" + a
+		}
+	}
+	return all
+}
+
 func command() *cobra.Command {
 	root := &cobra.Command{
 		Use: "apricotrouterd", Short: "Run one instance of apricotrouter.", Args: cobra.NoArgs,
--- a/config/node_test.go
+++ b/config/node_test.go
@@ -1,4 +1,4 @@
-package config
+package config_test
 
 import (
 	"os"
@@ -6,6 +6,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"apricotrouter/config"
 )
 
 const goodNode = `
@@ -20,10 +22,10 @@
 // bound that is missing and taken for zero.
 func TestNodeSettingsAreChecked(t *testing.T) {
 	g := NewWithT(t)
-	load := func(text string) (*Node, error) {
+	load := func(text string) (*config.Node, error) {
 		path := filepath.Join(t.TempDir(), "node.yaml")
 		g.Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
-		return LoadNode(path)
+		return config.LoadNode(path)
 	}
 	n, err := load(goodNode + "workers:\n  lease_ms:\n  heartbeat_ms: 1100.5\n")
 	g.Expect(err).NotTo(HaveOccurred())
@@ -37,6 +39,6 @@
 		_, err := load(bad)
 		g.Expect(err).To(HaveOccurred(), bad)
 	}
-	_, err = LoadNode("/does/not/exist")
+	_, err = config.LoadNode("/does/not/exist")
 	g.Expect(err).To(MatchError(ContainSubstring("/does/not/exist")))
 }
