--- a/placement/pressure.go
+++ b/placement/pressure.go
@@ -48,7 +48,7 @@
 	// hardly works teaches nothing.
 	minUse = 0.02
 	// targetShare is the share of a target up to which tails are let grow.
-	targetShare = 0.95
+	targetShare = 0.88
 )
 
 // NewPressure returns an estimate that has seen nothing.
