fleet: don't refuse submissions without a leader; count failed runs once

A failed run that was given up before its end was seen wasn't counted as an attempt, and a gang lost an attempt for each member that failed. Change: without a leader the outcome of a submission is unknown; the state keeps which runs failed. Figures: TestSubmissionWithoutALeaderIsNotRefused, TestFailedRunCountsOnceAlsoIfGivenUp and TestGangFailsOncePerRun fail before and pass after.

--- a/fleet/client.go
+++ b/fleet/client.go
@@ -50,7 +50,8 @@
 }
 
 // Call carries out the request on the leader. The outcome is Unavailable if no
-// leader took the request before ctx ended, and Unknown if one may have.
+// leader took the request before ctx ended, and Unknown if one may have, or if
+// the request is a submission.
 func (c *Client) Call(ctx context.Context, req *Request) *Response {
 	maybe := false
 	for {
@@ -64,18 +65,24 @@
 			}
 			maybe = maybe || err != nil && !notSent(err)
 			if ctx.Err() != nil {
-				return c.gaveUp(maybe)
+				return gaveUp(req, maybe)
 			}
 		}
 		if sleep(ctx, callPause) != nil {
-			return c.gaveUp(maybe)
+			return gaveUp(req, maybe)
 		}
 	}
 }
 
-func (c *Client) gaveUp(maybe bool) *Response {
-	if maybe {
+// gaveUp returns the outcome of a call that no leader answered. Only a leader
+// can say that a submission was not accepted: a copy of it may have come
+// through another instance.
+func gaveUp(req *Request, maybe bool) *Response {
+	switch {
+	case maybe:
 		return &Response{Outcome: Unknown, Reason: "the leader did not answer in time"}
+	case req.Op == OpSubmit:
+		return &Response{Outcome: Unknown, Reason: "no leader was found in time"}
 	}
 	return &Response{Outcome: Unavailable, Reason: "no leader was found in time"}
 }
--- a/fleet/controller_test.go
+++ b/fleet/controller_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -245,3 +246,17 @@
 	out(false)
 	h.eventually(state.WorkflowCompleted)
 }
+
+// Guards against a refusal that says that a submission never runs, from an
+// instance that can't know whether a copy of it was accepted.
+func TestSubmissionWithoutALeaderIsNotRefused(t *testing.T) {
+	h := newHarness(t)
+	h.log.SetLeadership(replica.Leadership{Leader: "other", Term: 1})
+	call := func(op fleet.Op) fleet.Outcome {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		return h.client.Call(ctx, &fleet.Request{Op: op, Host: host, Path: "/jobs/" + jobID, Workflow: &state.WorkflowSpec{}}).Outcome
+	}
+	h.Expect(call(fleet.OpSubmit)).To(Equal(fleet.Unknown))
+	h.Expect(call(fleet.OpStatus)).To(Equal(fleet.Unavailable))
+}
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -151,26 +151,31 @@
 	w.Phase = WorkflowActive
 }
 
-// end records how a run ended. A run that completed counts even if a later one
-// was started, because its work is done.
+// end records how a run ended. A run that completed or failed counts even if
+// it was given up and a later one was started: its work, or its attempt, is done.
 func (w *Workflow) end(e TaskEnd) {
 	if e.Task < 0 || e.Task >= len(w.Tasks) {
 		return
 	}
 	t := &w.Tasks[e.Task]
 	current := t.Phase == TaskStarted && e.Run == t.Run
-	switch {
-	case t.Phase == TaskDone || e.Run > t.Run:
-	case e.Outcome == OutcomeDone && (current || !w.Spec.Steps[w.Spec.Position(e.Task).Step].LongRunning):
+	long := w.Spec.Steps[w.Spec.Position(e.Task).Step].LongRunning
+	if t.Phase == TaskDone || e.Run > t.Run {
+		return
+	}
+	if e.Outcome == OutcomeDone && (current || !long) {
 		w.complete(e.Task)
-	case current:
-		t.Phase, t.Worker = TaskWaiting, ""
-		if e.Checkpoint != "" {
-			w.keepCheckpoint(e.Task, e.Checkpoint)
-		}
-		if e.Outcome == OutcomeFailed {
-			w.fail(e.Task)
-		}
+		return
+	}
+	if e.Outcome == OutcomeFailed && !long {
+		w.fail(e.Task, e.Run)
+	}
+	if !current {
+		return
+	}
+	t.Phase, t.Worker = TaskWaiting, ""
+	if e.Checkpoint != "" {
+		w.keepCheckpoint(e.Task, e.Checkpoint)
 	}
 }
 
@@ -198,10 +203,14 @@
 	}
 }
 
-// fail counts a failed run. The failures of a gang are counted at its first
-// task, once for each run number.
-func (w *Workflow) fail(task int) {
-	w.gang(task)[0].Failures++
+// fail counts a failed run, once for all members of a gang.
+func (w *Workflow) fail(task int, run uint64) {
+	t := &w.gang(task)[0]
+	if slices.Contains(t.FailedRuns, run) {
+		return
+	}
+	t.FailedRuns = append(slices.Clip(t.FailedRuns), run)
+	t.Failures++
 }
 
 func (w *Workflow) keepCheckpoint(task int, checkpoint string) {
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -183,6 +183,9 @@
 	Failures   int               `cbor:"3,keyasint,omitempty"`
 	Worker     string            `cbor:"4,keyasint,omitempty"`
 	Checkpoint string            `cbor:"5,keyasint,omitempty"`
+	// FailedRuns are the runs that Failures counts. Those of a gang are kept
+	// with its first task, those of long-running tasks not at all.
+	FailedRuns []uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Workflow is a submitted workflow. Once it has ended it keeps no tasks.
--- a/state/workflow_test.go
+++ b/state/workflow_test.go
@@ -83,6 +83,37 @@
 	w.Expect(w.get().Tasks).To(BeEmpty())
 }
 
+// Guards against a failed run that isn't counted because it was given up
+// before its end was seen, and against one that is counted twice.
+func TestFailedRunCountsOnceAlsoIfGivenUp(t *testing.T) {
+	w := newWorkflows(t)
+	w.submit(state.WorkflowStep{Count: 1})
+	w.start(0, 1, "a")
+	w.end(0, 1, state.OutcomeLost, "")
+	w.start(0, 2, "b")
+	w.end(0, 1, state.OutcomeFailed, "")
+	w.end(0, 1, state.OutcomeFailed, "")
+	w.Expect(w.get().Tasks[0].Failures).To(Equal(1))
+	w.Expect(w.get().Tasks[0].Phase).To(Equal(state.TaskStarted))
+	w.end(0, 2, state.OutcomeFailed, "")
+	w.Expect(w.get().Phase).To(Equal(state.WorkflowFailed))
+}
+
+// Guards against a gang that uses up its attempts with one run, because each
+// of its members failed.
+func TestGangFailsOncePerRun(t *testing.T) {
+	w := newWorkflows(t)
+	w.submit(state.WorkflowStep{Count: 3, Gang: true})
+	for i := range 3 {
+		w.start(i, 1, "a")
+	}
+	for i := range 3 {
+		w.end(i, 1, state.OutcomeFailed, "")
+	}
+	w.Expect(w.get().Phase).To(Equal(state.WorkflowActive))
+	w.Expect(w.get().Tasks[0].Failures).To(Equal(1))
+}
+
 // Guards against a serving task that is given up or taken for completed.
 func TestLongRunningTaskStartsAgainHoweverItEnds(t *testing.T) {
 	w := newWorkflows(t)
