--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,6 +37,9 @@
 	Started  time.Time
 	Ended    time.Time // zero while it runs
 	How      fleet.EndKind
+	// Lapsed says that the lease ended before the end was acknowledged: the
+	// holder may have given the run up.
+	Lapsed bool
 }
 
 type run struct {
@@ -61,6 +65,7 @@
 	ended    []fleet.RunEnd
 	voided   map[fleet.TaskPosition]uint64 // highest run that was stopped or has ended
 	sequence uint64
+	unacked  map[uint64]*Record // by sequence of the end
 	records  []*Record
 	changed  chan struct{}
 
@@ -83,7 +88,7 @@
 	}
 	return &Worker{
 		opts: o, started: time.Now(), running: make(map[key]*run), voided: make(map[fleet.TaskPosition]uint64),
-		changed: make(chan struct{}),
+		unacked: make(map[uint64]*Record), changed: make(chan struct{}),
 	}
 }
 
@@ -217,9 +222,12 @@
 
 // expire ends everything once the lease has ended.
 func (w *Worker) expire() {
-	if len(w.running) == 0 || time.Now().Before(w.lease) {
+	if time.Now().Before(w.lease) {
 		return
 	}
+	for _, r := range w.unacked {
+		r.Lapsed = true
+	}
 	for k, r := range w.running {
 		w.end(k, fleet.EndLapsed)
 		r.record.Ended = w.lease
@@ -234,6 +242,7 @@
 	delete(w.running, k)
 	w.sequence++
 	r.record.Ended, r.record.How = time.Now(), how
+	w.unacked[w.sequence] = r.record
 	w.voided[k.TaskPosition] = max(w.voided[k.TaskPosition], k.number)
 	w.ended = append(w.ended, fleet.RunEnd{
 		Sequence: w.sequence, Position: k.TaskPosition, Number: k.number, How: how, Checkpoint: r.checkpoint,
@@ -286,6 +295,7 @@
 		w.extend(c.Lease)
 	}
 	w.ended = slices.DeleteFunc(w.ended, func(e fleet.RunEnd) bool { return e.Sequence <= c.Acknowledged })
+	maps.DeleteFunc(w.unacked, func(sequence uint64, _ *Record) bool { return sequence <= c.Acknowledged })
 	if len(w.ended) == 0 && c.WaitMillis > 0 {
 		w.await(ctx, time.Duration(c.WaitMillis)*time.Millisecond)
 	}
