fleet: a pressing serving task without room doesn't keep others out

Ruled out: lack of room; stray runs, silent workers. Change: what pressing tasks keep is kept from others only.

--- a/fleet/controller_test.go
+++ b/fleet/controller_test.go
@@ -260,3 +260,24 @@
 	h.Expect(call(fleet.OpSubmit)).To(Equal(fleet.Unknown))
 	h.Expect(call(fleet.OpStatus)).To(Equal(fleet.Unavailable))
 }
+
+// Guards against a large serving task that finds no room and keeps a worker
+// from a smaller one that would fit there, after workers have left.
+func TestServingTaskWithoutRoomDoesNotKeepOthersOut(t *testing.T) {
+	h := newHarness(t)
+	sized := func(cpu int64) func(*state.WorkflowStep) {
+		return func(s *state.WorkflowStep) { s.LongRunning, s.Size.MilliCPU = true, cpu }
+	}
+	a := h.worker("a", pool.Options{Work: forever})
+	h.Expect(h.submit(step(1, sized(2500)))).To(Equal(fleet.Done)) // leaves room for 1500
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
+	submit := func(id string, s state.WorkflowStep) {
+		h.Expect(h.call(&fleet.Request{
+			Op: fleet.OpSubmit, Host: host, Path: "/jobs/" + id, Workflow: &state.WorkflowSpec{Steps: []state.WorkflowStep{s}},
+		}).Outcome).To(Equal(fleet.Done))
+	}
+	submit("00000000000000b1", step(1, sized(3000)))
+	time.Sleep(1500 * time.Millisecond) // until it is pressing and keeps the worker
+	submit("00000000000000c1", step(1, sized(1200)))
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(2))
+}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -20,6 +20,8 @@
 	// tight holds the smallest tasks on leftover processors that found no room
 	// in this round, by image: larger ones find none either.
 	tight map[string]state.Resources
+	// held are the rooms that pressing tasks keep from others in this round.
+	held map[int]bool
 }
 
 // full reports whether a smaller task of the same image found no room.
@@ -28,12 +30,12 @@
 	return ok && s.Leftover && least.Fits(s.Size)
 }
 
-// hold keeps other tasks off the worker with the most processors free, for
-// this round.
+// hold keeps tasks that are not pressing off the worker with the most
+// processors free. Other pressing tasks may be small enough for it.
 func (p *pool) hold(t placement.PoolTask) {
 	best := -1
 	for i, r := range p.rooms {
-		if r == nil || t.Excluded != nil && t.Excluded(i) || !t.Step.Size.Fits(r.Capacity) {
+		if r == nil || p.held[i] || t.Excluded != nil && t.Excluded(i) || !t.Step.Size.Fits(r.Capacity) {
 			continue
 		}
 		if best < 0 || r.Free.MilliCPU > p.rooms[best].Free.MilliCPU {
@@ -41,10 +43,18 @@
 		}
 	}
 	if best >= 0 {
-		p.rooms[best] = nil
+		p.held[best] = true
 	}
 }
 
+// applyHolds takes the held rooms out of the round.
+func (p *pool) applyHolds() {
+	for i := range p.held {
+		p.rooms[i] = nil
+	}
+	clear(p.held)
+}
+
 // noRoom notes that a task found no room. One that is bound to some workers
 // says nothing about others.
 func (p *pool) noRoom(s *state.WorkflowStep) {
@@ -67,6 +77,9 @@
 	pools := c.pools(now)
 	for _, j := range waiting {
 		f := c.flows[j.ID]
+		if p := pools[f.spec.Pool]; p != nil && !j.Pressing() {
+			p.applyHolds()
+		}
 		if c.journal.full() {
 			c.dirty = true
 			return
@@ -139,7 +152,7 @@
 		}
 		p := all[w.worker.Pool]
 		if p == nil {
-			p = &pool{tight: make(map[string]state.Resources)}
+			p = &pool{tight: make(map[string]state.Resources), held: make(map[int]bool)}
 			all[w.worker.Pool] = p
 		}
 		p.sessions = append(p.sessions, w)
