fleet: a start may reach a later life of its worker

The same can happen within a deployment: a start reaches a worker that has started again at its address under its id and hasn't reported yet; the task was then started a second time. A worker that was lost while a start was being committed left the task recorded as started for good. Change: runs whose start may have reached the later life are kept until a look at it tells; a life that follows another one is looked at before it is used; runs that are being recorded are not ended before they are committed.

--- a/fleet/controller_test.go
+++ b/fleet/controller_test.go
@@ -281,3 +281,41 @@
 	submit("00000000000000c1", step(1, sized(1200)))
 	h.Eventually(func() int { return running(a) }, patience).Should(Equal(2))
 }
+
+// Guards against a second run beside one that a later life of the worker, at
+// the same address and under the same id, has begun before it reported.
+func TestStartThatReachesALaterLifeIsNotASecondRun(t *testing.T) {
+	h := newHarness(t)
+	born := time.Now().UnixMilli()
+	a := h.worker("a", pool.Options{Work: forever, Born: born})
+	later := pool.New(pool.Options{ID: "a", Born: born + 10, Work: forever, HoldMax: holdMax})
+	h.mu.Lock()
+	h.workers[address("a", born)] = later
+	h.workers[address("a", born+10)] = later
+	h.mu.Unlock()
+	h.Expect(h.submit(step(1, longRunning))).To(Equal(fleet.Done))
+	h.Eventually(func() int { return running(later) }, patience).Should(Equal(1))
+	h.Expect(h.beat("a", born+10, later, false)).To(Equal(fleet.Done))
+	h.Consistently(func() int { return running(later) }, 2*holdMax).Should(BeNumerically("<=", 1))
+	h.Eventually(func() int { return running(later) }, patience).Should(Equal(1))
+	h.expectOnce(a, later)
+}
+
+// Guards against a task that stays recorded as started and is never sent,
+// because its worker was lost before its start was committed.
+func TestWorkerLostBeforeAStartIsCommitted(t *testing.T) {
+	h := newHarness(t)
+	born := time.Now().UnixMilli()
+	h.worker("a", pool.Options{Work: forever, Born: born})
+	h.gate.Lock()
+	h.Expect(h.submit(step(1, longRunning))).To(Equal(fleet.Done)) // its start waits in the gate
+	time.Sleep(100 * time.Millisecond)
+	h.Expect(h.call(&fleet.Request{
+		Op: fleet.OpSubmit, Host: host, Path: "/jobs/00000000000000bb",
+		Workflow: &state.WorkflowSpec{Steps: []state.WorkflowStep{step(1, longRunning)}},
+	}).Outcome).To(Equal(fleet.Done)) // its start waits behind it
+	time.Sleep(100 * time.Millisecond)
+	again := h.worker("a", pool.Options{Work: forever, Born: born + 10})
+	h.gate.Unlock()
+	h.Eventually(func() int { return running(again) }, patience).Should(Equal(2))
+}
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -27,6 +27,19 @@
 // group is a control group of one instance whose leadership a test sets.
 type group struct {
 	*replica.Memory
+	gate *gate
+}
+
+// gate holds records of tasks back while it is shut.
+type gate struct{ sync.RWMutex }
+
+// Propose implements replica.Log.
+func (g group) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	if c.Kind == state.KindRecordTasks {
+		g.gate.RLock()
+		defer g.gate.RUnlock()
+	}
+	return g.Memory.Propose(ctx, c)
 }
 
 func (g group) Confirm(context.Context) error { return nil }
@@ -43,6 +56,7 @@
 	mu      sync.Mutex
 	workers map[string]*pool.Worker // by address
 	beats   uint64
+	gate    gate
 }
 
 func newHarness(t *testing.T) *harness {
@@ -50,7 +64,7 @@
 		WithT: NewWithT(t), t: t, log: replica.NewMemory(clockwork.NewRealClock()),
 		workers: make(map[string]*pool.Worker),
 	}
-	g := group{h.log}
+	g := group{h.log, &h.gate}
 	c := fleet.New(fleet.Options{Log: g, Dial: h.dial, Limits: fleet.Limits{
 		HoldMax: holdMax, StopGrace: 50 * time.Millisecond, Heartbeat: 10 * time.Second,
 	}})
@@ -72,12 +86,32 @@
 	return h
 }
 
-func (h *harness) dial(w state.PoolWorker) fleet.Worker {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.workers[w.Address]
+func (h *harness) dial(w state.PoolWorker) fleet.Worker { return dialled{h, w.Address} }
+
+// dialled calls the worker that has an address at the time of the call.
+type dialled struct {
+	h       *harness
+	address string
+}
+
+func (d dialled) worker() *pool.Worker {
+	d.h.mu.Lock()
+	defer d.h.mu.Unlock()
+	return d.h.workers[d.address]
 }
 
+func (d dialled) Start(ctx context.Context, c fleet.StartCall) error { return d.worker().Start(ctx, c) }
+
+func (d dialled) Stop(ctx context.Context, c fleet.StopCall) error { return d.worker().Stop(ctx, c) }
+
+func (d dialled) Pace(ctx context.Context, c fleet.PaceCall) error { return d.worker().Pace(ctx, c) }
+
+func (d dialled) Look(ctx context.Context, c fleet.LookCall) (*fleet.Report, error) {
+	return d.worker().Look(ctx, c)
+}
+
+func (dialled) Close() {}
+
 func (h *harness) call(req *fleet.Request) *fleet.Response {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -43,6 +43,8 @@
 // workerKnown opens a session with a new life of a worker, unless a later one
 // was registered meanwhile.
 func (c *Controller) workerKnown(b *Heartbeat) {
+	var late []*attempt
+	known := false
 	for _, old := range c.sessions {
 		same := old.worker.ID == b.Worker.ID || old.worker.Address == b.Worker.Address
 		if !same || old.worker.Address == "" {
@@ -51,6 +53,10 @@
 		if old.worker.Born >= b.Worker.Born {
 			return
 		}
+		known = true
+		if old.worker.ID == b.Worker.ID {
+			late = append(late, c.takeLate(old, b.Worker.Born)...)
+		}
 		c.loseSession(old, "a later life has reported")
 	}
 	w, ok := c.opts.Log.State().PoolWorkers.Get(b.Worker.ID)
@@ -58,12 +64,16 @@
 		return
 	}
 	forgotten := c.sessions[b.Worker.ID]
-	s := c.openSession(*w, forgotten == nil)
+	s := c.openSession(*w, forgotten == nil && !known)
 	if forgotten != nil {
 		for _, a := range forgotten.attempts {
 			s.add(a)
 		}
 	}
+	for _, a := range late {
+		s.add(a)
+		a.phase, a.stopped, a.since = attemptUnknown, false, c.now()
+	}
 	s.sequence, s.clock, s.clockAt = b.Sequence, b.Clock, c.now()
 	if w.Draining {
 		s.drainEnd = c.now() + time.Duration(b.RemainingMillis)*time.Millisecond
@@ -72,6 +82,27 @@
 		slog.String("zone", w.Zone), slog.String("pool", w.Pool), slog.Bool("draining", w.Draining))
 }
 
+// bornSlack covers times of day that differ between machines: a start that was
+// sent so long before a worker's later life began may still have reached it.
+const bornSlack = 3 * time.Second
+
+// takeLate takes the attempts from an earlier life whose start may have reached
+// the later one, which answers at the same address under the same id. A look
+// at the later life tells.
+func (c *Controller) takeLate(old *session, born int64) []*attempt {
+	age := time.Duration(c.opts.Clock.Now().UnixMilli()-born)*time.Millisecond + bornSlack
+	var late []*attempt
+	for _, a := range old.attempts {
+		if a.phase != attemptRecording && c.now()-a.startedAt <= age {
+			late = append(late, a)
+		}
+	}
+	for _, a := range late {
+		old.remove(a)
+	}
+	return late
+}
+
 // beatOfKnown takes a report of a life that has a session.
 func (c *Controller) beatOfKnown(s *session, b *Heartbeat, reply func(Outcome)) {
 	if b.Sequence <= s.sequence {
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -238,7 +238,8 @@
 		return
 	}
 	if r.Born != 0 && r.Born != s.worker.Born {
-		c.loseSession(s, "it was started again")
+		// What runs there is told apart once the later life has reported.
+		s.failedCall(c, now)
 		return
 	}
 	if s.silent {
@@ -395,9 +396,7 @@
 
 // leaseEnded gives up the runs of a worker that was silent for a whole lease.
 func (c *Controller) leaseEnded(s *session, now time.Duration) {
-	for _, a := range s.attempts {
-		c.void(a, "the worker's lease ended")
-	}
+	c.voidAll(s, "the worker's lease ended")
 	s.contacted = false
 	if now-s.lastBeat > forgetHeartbeats*c.opts.Limits.Heartbeat {
 		c.loseSession(s, "it was silent and its lease ended")
@@ -422,15 +421,25 @@
 // its checkpoint to come back, before the worker ends.
 const drainReserve = 400 * time.Millisecond
 
+// voidAll ends all runs on a worker. One whose start is not committed yet has
+// no run that could end; it is not sent once it is.
+func (c *Controller) voidAll(s *session, reason string) {
+	for _, a := range s.attempts {
+		if a.phase == attemptRecording {
+			a.stopping = true
+			continue
+		}
+		c.void(a, reason)
+	}
+}
+
 // loseSession ends a life of a worker, and with it all its runs.
 func (c *Controller) loseSession(s *session, reason string) {
 	if s.gone {
 		return
 	}
 	s.gone = true
-	for _, a := range s.attempts {
-		c.void(a, reason)
-	}
+	c.voidAll(s, reason)
 	s.api.Close()
 	if c.sessions[s.worker.ID] == s {
 		delete(c.sessions, s.worker.ID)
--- a/soak/run.go
+++ b/soak/run.go
@@ -83,7 +83,7 @@
 		r.processes = append(r.processes, p)
 	}
 	for i := range r.opts.Workers {
-		w := &worker{id: fmt.Sprintf("w%02d", i)}
+		w := &worker{id: fmt.Sprintf("w%d-%02d", r.opts.Seed, i)} // a port may serve another run later
 		if err := w.begin(r.opts.Seed, r.proxies); err != nil {
 			return err
 		}
