--- a/fleet/controller_test.go
+++ b/fleet/controller_test.go
@@ -319,3 +319,19 @@
 	h.gate.Unlock()
 	h.Eventually(func() int { return running(again) }, patience).Should(Equal(2))
 }
+
+// Guards against a run that an earlier leader slowed and that a new one, which
+// doesn't know, leaves slow and takes for one that stands still.
+func TestNewLeaderSetsThePaceOfRunsThatItTakesOver(t *testing.T) {
+	h := newHarness(t)
+	a := h.worker("a", pool.Options{Work: forever})
+	leftover := func(s *state.WorkflowStep) { s.Leftover, s.Image = true, "l" }
+	h.Expect(h.submit(step(1, leftover))).To(Equal(fleet.Done))
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
+	h.Expect(a.Pace(t.Context(), fleet.PaceCall{
+		Run: fleet.Run{Workflow: jobID, Number: 1}, Position: fleet.TaskPosition{Workflow: jobID}, Fence: a.Fence(),
+	})).To(Succeed())
+	h.Expect(a.Paces()).To(Equal([]int{0}))
+	h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: 2, Self: true, Epoch: 2})
+	h.Eventually(a.Paces, patience).Should(Equal([]int{100}))
+}
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -143,6 +143,17 @@
 	return w.fence
 }
 
+// Paces returns the pace of each run that is running.
+func (w *Worker) Paces() []int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var all []int
+	for _, r := range w.running {
+		all = append(all, r.pace)
+	}
+	return all
+}
+
 // Clock returns the reading of the worker's clock in milliseconds.
 func (w *Worker) Clock() int64 { return time.Since(w.started).Milliseconds() }
 
