--- a/cmd/apricotrouterd/main.go
+++ b/cmd/apricotrouterd/main.go
@@ -22,9 +22,6 @@
 	"apricotrouter/version"
 )
 
-// nodeFileVariable names the settings file of a node.
-const nodeFileVariable = "APRICOTROUTER_NODE_FILE"
-
 func main() {
 	root := command()
 	root.SetArgs(longFlags(os.Args[1:]))
@@ -59,10 +56,10 @@
 	return root
 }
 
-// nodeCommand runs a node with the settings file that the environment names.
+// nodeCommand runs a node of the platform.
 func nodeCommand(use, short string, run func(context.Context, *config.Node, *slog.Logger) error) *cobra.Command {
 	return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-		settings, err := config.LoadNode(os.Getenv(nodeFileVariable))
+		settings, err := platform.LoadSettings()
 		if err != nil {
 			return err
 		}
--- a/fleet/controller_test.go
+++ b/fleet/controller_test.go
@@ -16,7 +16,7 @@
 
 func forever(fleet.TaskPosition, uint64) time.Duration { return 0 }
 
-func longRunning(s *state.WorkflowStep) { s.LongRunning = true }
+func serving(s *state.WorkflowStep) { s.LongRunning = true }
 
 // Guards against a step that starts before the steps that it depends on are
 // done, and against a task that runs twice.
@@ -84,7 +84,7 @@
 func TestSilentWorkerKeepsItsTasksUntilItsLeaseEnds(t *testing.T) {
 	h := newHarness(t)
 	a := h.worker("a", pool.Options{Work: forever})
-	h.Expect(h.submit(step(2, longRunning))).To(Equal(fleet.Done))
+	h.Expect(h.submit(step(2, serving))).To(Equal(fleet.Done))
 	h.Eventually(func() int { return running(a) }, patience).Should(Equal(2))
 	b := h.worker("b", pool.Options{Work: forever})
 	a.SetDown(true)
@@ -96,7 +96,7 @@
 func TestNewLeaderTakesOverWhatRuns(t *testing.T) {
 	h := newHarness(t)
 	a := h.worker("a", pool.Options{Work: forever})
-	h.Expect(h.submit(step(3, longRunning))).To(Equal(fleet.Done))
+	h.Expect(h.submit(step(3, serving))).To(Equal(fleet.Done))
 	h.Eventually(func() int { return running(a) }, patience).Should(Equal(3))
 	h.log.SetLeadership(replica.Leadership{Leader: "other", Term: 1})
 	time.Sleep(100 * time.Millisecond)
@@ -121,7 +121,7 @@
 func TestCommitWithUnknownOutcomeRaisesTheFence(t *testing.T) {
 	h := newHarness(t)
 	a := h.worker("a", pool.Options{Work: forever})
-	h.Expect(h.submit(step(1, longRunning))).To(Equal(fleet.Done))
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.Done))
 	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
 	before := a.Fence()
 	h.log.SetError(errors.New("no answer"))
@@ -141,7 +141,7 @@
 func TestCancelStopsAllRuns(t *testing.T) {
 	h := newHarness(t)
 	a := h.worker("a", pool.Options{Work: forever})
-	h.Expect(h.submit(step(3, longRunning))).To(Equal(fleet.Done))
+	h.Expect(h.submit(step(3, serving))).To(Equal(fleet.Done))
 	h.Eventually(func() int { return running(a) }, patience).Should(Equal(3))
 	h.Expect(h.call(&fleet.Request{Op: fleet.OpCancel, Host: host, Path: "/jobs/" + jobID}).Outcome).To(Equal(fleet.Done))
 	h.Eventually(func() int { return running(a) }, patience).Should(BeZero())
@@ -165,7 +165,7 @@
 	h := newHarness(t)
 	born := time.Now().UnixMilli()
 	a := h.worker("a", pool.Options{Work: forever, Born: born})
-	h.Expect(h.submit(step(2, longRunning))).To(Equal(fleet.Done))
+	h.Expect(h.submit(step(2, serving))).To(Equal(fleet.Done))
 	h.Eventually(func() int { return running(a) }, patience).Should(Equal(2))
 	h.Expect(h.beat("a", born, a, true)).To(Equal(fleet.Done))
 	h.Eventually(func() int { return running(a) }, patience).Should(BeZero())
@@ -180,7 +180,7 @@
 	h := newHarness(t)
 	born := time.Now().UnixMilli()
 	a := h.worker("a", pool.Options{Work: forever, Born: born})
-	h.Expect(h.submit(step(1, longRunning))).To(Equal(fleet.Done))
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.Done))
 	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
 	h.Expect(h.beat("a", born-5000, a, false)).To(Equal(fleet.Done))
 	h.Consistently(func() int { return len(a.Records()) }, "300ms").Should(Equal(1))
@@ -191,7 +191,7 @@
 	h := newHarness(t)
 	born := time.Now().UnixMilli()
 	a := h.worker("a", pool.Options{Work: forever, Born: born})
-	h.Expect(h.submit(step(1, longRunning))).To(Equal(fleet.Done))
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.Done))
 	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
 	again := h.worker("a", pool.Options{Work: forever, Born: born + 10})
 	h.Eventually(func() int { return running(again) }, patience).Should(Equal(1))
@@ -221,7 +221,7 @@
 	h.Expect(a.Start(t.Context(), fleet.StartCall{
 		Run: fleet.Run{Workflow: stray.Workflow, Number: 1}, Position: stray, Fence: 1, Lease: a.Clock() + 500,
 	})).To(Succeed())
-	h.Expect(h.submit(step(1, longRunning))).To(Equal(fleet.Done))
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.Done))
 	h.Eventually(func() bool {
 		for _, r := range a.Records() {
 			if r.Position == stray && !r.Ended.IsZero() && r.How == fleet.EndStopped {
@@ -293,7 +293,7 @@
 	h.workers[address("a", born)] = later
 	h.workers[address("a", born+10)] = later
 	h.mu.Unlock()
-	h.Expect(h.submit(step(1, longRunning))).To(Equal(fleet.Done))
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.Done))
 	h.Eventually(func() int { return running(later) }, patience).Should(Equal(1))
 	h.Expect(h.beat("a", born+10, later, false)).To(Equal(fleet.Done))
 	h.Consistently(func() int { return running(later) }, 2*holdMax).Should(BeNumerically("<=", 1))
@@ -308,11 +308,11 @@
 	born := time.Now().UnixMilli()
 	h.worker("a", pool.Options{Work: forever, Born: born})
 	h.gate.Lock()
-	h.Expect(h.submit(step(1, longRunning))).To(Equal(fleet.Done)) // its start waits in the gate
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.Done)) // its start waits in the gate
 	time.Sleep(100 * time.Millisecond)
 	h.Expect(h.call(&fleet.Request{
 		Op: fleet.OpSubmit, Host: host, Path: "/jobs/00000000000000bb",
-		Workflow: &state.WorkflowSpec{Steps: []state.WorkflowStep{step(1, longRunning)}},
+		Workflow: &state.WorkflowSpec{Steps: []state.WorkflowStep{step(1, serving)}},
 	}).Outcome).To(Equal(fleet.Done)) // its start waits behind it
 	time.Sleep(100 * time.Millisecond)
 	again := h.worker("a", pool.Options{Work: forever, Born: born + 10})
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -15,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"apricotrouter/platform"
 )
 
 // Options of a run.
@@ -117,7 +119,7 @@
 		return err
 	}
 	cmd := exec.Command(p.opts.Daemon, p.role)
-	cmd.Env = append(os.Environ(), "APRICOTROUTER_NODE_FILE="+p.settings)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		_ = out.Close()
