soak: speak the platform's interface through platformtest

Cause: the soak wrote the platform's field names itself; a mesh test repeated the start of another. Change: platformtest has the calls of clients, operators and workers; serveMesh is shared.

--- a/soak/run.go
+++ b/soak/run.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"apricotrouter/fleet"
+	"apricotrouter/platform/platformtest"
 	"apricotrouter/standin/pool"
 )
 
@@ -274,7 +275,7 @@
 		if !j.accepted || j.phase != "" {
 			continue
 		}
-		status, body := r.call(http.MethodGet, r.anyEntry(rng), "/jobs/"+j.id, "")
+		status, body := r.call(r.anyEntry(rng), platformtest.Read(j.path()))
 		switch {
 		case status == http.StatusGone:
 			r.found("job %s was accepted and is gone", j.id)
--- a/soak/world.go
+++ b/soak/world.go
@@ -1,9 +1,7 @@
 package soak
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,14 +17,20 @@
 	"apricotrouter/fleet"
 	"apricotrouter/platform/platformtest"
 	"apricotrouter/standin/pool"
+	"apricotrouter/state"
 )
 
 const (
-	holdMax       = 3 * time.Second
-	beatInterval  = 500 * time.Millisecond
-	callTimeout   = 4 * time.Second
-	longestRun    = 400 // milliseconds
-	failedPercent = 3
+	holdMax      = 3 * time.Second
+	beatInterval = 500 * time.Millisecond
+	callTimeout  = 4 * time.Second
+	// clientDeadline is how long a client says that it waits; callTimeout adds
+	// the way there and back.
+	clientDeadline = 3 * time.Second
+	queueHost      = "jobs.example"
+	poolName       = "pool"
+	longestRun     = 400 // milliseconds
+	failedPercent  = 3
 )
 
 // life is one life of a worker: a stand-in behind a proxy.
@@ -118,6 +122,8 @@
 	phase     string
 }
 
+func (j *job) path() string { return "/jobs/" + j.id }
+
 // found notes a broken promise.
 func (w *world) found(format string, args ...any) {
 	w.mu.Lock()
@@ -126,16 +132,14 @@
 }
 
 // call returns the status, 0 without an answer, and the body.
-func (w *world) call(method, addr, path, body string) (int, string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewBufferString(body))
+func (w *world) call(addr string, c platformtest.Call) (int, string) {
+	req, err := c.Request(addr, queueHost, clientDeadline)
 	if err != nil {
 		return 0, err.Error()
 	}
-	req.Host = "jobs.example"
-	req.Header.Set("X-Deadline-Ms", "3000")
-	resp, err := w.http.Do(req)
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	resp, err := w.http.Do(req.WithContext(ctx))
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -157,10 +161,15 @@
 
 // configure sends a configuration until it is acknowledged or ctx ends.
 func (w *world) configure(ctx context.Context, r *rand.Rand, version uint64) {
-	body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"jobs.example","pathPrefix":"/jobs/","timeoutMs":3000,
-"completionTargetMs":300,"service":"s","maxAttempts":8,"stretch":2}],"services":[{"name":"s","rejectsOverload":true}]}`, version)
+	call := platformtest.SetQueues(state.QueueConfig{
+		Version: version, Pools: []state.Pool{{Name: poolName, Guarded: true}},
+		Queues: []state.WorkflowQueue{{
+			Name: "queue", Host: queueHost, PathPrefix: "/jobs/", Pool: poolName, TimeoutMillis: 3000,
+			ObjectiveMillis: 300, MaxAttempts: 8, Stretch: 2,
+		}},
+	})
 	for ctx.Err() == nil {
-		status, text := w.call(http.MethodPut, w.anyControl(r), "/config", body)
+		status, text := w.call(w.anyControl(r), call)
 		switch {
 		case status == http.StatusOK:
 			w.mu.Lock()
@@ -180,15 +189,12 @@
 	w.mu.Lock()
 	least := w.acked
 	w.mu.Unlock()
-	status, text := w.call(http.MethodGet, w.anyControl(r), "/config", "")
+	status, text := w.call(w.anyControl(r), platformtest.ReadQueues())
 	if status != http.StatusOK {
 		return false
 	}
-	var got struct {
-		Version uint64 `json:"version"`
-	}
-	if err := json.Unmarshal([]byte(text), &got); err != nil || got.Version < least {
-		w.found("configuration %d was read after %d was acknowledged (%v)", got.Version, least, err)
+	if got, err := platformtest.QueuesVersion(text); err != nil || got < least {
+		w.found("configuration %d was read after %d was acknowledged (%v)", got, least, err)
 	}
 	return true
 }
@@ -201,9 +207,10 @@
 		up := l.ended.IsZero()
 		one.mu.Unlock()
 		if up {
-			body := fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","state":"ready","seq":%d,"born":%d,"clockMs":%d,
-"capacity":{"cpu":4000,"memMb":4000},"labels":["a","r1"]}`, l.proxy.Listen, one.seq.Add(1), l.born, l.worker.Clock())
-			w.call(http.MethodPut, w.anyControl(r), "/instances/"+one.id, body)
+			w.call(w.anyControl(r), platformtest.Heartbeat(state.PoolWorker{
+				ID: one.id, Born: l.born, Pool: poolName, Address: l.proxy.Listen, Zone: "zone-a", Labels: []string{"a", "r1"},
+				Capacity: state.Resources{MilliCPU: 4000, MemoryMiB: 4000},
+			}, one.seq.Add(1), l.worker.Clock()))
 		}
 		time.Sleep(beatInterval)
 	}
@@ -214,22 +221,23 @@
 func (w *world) submit(ctx context.Context, r *rand.Rand) {
 	for ctx.Err() == nil {
 		j := &job{id: fmt.Sprintf("%016x", r.Uint64())}
-		var steps []string
+		var steps []state.WorkflowStep
 		for i := range 1 + r.IntN(3) {
-			width := 1 + r.IntN(5)
-			j.steps = append(j.steps, width)
-			depends := ""
+			step := state.WorkflowStep{
+				Count: 1 + r.IntN(5), Size: state.Resources{MilliCPU: 900, MemoryMiB: 500}, EstimateMillis: 200,
+			}
 			if i > 0 {
-				depends = fmt.Sprintf(`,"dependsOn":[%d]`, i-1)
+				step.DependsOn = []int{i - 1}
 			}
-			steps = append(steps, fmt.Sprintf(`{"count":%d,"cpu":900,"memMb":500,"estRuntimeMs":200%s}`, width, depends))
+			j.steps = append(j.steps, step.Count)
+			steps = append(steps, step)
 		}
 		w.mu.Lock()
 		w.jobs[j.id] = j
 		w.mu.Unlock()
-		body := fmt.Sprintf(`{"taskSpec":"p","steps":[%s]}`, strings.Join(steps, ","))
+		call := platformtest.Submit(j.path(), steps)
 		for range 5 {
-			status, _ := w.call(http.MethodPost, w.anyEntry(r), "/jobs/"+j.id, body)
+			status, _ := w.call(w.anyEntry(r), call)
 			if status == http.StatusOK {
 				w.mu.Lock()
 				j.accepted = true
@@ -246,7 +254,7 @@
 
 func (w *world) cancel(r *rand.Rand, j *job) {
 	for range 5 {
-		if status, _ := w.call(http.MethodDelete, w.anyEntry(r), "/jobs/"+j.id, ""); status == http.StatusOK {
+		if status, _ := w.call(w.anyEntry(r), platformtest.Cancel(j.path())); status == http.StatusOK {
 			w.mu.Lock()
 			j.cancelled, j.cancelAt = true, time.Now()
 			w.mu.Unlock()
--- a/transport/mesh_test.go
+++ b/transport/mesh_test.go
@@ -32,6 +32,12 @@
 // startMesh runs a mesh with its server until the test ends.
 func startMesh(t testing.TB, self string, l net.Listener, addrs map[string]string, mux *Mux) *Mesh {
 	m := NewMesh(MeshOptions{Self: self, Addresses: addrs, Mux: mux})
+	serveMesh(t, m, l)
+	return m
+}
+
+// serveMesh runs a mesh with its server until the test ends.
+func serveMesh(t testing.TB, m *Mesh, l net.Listener) {
 	srv := &httptest.Server{Listener: l, Config: &http.Server{Handler: m}}
 	srv.Start()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -43,7 +49,6 @@
 		srv.CloseClientConnections()
 		srv.Close()
 	})
-	return m
 }
 
 func echoMux() *Mux {
@@ -221,17 +226,7 @@
 	lb, b := listener(t)
 	start := func(self string, l net.Listener) *Mesh {
 		m := NewMesh(MeshOptions{Self: self, OnDemand: true, Mux: echoMux()})
-		srv := &httptest.Server{Listener: l, Config: &http.Server{Handler: m}}
-		srv.Start()
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { defer close(done); _ = m.Run(ctx) }()
-		t.Cleanup(func() {
-			cancel()
-			<-done
-			srv.CloseClientConnections()
-			srv.Close()
-		})
+		serveMesh(t, m, l)
 		return m
 	}
 	ma := start(a, la)
