--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -53,21 +53,38 @@
 	exited chan struct{}
 }
 
-// network is the addresses of a run. Every seed has a loopback network of its
-// own, so that runs side by side don't meet.
+// network is the addresses of a run. Runs side by side have networks of their
+// own: each holds a port of its network for as long as it lasts.
 type network struct {
 	prefix                 string
 	peer, control, callers int
+	lock                   net.Listener
 }
 
+const (
+	// lockPort is the port that a run holds, below those that are drawn.
+	lockPort = 20999
+	// networks is how many loopback networks runs may take.
+	networks = 250
+)
+
 func newNetwork(o *Options) (network, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return network{}, err
 	}
 	port := l.Addr().(*net.TCPAddr).Port
-	n := network{prefix: fmt.Sprintf("127.40.%d", o.Seed%250+1), peer: port, control: port + 1, callers: port + 1}
-	return n, l.Close()
+	if err := l.Close(); err != nil {
+		return network{}, err
+	}
+	n := network{peer: port, control: port + 1, callers: port + 1}
+	for i := range uint64(networks) {
+		n.prefix = fmt.Sprintf("127.40.%d", (o.Seed+i)%networks+1)
+		if n.lock, err = net.Listen("tcp", fmt.Sprintf("%s.250:%d", n.prefix, lockPort)); err == nil {
+			return n, nil
+		}
+	}
+	return network{}, fmt.Errorf("no free loopback network: %w", err)
 }
 
 func (n network) controlIP(i int) string { return fmt.Sprintf("%s.%d", n.prefix, i+1) }
--- a/soak/run.go
+++ b/soak/run.go
@@ -102,6 +102,7 @@
 			w.end()
 		}
 	}
+	_ = r.net.lock.Close() // it was open until here
 }
 
 // source returns a source of random numbers of its own for one actor, so that
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -59,3 +59,16 @@
 		})
 	}
 }
+
+// Guards against runs side by side that share addresses, whose instances would
+// join each other's group.
+func TestRunsSideBySideHaveNetworksOfTheirOwn(t *testing.T) {
+	g := NewWithT(t)
+	a, err := soak.NewNetwork(5)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer a.Close()
+	b, err := soak.NewNetwork(255) // would take the same one
+	g.Expect(err).NotTo(HaveOccurred())
+	defer b.Close()
+	g.Expect(a.Prefix()).NotTo(Equal(b.Prefix()))
+}
