placement: pack serving tasks by image, keep clear workers for disturbing work

Change: serving tasks go to the fullest worker, with the same image first; other work leaves workers without serving tasks to work that fits nowhere else.

--- a/placement/pool.go
+++ b/placement/pool.go
@@ -81,7 +81,7 @@
 	for i := range r.Servers {
 		one := by.Of(r.Servers[i].Image) * use
 		added = max(added, one)
-		excess = max(excess, one-r.Servers[i].Headroom)
+		excess = max(excess, pressureSafety*one-r.Servers[i].Headroom)
 	}
 	return excess, added
 }
@@ -93,6 +93,7 @@
 	// Weights of roomScore in units of a whole worker's load.
 	pressureWeight   = 5.0 // of the utilisation that a server gets from a new neighbour
 	otherImageWeight = 0.5 // of a server with another image, for a serving task
+	clearWeight      = 0.3 // of a worker without servers, for any other task
 	leftoverWeight   = 0.1 // of a task on leftover processors, for a serving task
 	remoteWeight     = 4.0 // of a worker away from the step's data
 	memoryWeight     = 0.5 // of the memory in use
@@ -111,8 +112,11 @@
 	} else {
 		score += share(r.Capacity.MilliCPU-r.Free.MilliCPU+s.Size.MilliCPU, r.Capacity.MilliCPU)
 	}
-	if s.LongRunning {
-		score += leftoverWeight * float64(r.Leftover)
+	if len(r.Servers) == 0 && !serves(s) {
+		score += clearWeight
+	}
+	if serves(s) {
+		score = share(r.Free.MilliCPU-s.Size.MilliCPU, r.Capacity.MilliCPU) + leftoverWeight*float64(r.Leftover)
 		// Servers with one image are disturbed by the same neighbours, which
 		// leaves other workers to those.
 		for _, other := range r.Servers {
@@ -130,6 +134,9 @@
 	return score
 }
 
+// serves reports whether the tasks of a step have a target for their tail.
+func serves(s *state.WorkflowStep) bool { return s.LongRunning && s.TailMillis > 0 }
+
 func share(part, whole int64) float64 {
 	if whole <= 0 {
 		return 0
@@ -151,7 +158,7 @@
 			}
 		}
 	}
-	if s.LongRunning && s.TailMillis > 0 {
+	if serves(s) {
 		r.Servers = append(r.Servers, RoomServer{Image: s.Image})
 	}
 }
--- a/placement/pressure_test.go
+++ b/placement/pressure_test.go
@@ -214,6 +214,21 @@
 		"label":    {[]*placement.PoolRoom{room(60000), room(20000, labelled("gpu"))}, state.WorkflowStep{Size: size, Label: "gpu"}, nil, 1},
 		"data":     {[]*placement.PoolRoom{room(60000), room(20000, labelled("a", "r1"))}, state.WorkflowStep{Size: size, DataRack: "r1"}, nil, 1},
 		"excluded": {[]*placement.PoolRoom{room(60000), room(20000)}, state.WorkflowStep{Size: size}, func(i int) bool { return i == 0 }, 1},
+		"the fullest for a serving task": {
+			[]*placement.PoolRoom{room(60000), room(20000, serving("y", 1))},
+			state.WorkflowStep{Size: size, Image: "y", LongRunning: true, TailMillis: 50},
+			nil, 1,
+		},
+		"a worker without servers for what disturbs": {
+			[]*placement.PoolRoom{room(60000, serving("x", 0.1)), room(60000)},
+			state.WorkflowStep{Size: state.Resources{MilliCPU: 16000}, Leftover: true, Image: "l"},
+			nil, 1,
+		},
+		"beside servers for what reserves": {
+			[]*placement.PoolRoom{room(60000), room(50000, serving("x", 0.1))},
+			state.WorkflowStep{Size: size},
+			nil, 1,
+		},
 		"same image": {[]*placement.PoolRoom{room(40000, serving("x", 1)), room(38000, serving("y", 1))}, state.WorkflowStep{Size: size, Image: "y", LongRunning: true, TailMillis: 50}, nil, 1},
 		"a server without headroom": {
 			[]*placement.PoolRoom{room(60000, serving("x", 0)), room(20000, serving("x", 0.5))},
