fleet: a new leader starts with the pressures that were learned

A new leader assumed the same pressure of every pair of images and set every task that it took over to full speed first. It used no tails for 2 s, as if the serving tasks had just started.

Ruled out: the election (1.7 s) and the time to look at all workers (25 ms to 50 ms) as the main part.

Change: the leader commits its estimates when they have changed, every 2 s at most; the next one restores them. The pace of a run that is taken over is decided at the first look at its worker, and serving tasks that are taken over count at once.

The test fails when the estimates are not restored.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -32,6 +32,8 @@
 		"stopping a run", "The reason is named: cancelled, preempted, stray, draining worker or unknown outcome.")
 	TaskPaced = define(826, "task-paced", slog.LevelInfo,
 		"changed the pace of a run", "A task that uses leftover processors is slowed for the sake of a serving task on the same worker, or let go again.")
+	PressuresNotSaved = define(827, "pressures-not-saved", slog.LevelWarn,
+		"learned pressures were not saved", "The next leader starts from older estimates. They are saved again within seconds; check the control group if it repeats.")
 	WorkerKnown = define(831, "worker-known", slog.LevelInfo,
 		"worker registered", "A new life of a worker, or a change of what it reported. Nothing to do.")
 	WorkerGone = define(832, "worker-gone", slog.LevelInfo,
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -44,6 +44,7 @@
 	calling   bool // a stop is in flight
 	nextStop  time.Duration
 	startedAt time.Duration
+	adopted   bool // an earlier leader started it
 	ticket    string
 	measures  measures
 }
@@ -76,10 +77,11 @@
 
 // adopt takes over a started run that an earlier leader recorded.
 func (c *Controller) adopt(t *task, worker string) {
+	// An earlier leader may have slowed it, which reports don't tell.
 	a := &attempt{
-		task: t, phase: attemptUnknown, since: c.now(), startedAt: c.now(),
+		task: t, phase: attemptUnknown, since: c.now(), startedAt: c.now(), adopted: true,
 		run:      Run{Workflow: t.flow.spec.ID, Task: t.number, Number: t.run},
-		measures: measures{pace: full},
+		measures: measures{pace: full, paceUnknown: true},
 	}
 	t.phase, t.attempt = taskOnWorker, a
 	s := c.sessions[worker]
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -73,6 +73,8 @@
 	touched    map[*session]bool   // sessions that may have to be looked at
 	journal    journal
 	pressure   *placement.Pressure
+	saving     bool // pressures are being committed
+	nextSave   time.Duration
 }
 
 // boxSize bounds the work that waits for the loop. Senders wait beyond it.
@@ -185,6 +187,7 @@
 	c.journal = journal{}
 	c.dirty = true
 	s := c.opts.Log.State()
+	c.pressure, c.saving = placement.RestorePressure(s.Pressures), false
 	for _, w := range s.PoolWorkers.All() {
 		c.openSession(*w, false)
 	}
@@ -225,6 +228,7 @@
 		c.sync(c.opts.Log.State())
 		c.dirty = true
 	}
+	c.savePressures(now)
 	for _, s := range c.sessions {
 		c.watchSession(s, now)
 		c.touched[s] = true
--- a/fleet/controller_test.go
+++ b/fleet/controller_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -335,3 +337,31 @@
 	h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: 2, Self: true, Epoch: 2})
 	h.Eventually(a.Paces, patience).Should(Equal([]int{100}))
 }
+
+// Guards against a new leader that lets all neighbours of a serving task work
+// at full speed until it has learned anew which of them disturb it.
+func TestNewLeaderKnowsWhatDisturbs(t *testing.T) {
+	h := newHarness(t)
+	var tail, used atomic.Int64
+	tail.Store(500)
+	used.Store(1000)
+	a := h.worker("a", pool.Options{Work: forever, Measure: func(p fleet.TaskPosition) int64 {
+		if p.Step == 0 {
+			return tail.Load()
+		}
+		return used.Load()
+	}})
+	serving := func(s *state.WorkflowStep) { s.LongRunning, s.TailMillis, s.Image = true, 50, "s" }
+	leftover := func(s *state.WorkflowStep) { s.Leftover, s.Image = true, "l" }
+	h.Expect(h.submit(step(1, serving), step(1, leftover))).To(Equal(fleet.Done))
+	slowed := func() bool { return slices.Min(a.Paces()) < 100 }
+	h.Eventually(func() []int { return a.Paces() }, patience).Should(HaveLen(2))
+	h.Eventually(slowed, patience).Should(BeTrue())
+	h.Eventually(func() bool { return h.log.State().Pressures != nil }, patience).Should(BeTrue())
+	// The serving task bears a neighbour of average pressure, but not this one.
+	tail.Store(31)
+	used.Store(0)
+	h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: 2, Self: true, Epoch: 2})
+	h.Eventually(func() uint64 { return a.Fence() >> 16 }, patience).Should(BeNumerically("==", 2))
+	h.Consistently(slowed, time.Second).Should(BeTrue())
+}
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -16,6 +16,9 @@
 	paceSlack = 50 * time.Millisecond
 	// warmTime is how long the measures of a new serving task are not used.
 	warmTime = 2 * time.Second
+	// saveInterval bounds how often estimates are committed. They settle
+	// within several seconds.
+	saveInterval = 2 * time.Second
 	// biasRate is the share of a new miss in the bias of a serving task.
 	biasRate = 0.5
 	// paceHorizon is the time until the next decision about a worker is in
@@ -42,9 +45,11 @@
 	movedAt  time.Duration // when progress was last seen to change
 	value    int64         // tail in milliseconds, or processors in thousandths
 	pace     int           // percent last asked for
-	pacedAt  time.Duration // when the pace was changed
-	calling  bool
-	bias     float64 // by how much a tail was higher than expected lately
+	// paceUnknown is set while an earlier leader may have asked for another pace.
+	paceUnknown bool
+	pacedAt     time.Duration // when the pace was changed
+	calling     bool
+	bias        float64 // by how much a tail was higher than expected lately
 }
 
 // full is the pace of a run that was not slowed.
@@ -109,7 +114,7 @@
 		switch {
 		case a.phase != attemptRunning || a.stopping:
 		case a.task.step.LongRunning && a.task.step.TailMillis > 0:
-			if a.measures.progress >= fullProgress && now-a.startedAt > warmTime {
+			if a.measures.progress >= fullProgress && (a.adopted || now-a.startedAt > warmTime) {
 				servers = append(servers, a)
 			}
 		case a.task.step.Leftover:
@@ -120,11 +125,26 @@
 	for _, a := range servers {
 		c.observeServer(a, around, now)
 	}
-	if len(servers) > 0 && len(leftovers) > 0 {
+	if len(leftovers) > 0 {
 		c.setPaces(s, servers, leftovers, now)
 	}
 }
 
+// savePressures commits the estimates for the next leader, which would
+// otherwise have to learn them at the expense of serving tasks.
+func (c *Controller) savePressures(now time.Duration) {
+	if c.saving || now < c.nextSave || !c.leads() || !c.pressure.Differs(c.opts.Log.State().Pressures) {
+		return
+	}
+	c.saving, c.nextSave = true, now+saveInterval
+	c.change(c.pressure.Save(), func(err error) {
+		c.saving = false
+		if err != nil {
+			event.Log(c.opts.Logger, event.PressuresNotSaved, slog.Any("error", err))
+		}
+	})
+}
+
 // share returns a part of the worker's processors.
 func (s *session) share(milliCPU int64) float64 {
 	if s.worker.Capacity.MilliCPU <= 0 {
@@ -167,7 +187,7 @@
 	}
 	for i, pace := range placement.Paces(c.pressure, model, neighbours) {
 		a := leftovers[i]
-		if pace == a.measures.pace {
+		if pace == a.measures.pace && !a.measures.paceUnknown {
 			continue
 		}
 		if pace < movePace && a.task.step.Checkpoints && a.measures.progress < moveProgress &&
@@ -205,7 +225,8 @@
 		return
 	}
 	old := a.measures.pace
-	a.measures.pace, a.measures.pacedAt, a.measures.calling = pace, c.now(), true
+	unknown := a.measures.paceUnknown
+	a.measures.pace, a.measures.pacedAt, a.measures.calling, a.measures.paceUnknown = pace, c.now(), true, false
 	event.Log(c.opts.Logger, event.TaskPaced, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
 		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.Int("percent", pace),
 		slog.Int("before", old), slog.String("image", a.task.step.Image))
@@ -215,7 +236,7 @@
 	done := c.later(func() {
 		a.measures.calling = false
 		if err != nil {
-			a.measures.pace = old
+			a.measures.pace, a.measures.paceUnknown = old, unknown
 		}
 	})
 	go func() {
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -348,10 +348,6 @@
 func (c *Controller) takeRunning(s *session, r *RunStatus) {
 	k := runKey{r.Position, r.Number}
 	if a := s.attempts[k]; a != nil {
-		if a.phase == attemptUnknown && !a.stopping && a.task.step.Leftover {
-			// An earlier leader may have slowed it, which reports don't tell.
-			c.setPace(a, full)
-		}
 		if a.phase == attemptUnknown && !a.stopping || a.phase == attemptStarting {
 			a.phase = attemptRunning
 		}
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -27,6 +27,9 @@
 	Fails func(p fleet.TaskPosition, number uint64) bool
 	// HoldMax is the longest lease; a longer one is shortened.
 	HoldMax time.Duration
+	// Measure returns what the worker reports of a run as its tail or its use
+	// of processors; nil for nothing. It must not call the worker.
+	Measure func(p fleet.TaskPosition) int64
 }
 
 // Record is one run on a worker.
@@ -328,9 +331,11 @@
 func (w *Worker) report() *fleet.Report {
 	r := &fleet.Report{Clock: w.Clock(), Born: w.opts.Born, Ended: slices.Clone(w.ended)}
 	for k, running := range w.running {
-		r.Running = append(r.Running, fleet.RunStatus{
-			Position: k.TaskPosition, Number: k.number, Checkpoint: running.checkpoint, Progress: 100,
-		})
+		status := fleet.RunStatus{Position: k.TaskPosition, Number: k.number, Checkpoint: running.checkpoint, Progress: 100}
+		if w.opts.Measure != nil {
+			status.Measure = w.opts.Measure(k.TaskPosition)
+		}
+		r.Running = append(r.Running, status)
 	}
 	return r
 }
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -35,6 +35,11 @@
 	return tx.changed("zone/" + b.Zone)
 }
 
+func (tx *txn) setPressures(b *SetPressures) Result {
+	tx.Pressures = b
+	return tx.changed("pressures")
+}
+
 func (tx *txn) setPoolWorkers(b *SetPoolWorkers) Result {
 	for _, w := range b.Gone {
 		if old, ok := tx.PoolWorkers.Get(w.ID); ok && old.Born == w.Born {
--- a/state/command.go
+++ b/state/command.go
@@ -43,6 +43,7 @@
 	KindRecordTasks
 	KindSetPoolWorkers
 	KindSetEvacuation
+	KindSetPressures
 )
 
 // Body is the typed content of a command.
--- a/state/kind.go
+++ b/state/kind.go
@@ -34,6 +34,7 @@
 	KindRecordTasks:      "record-tasks",
 	KindSetPoolWorkers:   "set-pool-workers",
 	KindSetEvacuation:    "set-evacuation",
+	KindSetPressures:     "set-pressures",
 }
 
 // String returns the name of the kind, as in the audit trail.
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -33,6 +33,7 @@
 	Workflows   []*Workflow      `cbor:"19,keyasint,omitempty"`
 	PoolWorkers []*PoolWorker    `cbor:"20,keyasint,omitempty"`
 	Evacuated   []string         `cbor:"21,keyasint,omitempty"`
+	Pressures   *SetPressures    `cbor:"22,keyasint,omitempty"`
 }
 
 // snapshotDecoding allows as many elements as the retention limits need.
@@ -68,6 +69,7 @@
 		Workflows:   values(s.Workflows),
 		PoolWorkers: values(s.PoolWorkers),
 		Evacuated:   values(s.Evacuated),
+		Pressures:   s.Pressures,
 	})
 }
 
@@ -109,6 +111,7 @@
 	s.Workflows = tableOf(sn.Workflows, func(v *Workflow) string { return v.Spec.ID })
 	s.PoolWorkers = tableOf(sn.PoolWorkers, func(v *PoolWorker) string { return v.ID })
 	s.Evacuated = tableOf(sn.Evacuated, func(v string) string { return v })
+	s.Pressures = sn.Pressures
 	s.rebuildIndexes()
 	return s, nil
 }
--- a/state/state.go
+++ b/state/state.go
@@ -27,6 +27,8 @@
 	Workflows   Table[*Workflow]
 	PoolWorkers Table[*PoolWorker]
 	Evacuated   Table[string] // availability zones that workflows must not use
+	// Pressures are the last saved estimates, for the next leader; nil if none.
+	Pressures *SetPressures
 
 	// NextAudit is the sequence number of the next audit record.
 	NextAudit uint64
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -272,6 +272,27 @@
 	Out  bool   `cbor:"2,keyasint,omitempty"`
 }
 
+// ServingImage is what is known of the serving tasks of an image.
+type ServingImage struct {
+	Image       string  `cbor:"1,keyasint"`
+	FloorMillis float64 `cbor:"2,keyasint"` // shortest tail seen
+	Load        float64 `cbor:"3,keyasint"` // mean own utilisation
+}
+
+// ImagePressure is the utilisation that a leftover image using all processors
+// of a worker adds to the serving tasks of an image.
+type ImagePressure struct {
+	Serving  string  `cbor:"1,keyasint"`
+	Leftover string  `cbor:"2,keyasint"`
+	Value    float64 `cbor:"3,keyasint"`
+}
+
+// SetPressures replaces the saved estimates of how images disturb each other.
+type SetPressures struct {
+	Images []ServingImage  `cbor:"1,keyasint,omitempty"`
+	Pairs  []ImagePressure `cbor:"2,keyasint,omitempty"`
+}
+
 // Kind implements Body.
 func (SetQueues) Kind() Kind { return KindSetQueues }
 
@@ -289,3 +310,6 @@
 
 // Kind implements Body.
 func (SetEvacuation) Kind() Kind { return KindSetEvacuation }
+
+// Kind implements Body.
+func (SetPressures) Kind() Kind { return KindSetPressures }
--- a/state/workflow_test.go
+++ b/state/workflow_test.go
@@ -224,3 +224,18 @@
 		}
 	})
 }
+
+// Guards against estimates that a new leader or a replica with a snapshot lacks.
+func TestPressuresAreInSnapshots(t *testing.T) {
+	w := newWorkflows(t)
+	saved := state.SetPressures{
+		Images: []state.ServingImage{{Image: "s", FloorMillis: 12, Load: 0.4}},
+		Pairs:  []state.ImagePressure{{Serving: "s", Leftover: "l", Value: 1.5}},
+	}
+	w.apply(saved)
+	snapshot, err := w.s.EncodeSnapshot()
+	w.Expect(err).NotTo(HaveOccurred())
+	got, err := state.DecodeSnapshot(snapshot)
+	w.Expect(err).NotTo(HaveOccurred())
+	w.Expect(got.Pressures).To(Equal(&saved))
+}
