fleet: give up starts by the round trips that were measured

Ruled out: a fixed shorter limit, as a slowed leader would then give up starts that are only late.

Change: the limit follows the measured round trips as TCP's timer does, between 350 ms and the former 1 s.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -108,11 +108,11 @@
 		slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID), slog.Uint64("fence", c.fence),
 		slog.String("queue", a.task.flow.queue), slog.String("image", a.task.step.Image), slog.Int64("late_in_ms", a.task.flow.deadline-c.opts.Clock.Now().UnixMilli()),
 		slog.Int64("waited_ms", (a.startedAt-a.task.readyAt).Milliseconds()))
-	begin := a.startedAt
+	begin, timeout := a.startedAt, c.starts.timeout()
 	var err error
 	done := c.later(func() { c.startAnswered(a, begin, err) })
 	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
+		ctx, cancel := context.WithTimeout(c.ctx, timeout)
 		defer cancel()
 		err = s.api.Start(ctx, call)
 		done()
@@ -127,6 +127,7 @@
 		return
 	}
 	if err == nil {
+		c.starts.observe(now - begin)
 		s.answered(now)
 		a.since = now
 		a.phase = attemptRunning
@@ -137,6 +138,7 @@
 	}
 	reason := refusal(err)
 	if reason == 0 {
+		c.starts.observe(now - begin) // it took at least that long
 		event.Log(c.opts.Logger, event.TaskStartUnknown, slog.String("workflow", a.run.Workflow),
 			slog.Int("task", a.run.Task), slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID),
 			slog.Any("error", err))
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -73,7 +73,8 @@
 	touched    map[*session]bool   // sessions that may have to be looked at
 	journal    journal
 	pressure   *placement.Pressure
-	saving     bool // pressures are being committed
+	starts     roundTrip // of starts
+	saving     bool      // pressures are being committed
 	nextSave   time.Duration
 }
 
--- /dev/null
+++ b/fleet/roundtrip.go
@@ -0,0 +1,41 @@
+package fleet
+
+import "time"
+
+const (
+	// minStartTimeout covers a lost packet on a link between availability
+	// zones, which is sent again after 200 ms.
+	minStartTimeout = 350 * time.Millisecond
+	// The gains and the factor of a round trip estimate are those of TCP's
+	// retransmission timer (RFC 6298).
+	meanGain      = 0.125
+	deviationGain = 0.25
+	deviations    = 4
+)
+
+// roundTrip estimates how long answers take, so that a call without one is
+// given up early where answers are fast and late where the instance or the
+// network is slow. The zero value has seen nothing.
+type roundTrip struct {
+	seen            bool
+	mean, deviation time.Duration
+}
+
+// observe takes the time of an answered call in.
+func (r *roundTrip) observe(d time.Duration) {
+	if !r.seen {
+		r.seen, r.mean, r.deviation = true, d, d/2
+		return
+	}
+	r.deviation += time.Duration(deviationGain * float64((d-r.mean).Abs()-r.deviation))
+	r.mean += time.Duration(meanGain * float64(d-r.mean))
+}
+
+// timeout returns how long to wait for an answer: startTimeout while nothing
+// is known, and never longer.
+func (r *roundTrip) timeout() time.Duration {
+	if !r.seen {
+		return startTimeout
+	}
+	return min(startTimeout, max(minStartTimeout, r.mean+deviations*r.deviation))
+}
