fleet: hold neighbours when a tail stays over its target

Read from the code: a serving task had no say in the paces for its first 2 s, and nothing but the estimates ever slowed a neighbour, however long a tail was over.

Change: serving tasks count for the paces from their start, with the load of their step. Once a tail has been seen over its target for so long that the bound of the platform (max_over_target_ms) is near, all neighbours that disturb it at all are held.

--- a/config/node.go
+++ b/config/node.go
@@ -55,6 +55,9 @@
 	StopGraceMS float64 `yaml:"stop_grace_ms"`
 	RestoreMS   float64 `yaml:"restore_ms"`    // until a run has resumed from a checkpoint
 	PaceDelayMS float64 `yaml:"pace_delay_ms"` // until a pace is in force
+	// MaxOverTargetMS is how long neighbours may keep a serving task over its
+	// target on end; 0 for no bound.
+	MaxOverTargetMS float64 `yaml:"max_over_target_ms"`
 }
 
 // Millis converts a setting in milliseconds.
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -35,6 +35,9 @@
 	Restore time.Duration
 	// PaceDelay is how long a pace takes to come into force.
 	PaceDelay time.Duration
+	// MaxOverTarget is how long neighbours may keep a serving task over its
+	// target on end; 0 for no bound.
+	MaxOverTarget time.Duration
 }
 
 // Options configures a Controller. Log and Dial are required.
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"time"
 
 	"apricotrouter/event"
@@ -49,6 +50,8 @@
 	paceUnknown bool
 	pacedAt     time.Duration // when the pace was changed
 	calling     bool
+	over        bool // the tail of a serving task was over its target at the last report
+	overSince   time.Duration
 	bias        float64 // by how much a tail was higher than expected lately
 }
 
@@ -109,22 +112,26 @@
 // neighbours.
 func (c *Controller) observe(s *session) {
 	now := c.now()
-	var servers, leftovers []*attempt
+	var servers, leftovers, warm []*attempt
 	for _, a := range s.attempts {
 		switch {
 		case a.phase != attemptRunning || a.stopping:
 		case a.task.step.LongRunning && a.task.step.TailMillis > 0:
+			servers = append(servers, a)
 			if a.measures.progress >= fullProgress && (a.adopted || now-a.startedAt > warmTime) {
-				servers = append(servers, a)
+				warm = append(warm, a)
 			}
 		case a.task.step.Leftover:
 			leftovers = append(leftovers, a)
 		}
 	}
 	around := c.surroundings(s, leftovers, now)
-	for _, a := range servers {
+	for _, a := range warm {
 		c.observeServer(a, around, now)
 	}
+	for _, a := range servers {
+		a.measures.noticeTail(a.task.step.TailMillis, now)
+	}
 	if len(leftovers) > 0 {
 		c.setPaces(s, servers, leftovers, now)
 	}
@@ -162,6 +169,34 @@
 	a.measures.bias += biasRate * (max(0, miss) - a.measures.bias)
 }
 
+// holdAfter is after how long over its target the neighbours of a serving task
+// are held. The tail was over for up to a look and the time that measures look
+// back before it was seen, and the hold takes another look to be in force.
+func (c *Controller) holdAfter() time.Duration {
+	if c.opts.Limits.MaxOverTarget <= 0 {
+		return math.MaxInt64
+	}
+	return max(0, c.opts.Limits.MaxOverTarget-measureLag-2*paceWait-2*c.settleTime())
+}
+
+// noticeTail follows for how long a tail has been over its target.
+func (m *measures) noticeTail(target int64, now time.Duration) {
+	switch {
+	case m.value <= target:
+		m.over = false
+	case !m.over:
+		m.over, m.overSince = true, now
+	}
+}
+
+// overFor returns for how long the tail has been seen over its target.
+func (m *measures) overFor(now time.Duration) time.Duration {
+	if !m.over {
+		return 0
+	}
+	return now - m.overSince
+}
+
 // load returns the load that the serving tasks of the run's step share.
 func (a *attempt) load() *placement.Load { return &a.task.flow.loads[a.task.pos.Step] }
 
@@ -179,7 +214,11 @@
 		for _, l := range leftovers {
 			u += c.pressure.Of(step.Image, l.task.step.Image) * s.share(l.task.step.Size.MilliCPU) * float64(l.measures.pace) / full
 		}
-		model[i] = placement.Server{Image: step.Image, Utilisation: u, Limit: c.pressure.Limit(step.Image, step.TailMillis)}
+		limit := c.pressure.Limit(step.Image, step.TailMillis)
+		if a.measures.overFor(now) >= c.holdAfter() {
+			limit = 0 // whatever the estimates say
+		}
+		model[i] = placement.Server{Image: step.Image, Utilisation: u, Limit: limit}
 	}
 	neighbours := make([]placement.Neighbour, len(leftovers))
 	for i, a := range leftovers {
