placement, fleet: cheaper observations; calls outlast a stall of the process

When a process stands still, its timers are found before the answers that have arrived meanwhile.

Change: a call's time is followed by 50 ms in which an answer may still be read.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"log/slog"
 	"time"
 
@@ -112,7 +111,7 @@
 	var err error
 	done := c.later(func() { c.startAnswered(a, begin, err) })
 	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, timeout)
+		ctx, cancel := callContext(c.ctx, timeout)
 		defer cancel()
 		err = s.api.Start(ctx, call)
 		done()
@@ -232,7 +231,7 @@
 	var err error
 	done := c.later(func() { c.stopAnswered(a, err) })
 	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
+		ctx, cancel := callContext(c.ctx, startTimeout)
 		defer cancel()
 		err = s.api.Stop(ctx, call)
 		done()
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"log/slog"
 	"math"
 	"time"
@@ -279,7 +278,7 @@
 		}
 	})
 	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
+		ctx, cancel := callContext(c.ctx, startTimeout)
 		defer cancel()
 		err = s.api.Pace(ctx, call)
 		done()
--- a/fleet/roundtrip.go
+++ b/fleet/roundtrip.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 const (
 	// minStartTimeout covers a lost packet on a link between availability
@@ -39,3 +42,19 @@
 	}
 	return min(startTimeout, max(minStartTimeout, r.mean+deviations*r.deviation))
 }
+
+// stallGrace is how long an answer may still be read after the time for it is
+// over. If the whole process stood still, the timer and the answer that has
+// arrived are both found late, and the timer first.
+const stallGrace = 50 * time.Millisecond
+
+// callContext returns a context for a call that may take as long as timeout.
+func callContext(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	expire := func() { cancel(context.DeadlineExceeded) }
+	first := time.AfterFunc(timeout, func() { time.AfterFunc(stallGrace, expire) })
+	return ctx, func() {
+		first.Stop()
+		cancel(context.Canceled)
+	}
+}
--- a/fleet/roundtrip_internal_test.go
+++ b/fleet/roundtrip_internal_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -31,3 +32,15 @@
 		})
 	}
 }
+
+// Guards against answers that are thrown away because the process stood still
+// for longer than they may take: the timer is late by as much as the answer.
+func TestCallContextOutlastsAStall(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := callContext(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	time.Sleep(10*time.Millisecond + stallGrace/3)
+	g.Expect(ctx.Err()).NotTo(HaveOccurred(), "the grace is not over")
+	g.Eventually(ctx.Done(), time.Second).Should(BeClosed())
+	g.Expect(context.Cause(ctx)).To(MatchError(context.DeadlineExceeded))
+}
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -190,7 +190,7 @@
 	done := c.later(func() { c.looked(s, now, call, report, err) })
 	timeout := startTimeout + time.Duration(call.WaitMillis)*time.Millisecond
 	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, timeout)
+		ctx, cancel := callContext(c.ctx, timeout)
 		defer cancel()
 		report, err = s.api.Look(ctx, call)
 		done()
@@ -366,7 +366,7 @@
 		slog.String("worker", s.worker.ID), slog.String("reason", "no record of this run"))
 	call := StopCall{Run: Run{Workflow: r.Position.Workflow, Number: r.Number}, Position: r.Position, Fence: c.fence}
 	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, startTimeout)
+		ctx, cancel := callContext(c.ctx, startTimeout)
 		defer cancel()
 		// The next look shows whether the run has ended, and repeats the stop.
 		_ = s.api.Stop(ctx, call)
--- a/placement/covariance.go
+++ b/placement/covariance.go
@@ -8,6 +8,7 @@
 	rows   map[string]int // by image
 	used   []uint64       // observation at which an image was last seen
 	values [][]float64
+	shared []float64 // of the last observation: covariance of each pressure with the sum
 	count  uint64
 }
 
@@ -58,31 +59,33 @@
 
 // observe takes one observation of a sum of pressures, weighted by the uses,
 // into account. other is the variance of what is not due to pressures. It
-// returns the variance of the observation, and by image the share of its error
-// that corrects the pressure.
-func (c *covariance) observe(uses map[string]float64, other float64) (spread float64, gains map[string]float64) {
+// returns the variance of the observation, and for each of images the
+// covariance of its pressure with the observation, valid until the next one.
+func (c *covariance) observe(uses map[string]float64, other float64) (spread float64, shared []float64) {
 	c.count++
 	for image := range uses {
 		c.used[c.row(image)] = c.count
 	}
-	shared := make([]float64, len(c.images)) // covariance of each pressure with the sum
+	shared = append(c.shared[:0], make([]float64, len(c.images))...)
+	c.shared = shared
 	spread = other
 	for image, use := range uses {
-		j := c.rows[image]
-		for i := range shared {
-			shared[i] += c.values[i][j] * use
+		for i, v := range c.values[c.rows[image]] {
+			shared[i] += v * use
 		}
 	}
 	for image, use := range uses {
 		spread += shared[c.rows[image]] * use
 	}
-	gains = make(map[string]float64, len(c.images))
-	for i, image := range c.images {
-		gains[image] = shared[i] / spread
-		for j := range c.values[i] {
-			c.values[i][j] -= shared[i] * shared[j] / spread
+	for i, of := range shared {
+		if of == 0 {
+			continue
 		}
-		c.values[i][i] = max(minVariance, c.values[i][i])
+		row, share := c.values[i], of/spread
+		for j := range row {
+			row[j] -= share * shared[j]
+		}
+		row[i] = max(minVariance, row[i])
 	}
-	return spread, gains
+	return spread, shared
 }
--- a/placement/pressure.go
+++ b/placement/pressure.go
@@ -58,6 +58,8 @@
 	// pressureSafety is the factor by which a new neighbour may disturb more
 	// than estimated.
 	pressureSafety = 1.25
+	// leastChange is the change of a pressure that is not worth its cost.
+	leastChange = 1e-4
 	// targetShare is the share of a target up to which tails are let grow.
 	targetShare = 0.95
 )
@@ -104,6 +106,13 @@
 	return f
 }
 
+func (p *Pressure) add(serving, leftover string, change float64) {
+	if p.pairs[leftover] == nil {
+		p.pairs[leftover] = make(Pressures)
+	}
+	p.pairs[leftover][serving] = math.Max(0, p.Of(serving, leftover)+change)
+}
+
 // Sample is one tail of a serving task and what ran beside it.
 type Sample struct {
 	Image        string
@@ -142,12 +151,11 @@
 		p.errors[s.Image] = errors
 	}
 	noise := tailNoise + changeNoise*s.Changing
-	spread, gains := errors.observe(s.Uses, noise*noise+load.levelVar)
-	for image, gain := range gains {
-		if p.pairs[image] == nil {
-			p.pairs[image] = make(Pressures)
+	spread, shared := errors.observe(s.Uses, noise*noise+load.levelVar)
+	for i, image := range errors.images {
+		if change := shared[i] / spread * miss; math.Abs(change) >= leastChange {
+			p.add(s.Image, image, change)
 		}
-		p.pairs[image][s.Image] = math.Max(0, p.Of(s.Image, image)+gain*miss)
 	}
 	load.correct(miss, spread)
 	p.loads[s.Image] = p.Load(s.Image) + loadRate*(load.level-p.Load(s.Image))
--- a/placement/pressure_test.go
+++ b/placement/pressure_test.go
@@ -242,3 +242,24 @@
 		})
 	}
 }
+
+// BenchmarkObserve measures one sample beside three neighbours, with eighteen
+// images known.
+func BenchmarkObserve(b *testing.B) {
+	p := placement.NewPressure()
+	var l placement.Load
+	names := make([]string, 18)
+	for i := range names {
+		names[i] = string(rune('a' + i))
+	}
+	uses := make(map[string]float64)
+	for i := range b.N {
+		clear(uses)
+		for k := range 3 {
+			uses[names[(i+5*k)%len(names)]] = 0.1
+		}
+		p.Observe(&l, placement.Sample{
+			Image: "s", AtMillis: int64(i) * 100, TailMillis: int64(20 + i%20), TargetMillis: 50, Uses: uses,
+		})
+	}
+}
