--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -174,6 +174,8 @@
 		{"worker register w1 --zone z1", cli.ExitUsage, "needs --zone, --rack and --address"},
 		{"audit --since yesterday", cli.ExitUsage, "neither a duration"},
 		{"config check " + badUnit, cli.ExitUsage, "unknown key"},
+		{"explain --from-logs " + noRoute + " none", cli.ExitRefused, "concerns none"},
+		{"explain --from-logs missing.log none", cli.ExitRefused, "missing.log"},
 		{"explain job/none", cli.ExitRefused, "does not exist"},
 		{"--tls-ca a.pem zone list", cli.ExitUsage, "needed together"},
 	} {
--- a/cli/cluster.go
+++ b/cli/cluster.go
@@ -121,13 +121,19 @@
 }
 
 func (o *options) explainCommand() *cobra.Command {
-	return &cobra.Command{
-		Use:     "explain KIND/ID",
-		Short:   "Say why an object is as it is",
-		Long:    "Say why a task, job, service, worker, endpoint, zone, team or request is as it is.",
-		Example: "  apricotrouter explain task/receipts-2026.0\n  apricotrouter explain request/5f0c9a52-3c43-4a4f-9a53-0a4c6f1d8f1e",
-		Args:    named("object, KIND/ID"),
+	var logs []string
+	cmd := &cobra.Command{
+		Use:   "explain KIND/ID | --from-logs FILE ID",
+		Short: "Say why an object is as it is",
+		Long: "Say why a task, job, service, worker, endpoint, zone, team or request is as it is. With --from-logs, " +
+			"join the lines of instances' logs that concern a workflow or request, and name what delayed or failed it.",
+		Example: "  apricotrouter explain task/receipts-2026.0\n  apricotrouter explain request/5f0c9a52-3c43-4a4f-9a53-0a4c6f1d8f1e\n" +
+			"  apricotrouter explain --from-logs core-1.log --from-logs core-2.log 5c0e7a21d94b36f8",
+		Args: named("object, KIND/ID"),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(logs) > 0 {
+				return explainFromLogs(cmd.OutOrStdout(), logs, args[0])
+			}
 			conn, err := o.connect()
 			if err != nil {
 				return err
@@ -145,6 +151,8 @@
 			return err
 		},
 	}
+	cmd.Flags().StringArrayVar(&logs, "from-logs", nil, "read this log of an instance (may be repeated)")
+	return cmd
 }
 
 func (o *options) endpointCommand() *cobra.Command {
--- a/event/page_test.go
+++ b/event/page_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -56,6 +57,32 @@
 	g.Expect(rowPattern.FindAllString(page, -1)).To(Equal(rows()), "run: go generate ./event")
 }
 
+// eventMentions match a number with its name, in the text and in shown lines.
+var eventMentions = []*regexp.Regexp{
+	regexp.MustCompile("`([0-9]{3}) ([a-z-]+)`"),
+	regexp.MustCompile("([0-9]{3}) \\(`([a-z-]+)`\\)"),
+	regexp.MustCompile(`(?m)^(?:[a-z0-9-]+ +)?([0-9]{3}) ([a-z-]+) +[a-z_]+=`),
+}
+
+// Guards against a page that sends operators to events that do not exist.
+func TestOperationsNamesEventsOfTheCatalogue(t *testing.T) {
+	g := NewWithT(t)
+	data, err := os.ReadFile("../docs/OPERATIONS.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	names := make(map[string]string)
+	for _, e := range event.Catalogue() {
+		names[strconv.Itoa(e.Number)] = e.Name
+	}
+	var mentions [][]string
+	for _, pattern := range eventMentions {
+		mentions = append(mentions, pattern.FindAllStringSubmatch(string(data), -1)...)
+	}
+	g.Expect(len(mentions)).To(BeNumerically(">=", 8))
+	for _, m := range mentions {
+		g.Expect(names).To(HaveKeyWithValue(m[1], m[2]), m[0])
+	}
+}
+
 func TestEventsHaveNameMessageAndHelp(t *testing.T) {
 	g := NewWithT(t)
 	names := map[string]int{}
