placement: saved pressures belong to their serving image and are bounded

Cause: two records of the state had the same shape as two others, and each saved pair named its serving image again. Pressures of images that no longer run were kept and saved for ever.

Ruled out: merging the records of pressures with those of task ends: they share a shape, not a meaning.

Change: a saved serving image holds its pressures. At most 64 serving images and 48 pressures of each are kept; the one that was not seen for longest gives way, with its pressures. A worker with more leftover images than that at once no longer has the surplus counted as another image.

--- a/fleet/pace_internal_test.go
+++ b/fleet/pace_internal_test.go
@@ -39,8 +39,10 @@
 	c := New(Options{Clock: clock, Limits: Limits{PaceDelay: 100 * time.Millisecond, MaxOverTarget: 4 * time.Second}})
 	c.ctx = t.Context()
 	c.pressure = placement.RestorePressure(&state.SetPressures{
-		Images: []state.ServingImage{{Image: "s", FloorMillis: 10, Load: 0.4}},
-		Pairs:  []state.ImagePressure{{Serving: "s", Leftover: "l", Value: 2}, {Serving: "s", Leftover: "harmless", Value: 0}},
+		Images: []state.ServingImage{{
+			Image: "s", FloorMillis: 10, Load: 0.4,
+			Pressures: []state.ImagePressure{{Leftover: "harmless"}, {Leftover: "l", Value: 2}},
+		}},
 	})
 	s := newSession(state.PoolWorker{ID: "w", Capacity: state.Resources{MilliCPU: 10000}}, unreachable{})
 	f := &flow{spec: &state.WorkflowSpec{}, loads: make([]placement.Load, 1)}
@@ -81,8 +83,9 @@
 	}
 	neighbour.task.step.Image = "hardly harmful"
 	c.pressure = placement.RestorePressure(&state.SetPressures{
-		Images: []state.ServingImage{{Image: "s", FloorMillis: 10, Load: 0.4}},
-		Pairs:  []state.ImagePressure{{Serving: "s", Leftover: "hardly harmful", Value: 0.01}},
+		Images: []state.ServingImage{{
+			Image: "s", FloorMillis: 10, Load: 0.4, Pressures: []state.ImagePressure{{Leftover: "hardly harmful", Value: 0.01}},
+		}},
 	})
 	c.observe(s)
 	g.Expect(neighbour.measures.pace).To(BeZero())
--- a/placement/covariance.go
+++ b/placement/covariance.go
@@ -8,8 +8,10 @@
 	rows   map[string]int // by image
 	used   []uint64       // observation at which an image was last seen
 	values [][]float64
-	shared []float64 // of the last observation: covariance of each pressure with the sum
-	count  uint64
+	// evicted are the images that gave way during the last observation.
+	evicted []string
+	shared  []float64 // of the last observation: covariance of each pressure with the sum
+	count   uint64
 }
 
 const (
@@ -37,6 +39,7 @@
 	} else {
 		i = c.oldest()
 		delete(c.rows, c.images[i])
+		c.evicted = append(c.evicted, c.images[i])
 		c.images[i] = image
 		for j := range c.values {
 			c.values[i][j], c.values[j][i] = 0, 0
@@ -63,6 +66,7 @@
 // covariance of its pressure with the observation, valid until the next one.
 func (c *covariance) observe(uses map[string]float64, other float64) (spread float64, shared []float64) {
 	c.count++
+	c.evicted = c.evicted[:0]
 	for image := range uses {
 		c.used[c.row(image)] = c.count
 	}
@@ -70,12 +74,18 @@
 	c.shared = shared
 	spread = other
 	for image, use := range uses {
-		for i, v := range c.values[c.rows[image]] {
+		row, ok := c.rows[image]
+		if !ok {
+			continue // more images at once than are told apart
+		}
+		for i, v := range c.values[row] {
 			shared[i] += v * use
 		}
 	}
 	for image, use := range uses {
-		spread += shared[c.rows[image]] * use
+		if row, ok := c.rows[image]; ok {
+			spread += shared[row] * use
+		}
 	}
 	for i, of := range shared {
 		if of == 0 {
--- a/placement/pressure.go
+++ b/placement/pressure.go
@@ -17,6 +17,7 @@
 	// search for room asks for many serving images of one leftover image.
 	pairs  map[string]Pressures
 	errors map[string]*covariance // of the pressures, by serving image
+	seen   map[string]int64       // time of the last sample, by serving image
 }
 
 // Pressures are those of one leftover image, by serving image.
@@ -58,6 +59,9 @@
 	// pressureSafety is the factor by which a new neighbour may disturb more
 	// than estimated.
 	pressureSafety = 1.25
+	// maxServing bounds the serving images that are kept, as every leader
+	// saves them: with maxPairs each, some 100 KB at most.
+	maxServing = 64
 	// leastChange is the change of a pressure that is not worth its cost.
 	leastChange = 1e-4
 	// targetShare is the share of a target up to which tails are let grow.
@@ -68,6 +72,7 @@
 func NewPressure() *Pressure {
 	return &Pressure{
 		floors: make(map[string]float64), loads: make(map[string]float64), pairs: make(map[string]Pressures), errors: make(map[string]*covariance),
+		seen: make(map[string]int64),
 	}
 }
 
@@ -106,11 +111,39 @@
 	return f
 }
 
-func (p *Pressure) add(serving, leftover string, change float64) {
+func (p *Pressure) set(serving, leftover string, value float64) {
 	if p.pairs[leftover] == nil {
 		p.pairs[leftover] = make(Pressures)
 	}
-	p.pairs[leftover][serving] = math.Max(0, p.Of(serving, leftover)+change)
+	p.pairs[leftover][serving] = math.Max(0, value)
+}
+
+func (p *Pressure) drop(serving, leftover string) {
+	delete(p.pairs[leftover], serving)
+	if len(p.pairs[leftover]) == 0 {
+		delete(p.pairs, leftover)
+	}
+}
+
+// noteImage makes room for a serving image that was not seen: the one without
+// samples for longest gives way.
+func (p *Pressure) noteImage(serving string, atMillis int64) {
+	if _, ok := p.floors[serving]; !ok && len(p.floors) >= maxServing {
+		oldest := ""
+		for image := range p.floors {
+			if oldest == "" || p.seen[image] < p.seen[oldest] || p.seen[image] == p.seen[oldest] && image < oldest {
+				oldest = image
+			}
+		}
+		for leftover := range p.pairs {
+			p.drop(oldest, leftover)
+		}
+		delete(p.floors, oldest)
+		delete(p.loads, oldest)
+		delete(p.errors, oldest)
+		delete(p.seen, oldest)
+	}
+	p.seen[serving] = atMillis
 }
 
 // Sample is one tail of a serving task and what ran beside it.
@@ -132,6 +165,7 @@
 	if s.TailMillis <= 0 || s.TargetMillis <= 0 {
 		return 0
 	}
+	p.noteImage(s.Image, s.AtMillis)
 	if f, ok := p.floors[s.Image]; !ok || float64(s.TailMillis) < f {
 		p.floors[s.Image] = float64(s.TailMillis)
 	}
@@ -154,9 +188,12 @@
 	spread, shared := errors.observe(s.Uses, noise*noise+load.levelVar)
 	for i, image := range errors.images {
 		if change := shared[i] / spread * miss; math.Abs(change) >= leastChange {
-			p.add(s.Image, image, change)
+			p.set(s.Image, image, p.Of(s.Image, image)+change)
 		}
 	}
+	for _, image := range errors.evicted {
+		p.drop(s.Image, image)
+	}
 	load.correct(miss, spread)
 	p.loads[s.Image] = p.Load(s.Image) + loadRate*(load.level-p.Load(s.Image))
 	return miss
--- a/placement/saved.go
+++ b/placement/saved.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -20,18 +20,15 @@
 // Save returns the estimates for the next leader, in a fixed order.
 func (p *Pressure) Save() state.SetPressures {
 	var s state.SetPressures
-	for image, floor := range p.floors {
-		s.Images = append(s.Images, state.ServingImage{Image: image, FloorMillis: floor, Load: p.Load(image)})
-	}
-	for leftover, by := range p.pairs {
-		for serving, value := range by {
-			s.Pairs = append(s.Pairs, state.ImagePressure{Serving: serving, Leftover: leftover, Value: value})
+	for _, image := range slices.Sorted(maps.Keys(p.floors)) {
+		i := state.ServingImage{Image: image, FloorMillis: p.floors[image], Load: p.Load(image)}
+		for _, leftover := range slices.Sorted(maps.Keys(p.pairs)) {
+			if value, ok := p.pairs[leftover][image]; ok {
+				i.Pressures = append(i.Pressures, state.ImagePressure{Leftover: leftover, Value: value})
+			}
 		}
+		s.Images = append(s.Images, i)
 	}
-	slices.SortFunc(s.Images, func(a, b state.ServingImage) int { return cmp.Compare(a.Image, b.Image) })
-	slices.SortFunc(s.Pairs, func(a, b state.ImagePressure) int {
-		return cmp.Or(cmp.Compare(a.Serving, b.Serving), cmp.Compare(a.Leftover, b.Leftover))
-	})
 	return s
 }
 
@@ -44,18 +41,13 @@
 	}
 	for _, i := range s.Images {
 		p.floors[i.Image], p.loads[i.Image] = i.FloorMillis, i.Load
-	}
-	for _, pair := range s.Pairs {
-		if p.pairs[pair.Leftover] == nil {
-			p.pairs[pair.Leftover] = make(Pressures)
-		}
-		p.pairs[pair.Leftover][pair.Serving] = pair.Value
-		if p.errors[pair.Serving] == nil {
-			p.errors[pair.Serving] = newCovariance()
+		errors := newCovariance()
+		for _, one := range i.Pressures {
+			p.set(i.Image, one.Leftover, one.Value)
+			row := errors.row(one.Leftover)
+			errors.values[row][row] = savedSpread * savedSpread
 		}
-		errors := p.errors[pair.Serving]
-		row := errors.row(pair.Leftover)
-		errors.values[row][row] = savedSpread * savedSpread
+		p.errors[i.Image] = errors
 	}
 	return p
 }
@@ -66,17 +58,20 @@
 	if s == nil {
 		return len(p.floors) > 0
 	}
-	pairs := 0
-	for _, by := range p.pairs {
-		pairs += len(by)
-	}
-	if len(p.floors) != len(s.Images) || pairs != len(s.Pairs) {
-		return true
-	}
-	for _, pair := range s.Pairs {
-		if math.Abs(p.Of(pair.Serving, pair.Leftover)-pair.Value) > savedChange {
+	saved, known := 0, 0
+	for _, i := range s.Images {
+		if _, ok := p.floors[i.Image]; !ok {
 			return true
 		}
+		for _, one := range i.Pressures {
+			if math.Abs(p.Of(i.Image, one.Leftover)-one.Value) > savedChange {
+				return true
+			}
+		}
+		saved += len(i.Pressures)
+	}
+	for _, by := range p.pairs {
+		known += len(by)
 	}
-	return false
+	return len(p.floors) != len(s.Images) || known != saved
 }
--- a/placement/saved_test.go
+++ b/placement/saved_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -36,3 +37,34 @@
 	observe(500)
 	g.Expect(p.Differs(&saved)).To(BeTrue())
 }
+
+// Guards against estimates that grow with every image that ever ran, and
+// against pressures that stay behind when their image gives way.
+func TestPressuresOfImagesThatAreGoneAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	p := placement.NewPressure()
+	var l placement.Load
+	const images = 200
+	at := int64(0)
+	observe := func(serving string, uses map[string]float64) {
+		at += 100
+		p.Observe(&l, placement.Sample{Image: serving, AtMillis: at, TailMillis: 40, TargetMillis: 50, Uses: uses})
+	}
+	for i := range images {
+		observe("s", map[string]float64{fmt.Sprintf("l%03d", i): 0.2})
+	}
+	many := make(map[string]float64)
+	for i := range images {
+		observe(fmt.Sprintf("s%03d", i), map[string]float64{"l": 0.2})
+		many[fmt.Sprintf("m%03d", i)] = 0.001
+	}
+	observe("s199", many)
+	saved := p.Save()
+	g.Expect(len(saved.Images)).To(BeNumerically("<=", 64))
+	g.Expect(saved.Images[len(saved.Images)-1].Image).To(Equal("s199"))
+	for _, i := range saved.Images {
+		g.Expect(len(i.Pressures)).To(BeNumerically("<=", 48), i.Image)
+	}
+	g.Expect(p.Of("s000", "l")).To(Equal(placement.NewPressure().Of("s000", "l")), "it gave way")
+	g.Expect(p.Differs(&saved)).To(BeFalse())
+}
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -274,23 +274,22 @@
 
 // ServingImage is what is known of the serving tasks of an image.
 type ServingImage struct {
-	Image       string  `cbor:"1,keyasint"`
-	FloorMillis float64 `cbor:"2,keyasint"` // shortest tail seen
-	Load        float64 `cbor:"3,keyasint"` // mean own utilisation
+	Image       string          `cbor:"1,keyasint"`
+	FloorMillis float64         `cbor:"2,keyasint"` // shortest tail seen
+	Load        float64         `cbor:"3,keyasint"` // mean own utilisation
+	Pressures   []ImagePressure `cbor:"4,keyasint,omitempty"`
 }
 
-// ImagePressure is the utilisation that a leftover image using all processors
-// of a worker adds to the serving tasks of an image.
+// ImagePressure is the utilisation that a leftover image adds to serving tasks
+// when it uses all processors of a worker.
 type ImagePressure struct {
-	Serving  string  `cbor:"1,keyasint"`
-	Leftover string  `cbor:"2,keyasint"`
-	Value    float64 `cbor:"3,keyasint"`
+	Leftover string  `cbor:"1,keyasint"`
+	Value    float64 `cbor:"2,keyasint"`
 }
 
 // SetPressures replaces the saved estimates of how images disturb each other.
 type SetPressures struct {
-	Images []ServingImage  `cbor:"1,keyasint,omitempty"`
-	Pairs  []ImagePressure `cbor:"2,keyasint,omitempty"`
+	Images []ServingImage `cbor:"1,keyasint,omitempty"`
 }
 
 // Kind implements Body.
--- a/state/workflow_test.go
+++ b/state/workflow_test.go
@@ -229,8 +229,9 @@
 func TestPressuresAreInSnapshots(t *testing.T) {
 	w := newWorkflows(t)
 	saved := state.SetPressures{
-		Images: []state.ServingImage{{Image: "s", FloorMillis: 12, Load: 0.4}},
-		Pairs:  []state.ImagePressure{{Serving: "s", Leftover: "l", Value: 1.5}},
+		Images: []state.ServingImage{{
+			Image: "s", FloorMillis: 12, Load: 0.4, Pressures: []state.ImagePressure{{Leftover: "l", Value: 1.5}},
+		}},
 	}
 	w.apply(saved)
 	snapshot, err := w.s.EncodeSnapshot()
