fleet: a start recorded for another worker is not sent

Between them the leader had taken over six times in one term. An entry that an earlier activation had proposed was applied after the next one had read the state; it recorded the same run for another worker, and the later start, which the state ignored, counted as recorded since only its number was compared.

Ruled out: a late start and the fence (both starts came from the last activation); that fences by activation had mended it: they, and keeping the activation while the leader is not confirmed, only made it rare. A commit with an unknown outcome still leads to it.

Change: a start is sent only if the state has it with its worker.

--- a/fleet/journal.go
+++ b/fleet/journal.go
@@ -103,16 +103,15 @@
 	c.release(f)
 }
 
-// startCommitted sends a start if the state took it.
+// startCommitted sends a start if the state took it. An entry of an earlier
+// activation may have recorded the same run for another worker meanwhile.
 func (c *Controller) startCommitted(s *state.State, r startRecord) {
 	a := r.attempt
 	if a.phase != attemptRecording {
 		return
 	}
 	w, ok := s.Workflows.Get(r.start.Workflow)
-	taken := ok && !w.Phase.Ended() && w.Tasks[r.start.Task].Phase == state.TaskStarted &&
-		w.Tasks[r.start.Task].Run == r.start.Run
-	if !taken {
+	if !ok || w.Phase.Ended() || !w.Tasks[r.start.Task].Records(r.start) {
 		c.dropAttempt(a)
 		if a.task.phase == taskOnWorker {
 			a.task.phase = taskBlocked
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -188,6 +188,11 @@
 	FailedRuns []uint64 `cbor:"6,keyasint,omitempty"`
 }
 
+// Records reports whether the task's current run is the one of a start.
+func (t *WorkflowTask) Records(s TaskStart) bool {
+	return t.Phase == TaskStarted && t.Run == s.Run && t.Worker == s.Worker
+}
+
 // Workflow is a submitted workflow. Once it has ended it keeps no tasks.
 type Workflow struct {
 	Spec        WorkflowSpec   `cbor:"1,keyasint"`
