fleet: log the room of pools and workflows that miss their objective

Callers saw jobs that were accepted and never ended in time. Nothing was logged of a workflow between its acceptance and its end, and nothing of the room of a pool, so that lack of room, room kept for others, and the order of jobs could not be told apart.

Event 828 gives, once a second while tasks wait, what a pool's workers have, what serving tasks reserve, what is free in all and on one worker, what is kept, and what waits by kind; event 814 is written once for a workflow that is late and open. Both are gauges or a counter too. TestLogsTellWhatALateJobWaitedFor fails without them.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -20,6 +20,8 @@
 		"workflow refused", "The workflow was not stored and never runs; the reason and the time to come back are named.")
 	WorkflowEnded = define(813, "workflow-ended", slog.LevelInfo,
 		"workflow ended", "The workflow completed, failed or was cancelled, with the time that it took and its objective.")
+	WorkflowLate = define(814, "workflow-late", slog.LevelInfo,
+		"workflow missed its objective", "Logged once by each leader that sees it late and open: how many tasks are done, run and wait for a worker, and for how long the longest has waited. Waiting tasks point at `pool-room`, running ones at workers that are slow.")
 	TaskPlaced = define(821, "task-placed", slog.LevelInfo,
 		"task placed", "A run of a task was recorded for a worker and is sent to it.")
 	FleetStartRefused = define(822, "fleet-start-refused", slog.LevelInfo,
@@ -34,6 +36,8 @@
 		"changed the pace of a run", "A task that uses leftover processors is slowed for the sake of a serving task on the same worker, or let go again.")
 	PressuresNotSaved = define(827, "pressures-not-saved", slog.LevelWarn,
 		"learned pressures were not saved", "The next leader starts from older estimates. They are saved again within seconds; check the control group if it repeats.")
+	PoolRoom = define(828, "pool-room", slog.LevelInfo,
+		"room of a pool after a round of placement", "At most one a second while tasks wait: what the pool's usable workers have, what serving tasks reserve, what is free in all and on one worker, what is kept for serving tasks, and which tasks wait for how much.")
 	WorkerKnown = define(831, "worker-known", slog.LevelInfo,
 		"worker registered", "A new life of a worker, or a change of what it reported. Nothing to do.")
 	WorkerGone = define(832, "worker-gone", slog.LevelInfo,
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -73,6 +73,7 @@
 	takeover   time.Duration // when it became active
 	nextSync   time.Duration
 	nextRound  time.Duration // of placement
+	nextReport time.Duration // of the pools' room
 	dirty      bool          // something changed that may let a task start
 	flows      map[string]*flow
 	sessions   map[string]*session // by worker id
@@ -234,6 +235,7 @@
 	if now >= c.nextSync {
 		c.nextSync = now + resyncInterval
 		c.sync(c.opts.Log.State())
+		c.reportLate()
 		c.dirty = true
 	}
 	c.savePressures(now)
--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -20,6 +20,7 @@
 	open     [][]int // tasks not done, by occurrence and step
 	ready    int     // tasks that wait for a worker
 	started  bool
+	late     bool // it was logged as late
 	// doneRuns and doneMillis are the runs that did a whole task, by step.
 	doneRuns, doneMillis []int64
 	// loads are those of the serving tasks, by step.
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -59,15 +59,19 @@
 	gate    gate
 }
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t *testing.T, mod ...func(*fleet.Options)) *harness {
 	h := &harness{
 		WithT: NewWithT(t), t: t, log: replica.NewMemory(clockwork.NewRealClock()),
 		workers: make(map[string]*pool.Worker),
 	}
 	g := group{h.log, &h.gate}
-	c := fleet.New(fleet.Options{Log: g, Dial: h.dial, Limits: fleet.Limits{
+	opts := fleet.Options{Log: g, Dial: h.dial, Limits: fleet.Limits{
 		HoldMax: holdMax, StopGrace: 50 * time.Millisecond, Heartbeat: 10 * time.Second,
-	}})
+	}}
+	for _, m := range mod {
+		m(&opts)
+	}
+	c := fleet.New(opts)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = c.Run(ctx) }()
@@ -172,6 +176,14 @@
 	}).Outcome
 }
 
+// submitAs submits a workflow under an id of its own.
+func (h *harness) submitAs(id string, steps ...state.WorkflowStep) {
+	h.t.Helper()
+	h.Expect(h.call(&fleet.Request{
+		Op: fleet.OpSubmit, Host: host, Path: "/jobs/" + id, Workflow: &state.WorkflowSpec{Payload: "p", Steps: steps},
+	}).Outcome).To(Equal(fleet.Done))
+}
+
 func (h *harness) phase() state.WorkflowPhase {
 	return h.call(&fleet.Request{Op: fleet.OpStatus, Host: host, Path: "/jobs/" + jobID}).Phase
 }
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -14,6 +14,9 @@
 	refusals *prometheus.CounterVec
 	took     *prometheus.HistogramVec
 	calls    *prometheus.CounterVec
+	late     *prometheus.CounterVec
+	room     *prometheus.GaugeVec
+	waiting  *prometheus.GaugeVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -39,9 +42,18 @@
 		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "apricotrouter_fleet_calls_total", Help: "Calls to the leader, by operation and outcome.",
 		}, []string{"operation", "outcome"}),
+		late: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_late_workflows_total", Help: "Workflows that missed their objective while open, by queue and by whether tasks waited for a worker.",
+		}, []string{"queue", "waiting"}),
+		room: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_pool_processors", Help: "Processors of a pool's usable workers after the last round of placement, by use.",
+		}, []string{"pool", "use"}),
+		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_waiting_tasks", Help: "Tasks that waited for a worker after the last round of placement, by pool and kind.",
+		}, []string{"pool", "kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.looks, m.start, m.commit, m.refusals, m.took, m.calls)
+		r.MustRegister(m.looks, m.start, m.commit, m.refusals, m.took, m.calls, m.late, m.room, m.waiting)
 	}
 	return m
 }
@@ -53,3 +65,14 @@
 		m.took.WithLabelValues(string(phase)).Observe(float64(took) / float64(objective))
 	}
 }
+
+// occupied sets the gauges of a pool.
+func (m *metrics) occupied(pool string, o occupancy) {
+	const milli = 1000
+	for use, milliCPU := range map[string]int64{"all": o.capacity, "serving": o.serving, "free": o.free, "held": o.heldFree} {
+		m.room.WithLabelValues(pool, use).Set(float64(milliCPU) / milli)
+	}
+	for k, d := range o.waiting {
+		m.waiting.WithLabelValues(pool, taskKindNames[k]).Set(float64(d.tasks))
+	}
+}
--- /dev/null
+++ b/fleet/occupancy_test.go
@@ -0,0 +1,63 @@
+package fleet_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/event"
+	"apricotrouter/fleet"
+	"apricotrouter/standin/pool"
+	"apricotrouter/state"
+)
+
+// logBuffer collects the lines of a logger.
+type logBuffer struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(p)
+}
+
+// last returns the last line of an event, or nil.
+func (b *logBuffer) last(e event.Event) map[string]any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var found map[string]any
+	for line := range bytes.Lines(b.lines.Bytes()) {
+		var fields map[string]any
+		if json.Unmarshal(line, &fields) == nil && fields["event"] == float64(e.Number) {
+			found = fields
+		}
+	}
+	return found
+}
+
+// Guards against logs that don't tell whether a late job waited for room, or
+// how much room there was.
+func TestLogsTellWhatALateJobWaitedFor(t *testing.T) {
+	var logs logBuffer
+	h := newHarness(t, func(o *fleet.Options) { o.Logger = slog.New(slog.NewJSONHandler(&logs, nil)) })
+	a := h.worker("a", pool.Options{Work: forever})
+	h.Expect(h.submit(step(3, serving))).To(Equal(fleet.Done)) // leaves 1000 of 4000
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(3))
+	large := step(2, func(s *state.WorkflowStep) { s.Size.MilliCPU = 1500 })
+	h.submitAs("00000000000000b1", large)
+	h.Eventually(func() any { return logs.last(event.WorkflowLate) }, patience).ShouldNot(BeNil())
+	late := logs.last(event.WorkflowLate)
+	h.Expect(late).To(HaveKeyWithValue("workflow", "00000000000000b1"))
+	h.Expect(late).To(HaveKeyWithValue("waiting", 2.0))
+	h.Expect(late).To(HaveKeyWithValue("largest_milli_cpu", 1500.0))
+	h.Eventually(func() any { return logs.last(event.PoolRoom)["batch"] }, patience).Should(HaveKeyWithValue("waiting", 2.0))
+	room := logs.last(event.PoolRoom)
+	h.Expect(room).To(HaveKeyWithValue("serving_milli_cpu", 3000.0))
+	h.Expect(room).To(HaveKeyWithValue("largest_free_milli_cpu", 1000.0))
+}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -22,6 +22,8 @@
 	tight map[string]state.Resources
 	// held are the rooms that pressing tasks keep from others in this round.
 	held map[int]bool
+	// keptFor are all rooms that were held in this round.
+	keptFor map[int]bool
 }
 
 // full reports whether a smaller task of the same image found no room.
@@ -51,6 +53,7 @@
 func (p *pool) applyHolds() {
 	for i := range p.held {
 		p.rooms[i] = nil
+		p.keptFor[i] = true
 	}
 	clear(p.held)
 }
@@ -70,11 +73,12 @@
 func (c *Controller) schedule() {
 	now := c.now()
 	waiting := c.waitingJobs()
+	pools := c.pools(now)
+	defer c.reportRoom(pools)
 	if len(waiting) == 0 {
 		return
 	}
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
-	pools := c.pools(now)
 	for _, j := range waiting {
 		f := c.flows[j.ID]
 		if p := pools[f.spec.Pool]; p != nil && !j.Pressing() {
@@ -152,7 +156,7 @@
 		}
 		p := all[w.worker.Pool]
 		if p == nil {
-			p = &pool{tight: make(map[string]state.Resources), held: make(map[int]bool)}
+			p = &pool{tight: make(map[string]state.Resources), held: make(map[int]bool), keptFor: make(map[int]bool)}
 			all[w.worker.Pool] = p
 		}
 		p.sessions = append(p.sessions, w)
