--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -184,8 +184,10 @@
 	}).Outcome).To(Equal(fleet.Done))
 }
 
-func (h *harness) phase() state.WorkflowPhase {
-	return h.call(&fleet.Request{Op: fleet.OpStatus, Host: host, Path: "/jobs/" + jobID}).Phase
+func (h *harness) phase() state.WorkflowPhase { return h.phaseOf(jobID) }
+
+func (h *harness) phaseOf(id string) state.WorkflowPhase {
+	return h.call(&fleet.Request{Op: fleet.OpStatus, Host: host, Path: "/jobs/" + id}).Phase
 }
 
 func (h *harness) eventually(want state.WorkflowPhase) {
--- /dev/null
+++ b/fleet/share_test.go
@@ -0,0 +1,101 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/fleet"
+	"apricotrouter/standin/pool"
+	"apricotrouter/state"
+)
+
+func sized(milliCPU int64) func(*state.WorkflowStep) {
+	return func(s *state.WorkflowStep) { s.Size = state.Resources{MilliCPU: milliCPU, MemoryMiB: 100} }
+}
+
+func lasting(d time.Duration) func(*state.WorkflowStep) {
+	return func(s *state.WorkflowStep) { s.EstimateMillis = d.Milliseconds() }
+}
+
+// Guards against SHORT: after the loss of a worker, serving tasks reserve what
+// is left but for pieces that are too small for the larger batch jobs, which
+// are never served again while small ones are.
+func TestServingTasksLeaveRoomForTheLargerBatchJobs(t *testing.T) {
+	h := newHarness(t)
+	const smallWork, largeWork = 100 * time.Millisecond, 200 * time.Millisecond
+	work := func(p fleet.TaskPosition, _ uint64) time.Duration {
+		switch p.Workflow[0] {
+		case 'a':
+			return smallWork
+		case 'b':
+			return largeWork
+		}
+		return 0
+	}
+	workers := make([]*pool.Worker, 4)
+	for i := range workers {
+		workers[i] = h.worker(fmt.Sprintf("w%d", i), pool.Options{Work: work})
+	}
+	h.submitAs("0000000000000001", step(12, serving, sized(900)))
+	h.Eventually(func() int {
+		n := 0
+		for _, w := range workers {
+			n += running(w)
+		}
+		return n
+	}, patience).Should(Equal(12))
+	// A quarter of the jobs are large.
+	const interval, lossAt, judgedFrom, jobs = 100 * time.Millisecond, 20, 40, 90
+	id := func(i int) string {
+		if i%4 == 0 {
+			return fmt.Sprintf("b%015x", i)
+		}
+		return fmt.Sprintf("a%015x", i)
+	}
+	for i := range jobs {
+		if i == lossAt {
+			workers[0].SetDown(true)
+		}
+		if i%4 == 0 {
+			h.submitAs(id(i), step(2, sized(800), lasting(largeWork)))
+		} else {
+			h.submitAs(id(i), step(1, sized(300), lasting(smallWork)))
+		}
+		time.Sleep(interval)
+	}
+	time.Sleep(time.Second)
+	served, asked := map[bool]float64{}, map[bool]float64{}
+	for i := judgedFrom; i < jobs; i++ {
+		large := i%4 == 0
+		asked[large]++
+		if h.phaseOf(id(i)) == state.WorkflowCompleted {
+			served[large]++
+		}
+	}
+	all := (served[true] + served[false]) / (asked[true] + asked[false])
+	h.Expect(served[true]/asked[true]).To(BeNumerically(">=", all/2), "served large %v of %v, small %v of %v",
+		served[true], asked[true], served[false], asked[false])
+	h.Expect(all).To(BeNumerically(">=", 0.5))
+}
+
+// Guards against a serving task that keeps batch tasks off a worker on which
+// it never fits, since nothing there ends but other serving tasks.
+func TestServingTaskKeepsNoRoomThatStaysTooSmall(t *testing.T) {
+	h := newHarness(t)
+	a := h.worker("a", pool.Options{Work: func(p fleet.TaskPosition, _ uint64) time.Duration {
+		if p.Workflow[0] == 'a' {
+			return 20 * time.Millisecond
+		}
+		return 0
+	}})
+	h.submitAs("0000000000000001", step(1, serving, sized(2500))) // leaves 1500
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
+	h.submitAs("0000000000000002", step(1, serving, sized(3000)))
+	time.Sleep(1500 * time.Millisecond) // until it may keep a worker
+	h.submitAs("a000000000000003", step(1, sized(1200)))
+	h.Eventually(func() state.WorkflowPhase { return h.phaseOf("a000000000000003") }, "2s", "10ms").
+		Should(Equal(state.WorkflowCompleted))
+}
