fleet: a serving task keeps a worker only where batch tasks make room

Cause: a worker was held if its capacity was large enough for the task. Change: only a worker is held on which the task fits once batch tasks there have ended.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -33,11 +33,12 @@
 }
 
 // hold keeps tasks that are not pressing off the worker with the most
-// processors free. Other pressing tasks may be small enough for it.
+// processors free, of those that have room for the task once batch tasks end.
+// Other pressing tasks may be small enough for it.
 func (p *pool) hold(t placement.PoolTask) {
 	best := -1
 	for i, r := range p.rooms {
-		if r == nil || p.held[i] || t.Excluded != nil && t.Excluded(i) || !t.Step.Size.Fits(r.Capacity) {
+		if r == nil || p.held[i] || t.Excluded != nil && t.Excluded(i) || !t.Step.Size.Fits(r.Free.Add(r.Batch)) {
 			continue
 		}
 		if best < 0 || r.Free.MilliCPU > p.rooms[best].Free.MilliCPU {
@@ -194,6 +195,9 @@
 			uses[step.Image] += s.share(step.Size.MilliCPU)
 		}
 		r.IdleCPU -= use
+		if !step.LongRunning {
+			r.Batch = r.Batch.Add(step.Reserves())
+		}
 	}
 	for _, a := range s.attempts {
 		if a.task.step.LongRunning && a.task.step.TailMillis > 0 {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -12,6 +12,8 @@
 	Labels   []string
 	Capacity state.Resources
 	Free     state.Resources
+	// Batch is what tasks with an end reserve.
+	Batch state.Resources
 	// IdleCPU is an estimate of the processors that nothing uses, in
 	// thousandths. Tasks that use leftover processors share it.
 	IdleCPU int64
@@ -172,6 +174,9 @@
 			}
 		}
 	}
+	if !s.LongRunning {
+		r.Batch = r.Batch.Add(s.Reserves())
+	}
 	if serves(s) {
 		r.AddServer(s.Image, 0)
 	}
