fleet: serving tasks leave batch tasks their share of a pool

Cause: both kinds reserve processors and have the same priority, but serving tasks don't end. Larger batch tasks then had to wait until serving workflows were cancelled, and others waited for each such room. Change: processors are kept for batch tasks, 1.5 times what recent submissions ask for, and in proportion to what both kinds ask for where a pool has too few. Only room in which the largest batch tasks fit counts. A serving task that waited for 4 s goes beyond the share where batch tasks leave room for two. Why it works: a batch task gives its room back within a second, so that a few percent of the pool serve all of them; what is kept is used by tasks on leftover processors meanwhile.

--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -81,8 +81,9 @@
 	touched    map[*session]bool   // sessions that may have to be looked at
 	journal    journal
 	pressure   *placement.Pressure
-	starts     roundTrip // of starts
-	saving     bool      // pressures are being committed
+	asked      map[string]*asked // by pool
+	starts     roundTrip         // of starts
+	saving     bool              // pressures are being committed
 	nextSave   time.Duration
 }
 
@@ -194,6 +195,7 @@
 	c.sessions, c.sorted = make(map[string]*session), nil
 	c.touched = make(map[*session]bool)
 	c.journal = journal{}
+	c.asked = make(map[string]*asked)
 	c.dirty = true
 	s := c.opts.Log.State()
 	c.pressure, c.saving = placement.RestorePressure(s.Pressures), false
@@ -280,4 +282,5 @@
 			c.closeFlow(f, w)
 		}
 	}
+	c.countServing()
 }
--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -73,6 +73,7 @@
 		f.open[t.pos.Occurrence][t.pos.Step]++
 	}
 	c.flows[spec.ID] = f
+	c.noteDemand(f)
 	for n := range w.Tasks {
 		c.refresh(f.tasks[n], &w.Tasks[n])
 	}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -24,6 +24,7 @@
 	held map[int]bool
 	// keptFor are all rooms that were held in this round.
 	keptFor map[int]bool
+	share   *placement.Share
 }
 
 // full reports whether a smaller task of the same image found no room.
@@ -90,7 +91,7 @@
 			return
 		}
 		if p := pools[f.spec.Pool]; p != nil {
-			c.placeFlow(f, p, j.Pressing())
+			c.placeFlow(f, p, j)
 		}
 	}
 }
@@ -106,11 +107,16 @@
 		c.release(f)
 		if f.ready > 0 {
 			serving, waited := f.servingWait(now)
-			waiting = append(waiting, placement.WaitingJob{
+			j := placement.WaitingJob{
 				Serving: serving, WaitedMillis: waited.Milliseconds(),
 				ID: f.spec.ID, Priority: f.spec.Priority, Deadline: f.deadline,
 				LateDeadline: f.submittedAt + lateFactor*(f.deadline-f.submittedAt), RemainingMillis: f.remainingMillis(),
-			})
+			}
+			waiting = append(waiting, j)
+			if serving && placement.Overdue(waited.Milliseconds()) {
+				j.BeyondShare = true
+				waiting = append(waiting, j)
+			}
 		}
 	}
 	return waiting
@@ -163,6 +169,7 @@
 		p.sessions = append(p.sessions, w)
 		p.rooms = append(p.rooms, w.cached)
 	}
+	c.setShares(all)
 	return all
 }
 
@@ -222,30 +229,36 @@
 // when one finds no room, neither do the others. A pressing serving task that
 // finds none keeps the worker with the most room for itself, until enough of
 // it is free.
-func (c *Controller) placeFlow(f *flow, p *pool, pressing bool) {
+func (c *Controller) placeFlow(f *flow, p *pool, j placement.WaitingJob) {
 	fullStep, fullOccurrence := -1, -1
 	for _, t := range f.tasks {
 		if t.phase != taskReady || t.pos.Step == fullStep && t.pos.Occurrence == fullOccurrence {
 			continue
 		}
+		if j.BeyondShare && !c.mayGoBeyondShare(t, p) {
+			continue
+		}
 		if t.step.Gang {
 			c.placeGang(t, p)
 			continue
 		}
 		request := c.poolTask(t, p)
+		if !j.BeyondShare {
+			request.Excluded = p.withinShare(t.step, request.Excluded)
+		}
 		i := -1
 		if !p.full(t.step) {
 			i = placement.ChooseRoom(p.rooms, request)
 		}
 		if i < 0 {
 			p.noRoom(t.step)
-			if pressing && t.step.LongRunning {
+			if j.Pressing() && t.step.LongRunning {
 				p.hold(request)
 			}
 			fullStep, fullOccurrence = t.pos.Step, t.pos.Occurrence
 			continue
 		}
-		p.rooms[i].Take(request)
+		p.take(i, request)
 		c.place(t, p.sessions[i], t.run+1)
 	}
 }
@@ -287,7 +300,7 @@
 	for _, rack := range gangRacks(t.step, p) {
 		if chosen := chooseGang(c.poolTask(t, p), len(members), p.rooms, rack); chosen != nil {
 			for i, m := range members {
-				p.rooms[chosen[i]].Take(c.poolTask(m, p))
+				p.take(chosen[i], c.poolTask(m, p))
 				c.place(m, p.sessions[chosen[i]], number)
 			}
 			return
--- a/fleet/share_test.go
+++ b/fleet/share_test.go
@@ -99,3 +99,23 @@
 	h.Eventually(func() state.WorkflowPhase { return h.phaseOf("a000000000000003") }, "2s", "10ms").
 		Should(Equal(state.WorkflowCompleted))
 }
+
+// Guards against serving tasks that wait on for the sake of batch tasks that
+// no longer come.
+func TestServingTasksGetRoomThatBatchTasksLeaveUnused(t *testing.T) {
+	h := newHarness(t)
+	a := h.worker("a", pool.Options{Work: func(p fleet.TaskPosition, _ uint64) time.Duration {
+		if p.Workflow[0] == 'a' {
+			return 20 * time.Millisecond
+		}
+		return 0
+	}})
+	// For ten seconds the batch tasks count as a demand that leaves room for one
+	// serving task, although none of them comes again.
+	h.submitAs("a000000000000001", step(4, sized(1500), lasting(2*time.Second)))
+	h.Eventually(func() state.WorkflowPhase { return h.phaseOf("a000000000000001") }, patience).Should(Equal(state.WorkflowCompleted))
+	h.submitAs("0000000000000002", step(3, serving, sized(1000)))
+	h.Eventually(func() int { return running(a) }, patience).Should(BeNumerically(">=", 1))
+	h.Consistently(func() int { return running(a) }, "2s").Should(Equal(1))
+	h.Eventually(func() int { return running(a) }, "4s").Should(Equal(3))
+}
--- a/placement/order.go
+++ b/placement/order.go
@@ -18,6 +18,9 @@
 	// tasks has waited.
 	Serving      bool
 	WaitedMillis int64
+	// BeyondShare is set for the turn of a serving job at the room that batch
+	// tasks leave unused.
+	BeyondShare bool
 }
 
 // maxServingWait is how long tasks of serving jobs wait for room beside jobs
@@ -26,7 +29,9 @@
 const maxServingWait = 800
 
 // Pressing reports whether a serving job has waited too long.
-func (j *WaitingJob) Pressing() bool { return j.Serving && j.WaitedMillis >= maxServingWait }
+func (j *WaitingJob) Pressing() bool {
+	return j.Serving && !j.BeyondShare && j.WaitedMillis >= maxServingWait
+}
 
 // chance is what a job can still reach.
 type chance uint8
@@ -35,6 +40,7 @@
 	pressing chance = iota
 	inTime
 	late
+	beyondShare
 	hopeless
 )
 
@@ -59,6 +65,8 @@
 	switch {
 	case j.Pressing():
 		return pressing
+	case j.BeyondShare:
+		return beyondShare
 	case j.Serving || end <= j.Deadline:
 		return inTime
 	case end <= j.LateDeadline:
--- a/placement/order_test.go
+++ b/placement/order_test.go
@@ -113,3 +113,22 @@
 	g.Expect(jobs[1].ID).To(Equal("job"))
 	g.Expect(jobs[2].ID).To(Equal("new serving"))
 }
+
+// Guards against serving tasks beyond their share that delay batch jobs which
+// are still of use, or that wait behind those that are not.
+func TestServingJobsBeyondTheirShareGoBeforeHopelessJobsOnly(t *testing.T) {
+	g := NewWithT(t)
+	jobs := []placement.WaitingJob{
+		{ID: "hopeless", Deadline: -900, LateDeadline: -800, RemainingMillis: 10},
+		{ID: "beyond", Serving: true, BeyondShare: true, Deadline: -90_000, WaitedMillis: 9000},
+		{ID: "late", Deadline: -900, LateDeadline: 9000, RemainingMillis: 10},
+		{ID: "in time", Deadline: 5000, LateDeadline: 9000, RemainingMillis: 10},
+		{ID: "within", Serving: true, Deadline: -90_000, WaitedMillis: 9000},
+	}
+	placement.OrderJobs(0, jobs)
+	var order []string
+	for _, j := range jobs {
+		order = append(order, j.ID)
+	}
+	g.Expect(order).To(Equal([]string{"within", "in time", "late", "beyond", "hopeless"}))
+}
--- /dev/null
+++ b/placement/share.go
@@ -0,0 +1,125 @@
+package placement
+
+import "apricotrouter/state"
+
+const (
+	// demandWindow is the time over which the demand of batch tasks is taken,
+	// in milliseconds: it covers a hundred submissions at the users' rates.
+	demandWindow = 10_000
+	// minDemandWindow is the least time over which it is taken after a leader
+	// has taken over, in milliseconds.
+	minDemandWindow = 2000
+	// batchMargin is how many times their mean demand batch tasks are given,
+	// as they come in bursts.
+	batchMargin = 1.5
+	// servingOverdue is how long serving tasks beyond their share wait before
+	// they get room that batch tasks leave unused, in milliseconds. Users of a
+	// service take a missing task for lost after 6 s.
+	servingOverdue = 4000
+)
+
+// Overdue reports whether a serving task has waited so long that it may go
+// beyond the share of serving tasks.
+func Overdue(waitedMillis int64) bool { return waitedMillis >= servingOverdue }
+
+// BatchDemand follows the processors that the batch tasks of a pool ask for.
+type BatchDemand struct {
+	arrivals []arrival
+	largest  []arrival
+}
+
+type arrival struct{ at, value int64 }
+
+// Add notes a submission: its work in thousandths of a processor times
+// milliseconds, and the processors of its largest task in thousandths.
+func (d *BatchDemand) Add(at, work, largest int64) {
+	d.arrivals = append(d.arrivals, arrival{at, work})
+	d.largest = append(d.largest, arrival{at, largest})
+}
+
+// MilliCPU returns the mean demand in thousandths of a processor, and the
+// processors of the largest task, over the submissions that are known since a
+// time, Unix milliseconds.
+func (d *BatchDemand) MilliCPU(now, since int64) (mean, largest int64) {
+	first := now - demandWindow
+	d.arrivals, d.largest = after(d.arrivals, first), after(d.largest, first)
+	work := int64(0)
+	for i := range d.arrivals {
+		work += d.arrivals[i].value
+		largest = max(largest, d.largest[i].value)
+	}
+	return work / min(demandWindow, max(minDemandWindow, now-since)), largest
+}
+
+func after(all []arrival, first int64) []arrival {
+	kept := all[:0]
+	for _, a := range all {
+		if a.at >= first {
+			kept = append(kept, a)
+		}
+	}
+	return kept
+}
+
+// BatchShare returns how many of a pool's processors are kept for batch tasks.
+// It answers serving tasks that ask for all of them, as after the loss of
+// workers: serving tasks don't end, so that none would ever be free for batch
+// tasks again. Where there are too few for both, each kind gets them in
+// proportion to what it asks for.
+func BatchShare(capacity, batch, serving int64) int64 {
+	asked := int64(batchMargin * float64(batch))
+	if asked+serving <= capacity {
+		return asked
+	}
+	return int64(float64(capacity) * float64(asked) / float64(asked+serving))
+}
+
+// Share bounds what serving tasks may reserve of a pool.
+type Share struct {
+	unit int64 // size of the batch tasks for which there must be room
+	room int64 // for tasks of the unit, beside serving tasks
+	kept int64
+}
+
+// NewShare returns a share that keeps processors for batch tasks of a size.
+func NewShare(rooms []*PoolRoom, kept, unit int64) *Share {
+	s := &Share{unit: max(1, unit), kept: kept}
+	for _, r := range rooms {
+		s.room += s.of(r.Free.MilliCPU + r.Batch.MilliCPU)
+	}
+	return s
+}
+
+// of returns how much of a room is of use for tasks of the unit.
+func (s *Share) of(milliCPU int64) int64 { return max(0, milliCPU) / s.unit * s.unit }
+
+func (s *Share) loss(r *PoolRoom, milliCPU int64) int64 {
+	left := r.Free.MilliCPU + r.Batch.MilliCPU
+	return s.of(left) - s.of(left-milliCPU)
+}
+
+// Admits reports whether a serving task leaves batch tasks their share.
+func (s *Share) Admits(r *PoolRoom, milliCPU int64) bool {
+	loss := s.loss(r, milliCPU)
+	return loss == 0 || s.room-loss >= s.kept
+}
+
+// Take books a serving task before it takes the room.
+func (s *Share) Take(r *PoolRoom, milliCPU int64) { s.room -= s.loss(r, milliCPU) }
+
+// Unused reports whether the rooms have space for two tasks of a size at once,
+// which batch tasks that wait have left.
+func Unused(rooms []*PoolRoom, size state.Resources) bool {
+	places := 0
+	for _, r := range rooms {
+		if r == nil {
+			continue
+		}
+		for free := r.Free; size.Fits(free); free = free.Sub(size) {
+			if places++; places >= 2 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/placement/share_test.go
@@ -0,0 +1,141 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/placement"
+	"apricotrouter/state"
+)
+
+func processors(n float64) state.Resources {
+	return state.Resources{MilliCPU: int64(n * 1000), MemoryMiB: int64(n * 2000)}
+}
+
+func TestBatchShare(t *testing.T) {
+	for name, c := range map[string]struct{ capacity, batch, serving, want int64 }{
+		"nothing asked for":              {1000, 0, 500, 0},
+		"room for both, with the margin": {1000, 100, 800, 150},
+		"just room for both":             {1000, 100, 850, 150},
+		"too little, in proportion":      {1000, 200, 900, 250},
+		"serving tasks ask for it all":   {1000, 100, 1350, 100},
+		"no workers":                     {0, 100, 1000, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(placement.BatchShare(c.capacity, c.batch, c.serving)).To(Equal(c.want))
+		})
+	}
+}
+
+func TestBatchDemandIsTheMeanOfRecentSubmissions(t *testing.T) {
+	g := NewWithT(t)
+	var d placement.BatchDemand
+	d.Add(1000, 5_000_000, 20_000) // 1,000 and 10,000 ms: 500 of 20,000
+	d.Add(9000, 20_000_000, 7000)
+	mean, largest := d.MilliCPU(10_000, 0)
+	g.Expect([]int64{mean, largest}).To(Equal([]int64{2500, 20_000}))
+	mean, largest = d.MilliCPU(12_000, 0)
+	g.Expect([]int64{mean, largest}).To(Equal([]int64{2000, 7000}), "the first one is too old")
+	mean, _ = d.MilliCPU(12_000, 8000)
+	g.Expect(mean).To(Equal(int64(5000)), "this leader knows the last 4 s only")
+	mean, _ = d.MilliCPU(30_000, 0)
+	g.Expect(mean).To(BeZero())
+}
+
+// lossOfWorkers is the load of the incident: serving tasks of 10 to 16
+// processors that reserve 85 of 100 processors of a pool, of which a sixth of the workers
+// is lost.
+func lossOfWorkers(seed uint64) (rooms []*placement.PoolRoom, lost []*state.WorkflowStep) {
+	r := rand.New(rand.NewPCG(seed, 0))
+	capacity := processors(64)
+	for range 60 {
+		rooms = append(rooms, &placement.PoolRoom{Capacity: capacity, Free: capacity, IdleCPU: capacity.MilliCPU})
+	}
+	on := make([][]*state.WorkflowStep, len(rooms))
+	for used := int64(0); used < 60*capacity.MilliCPU*85/100; {
+		s := &state.WorkflowStep{Count: 1, LongRunning: true, TailMillis: 100, Size: processors(10 + 6*r.Float64())}
+		used += s.Size.MilliCPU
+		i := placement.ChooseRoom(rooms, placement.PoolTask{Step: s})
+		if i < 0 {
+			continue
+		}
+		rooms[i].Take(placement.PoolTask{Step: s})
+		on[i] = append(on[i], s)
+	}
+	for range len(rooms) / 6 {
+		i := r.IntN(len(rooms))
+		lost = append(lost, on[i]...)
+		rooms, on = append(rooms[:i], rooms[i+1:]...), append(on[:i], on[i+1:]...)
+	}
+	return rooms, lost
+}
+
+// places returns how many batch tasks of a size fit into the rooms.
+func places(rooms []*placement.PoolRoom, size state.Resources) int {
+	n := 0
+	for _, r := range rooms {
+		for free := r.Free; size.Fits(free); free = free.Sub(size) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against serving tasks that leave batch tasks nothing but pieces after
+// a loss of workers (SHORT on the users' days).
+func TestServingTasksLeaveBatchTasksTheirShareAfterALossOfWorkers(t *testing.T) {
+	g := NewWithT(t)
+	const large, kept = 20_000, 100_000
+	for seed := range uint64(50) {
+		for _, bounded := range []bool{false, true} {
+			rooms, lost := lossOfWorkers(seed)
+			share := placement.NewShare(rooms, 0, large)
+			if bounded {
+				share = placement.NewShare(rooms, kept, large)
+			}
+			before := places(rooms, processors(large/1000))
+			for _, s := range lost {
+				task := placement.PoolTask{Step: s, Excluded: func(i int) bool { return !share.Admits(rooms[i], s.Size.MilliCPU) }}
+				i := placement.ChooseRoom(rooms, task)
+				if i < 0 {
+					continue
+				}
+				share.Take(rooms[i], s.Size.MilliCPU)
+				rooms[i].Take(task)
+			}
+			g.Expect(len(lost)).To(BeNumerically(">", 25))
+			if bounded {
+				g.Expect(places(rooms, processors(large/1000))).To(BeNumerically(">=", min(before, kept/large)), "seed %d", seed)
+			} else {
+				g.Expect(places(rooms, processors(large/1000))).To(BeNumerically("<", kept/large/2), "seed %d: not the load of the incident", seed)
+			}
+			g.Expect(before).To(BeNumerically(">=", kept/large/2))
+		}
+	}
+}
+
+// Guards against a share that is lost while batch tasks use it.
+func TestShareCountsWhatBatchTasksUse(t *testing.T) {
+	g := NewWithT(t)
+	r := &placement.PoolRoom{Capacity: processors(64), Free: processors(64), IdleCPU: 64_000}
+	batch := placement.PoolTask{Step: &state.WorkflowStep{Count: 1, Size: processors(20)}}
+	r.Take(batch)
+	share := placement.NewShare([]*placement.PoolRoom{r}, 40_000, 20_000)
+	g.Expect(share.Admits(r, 24_000)).To(BeTrue(), "40 of 64 stay, 20 of them in use")
+	g.Expect(share.Admits(r, 25_000)).To(BeFalse())
+	share.Take(r, 24_000)
+	r.Take(placement.PoolTask{Step: &state.WorkflowStep{Count: 1, LongRunning: true, Size: processors(24)}})
+	g.Expect(share.Admits(r, 1000)).To(BeFalse(), "39 would be left, with room for one task of 20")
+}
+
+func TestUnusedRoom(t *testing.T) {
+	g := NewWithT(t)
+	room := func(n float64) *placement.PoolRoom {
+		return &placement.PoolRoom{Capacity: processors(64), Free: processors(n)}
+	}
+	g.Expect(placement.Unused([]*placement.PoolRoom{room(13), nil, room(13)}, processors(13))).To(BeTrue())
+	g.Expect(placement.Unused([]*placement.PoolRoom{room(26)}, processors(13))).To(BeTrue())
+	g.Expect(placement.Unused([]*placement.PoolRoom{room(25), room(12)}, processors(13))).To(BeFalse())
+}
