explain: name the room of the pool when a workflow missed its objective

On-call engineers saw that tasks waited for room, but not how much there was. The story of a workflow now takes in the line on its pool's room in the second before it was late, and names as a cause how many tasks had no worker, what the largest needs, the largest room and what serving tasks reserve. 814 names the pool.

--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -145,7 +145,7 @@
 		}
 		c.metrics.late.WithLabelValues(f.queue, strconv.FormatBool(waiting > 0)).Inc()
 		event.Log(c.opts.Logger, event.WorkflowLate, slog.String("workflow", f.spec.ID), slog.String("queue", f.queue),
-			slog.Int("tasks", len(f.tasks)), slog.Int("done", done), slog.Int("running", running), slog.Int("waiting", waiting),
+			slog.String("pool", f.spec.Pool), slog.Int("tasks", len(f.tasks)), slog.Int("done", done), slog.Int("running", running), slog.Int("waiting", waiting),
 			slog.Int64("work_milli_cpu_ms", f.work()), slog.Int64("largest_milli_cpu", f.largest()),
 			slog.Int64("longest_wait_ms", longest.Milliseconds()), slog.Int64("objective_ms", f.deadline-f.submittedAt),
 			slog.Int64("held_ms", (now-c.takeover).Milliseconds()))
--- a/story/cause.go
+++ b/story/cause.go
@@ -23,6 +23,7 @@
 	// notableExcess is the time by which a run must outlast its estimate.
 	notableExcess = 300 * time.Millisecond
 	fullPace      = 100
+	milli         = 1000
 )
 
 // tally collects causes from lines in the order of time.
@@ -35,6 +36,7 @@
 	lost       map[string][]time.Duration // times of runs that were not done, by reason
 	paced      time.Duration
 	slow       time.Duration
+	room       string // of the workflow's pool, as last logged
 }
 
 func (t *tally) add(cost time.Duration, format string, args ...any) {
@@ -78,6 +80,14 @@
 		if w := millis(l.number("waited_ms")); w >= notableWait {
 			t.wait, t.waits = max(t.wait, w), t.waits+1
 		}
+	case event.WorkflowLate.Number:
+		if n := l.number("waiting"); n > 0 {
+			t.add(millis(l.number("longest_wait_ms")), "%.0f of its %.0f tasks had no worker when it missed its objective; its largest task needs %.1f processors%s",
+				n, l.number("tasks"), l.number("largest_milli_cpu")/milli, t.room)
+		}
+	case event.PoolRoom.Number:
+		t.room = fmt.Sprintf(", the largest room on a worker was %.1f, and serving tasks reserved %.0f of %.0f",
+			l.number("largest_free_milli_cpu")/milli, l.number("serving_milli_cpu")/milli, l.number("milli_cpu")/milli)
 	case event.TaskEnded.Number:
 		t.ended(l)
 	case event.WorkflowEnded.Number:
--- a/story/story.go
+++ b/story/story.go
@@ -99,10 +99,14 @@
 // and to the workers concerned meanwhile.
 func (l *Log) Of(id string) []Line {
 	var own []Line
+	var late *Line // when the workflow missed its objective
 	workers := make(map[string]bool)
 	for _, line := range l.Lines {
 		if line.concerns(id) {
 			own = append(own, line)
+			if line.Event == event.WorkflowLate.Number && late == nil {
+				late = &line
+			}
 			if w := line.text("worker"); w != "" {
 				workers[w] = true
 			}
@@ -115,7 +119,8 @@
 	first, last := slices.MinFunc(own, byTime).Time, slices.MaxFunc(own, byTime).Time
 	for _, line := range l.Lines {
 		around := !line.Time.Before(first) && !line.Time.After(last)
-		if around && !line.concerns(id) && (aboutLeader(&line) || workers[line.text("worker")] && aboutWorker(&line)) {
+		about := aboutLeader(&line) || workers[line.text("worker")] && aboutWorker(&line) || roomOfLate(&line, late)
+		if around && !line.concerns(id) && about {
 			own = append(own, line)
 		}
 	}
@@ -123,6 +128,19 @@
 	return own
 }
 
+// roomInterval is how often the room of a pool is logged.
+const roomInterval = time.Second
+
+// roomOfLate reports whether the line gives the room of the pool of a workflow
+// just before it was late.
+func roomOfLate(l, late *Line) bool {
+	if late == nil || l.Event != event.PoolRoom.Number || l.text("pool") != late.text("pool") {
+		return false
+	}
+	age := late.Time.Sub(l.Time)
+	return age >= 0 && age <= roomInterval
+}
+
 func aboutLeader(l *Line) bool {
 	return l.Event == event.FleetTookOver.Number || l.Event == event.FleetGaveUp.Number
 }
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -17,6 +17,10 @@
 core-b-1 {"time":"2026-01-03T01:00:07Z","level":"INFO","msg":"run of a task ended","event":824,"name":"task-ended","workflow":"aa","task":0,"run":1,"worker":"w1","reason":"lease ended","ran_ms":5500,"estimate_ms":800,"pace":100}
 core-b-1 {"time":"2026-01-03T01:00:08Z","level":"INFO","msg":"run of a task ended","event":824,"name":"task-ended","workflow":"bb","task":0,"run":1,"worker":"w2","reason":"done","ran_ms":2000,"estimate_ms":800,"pace":40}
 core-b-1 {"time":"2026-01-03T01:00:09Z","level":"INFO","msg":"workflow ended","event":813,"name":"workflow-ended","workflow":"aa","phase":"completed","took_ms":8000,"objective_ms":1500}
+core-b-1 {"time":"2026-01-03T01:00:10Z","level":"INFO","msg":"workflow accepted","event":811,"name":"workflow-accepted","workflow":"dd"}
+core-b-1 {"time":"2026-01-03T01:00:11.5Z","level":"INFO","msg":"room of a pool","event":828,"name":"pool-room","pool":"p","milli_cpu":64000,"serving_milli_cpu":60000,"largest_free_milli_cpu":2500}
+core-b-1 {"time":"2026-01-03T01:00:11.6Z","level":"INFO","msg":"room of a pool","event":828,"name":"pool-room","pool":"other","milli_cpu":64000,"serving_milli_cpu":0,"largest_free_milli_cpu":64000}
+core-b-1 {"time":"2026-01-03T01:00:12Z","level":"INFO","msg":"workflow missed its objective","event":814,"name":"workflow-late","workflow":"dd","pool":"p","tasks":4,"waiting":3,"largest_milli_cpu":9000,"longest_wait_ms":1900}
 panic: not a line of ours
 {"time":"2026-01-03T01:00:00Z","level":"WARN","msg":"answered a call","event":805,"name":"fleet-call","operation":"submit","path":"/q/cc","outcome":"unknown","reason":"the leader did not answer in time"}
 `
@@ -44,6 +48,7 @@
 		"workflow-accepted", "task-placed", "worker-silent", "fleet-took-over", "task-ended", "workflow-ended",
 	}))
 	g.Expect(names("r-1")).To(Equal([]string{"workflow-accepted"}))
+	g.Expect(names("dd")).To(Equal([]string{"workflow-accepted", "pool-room", "workflow-late"}))
 	g.Expect(names("cc")).To(Equal([]string{"fleet-call"}))
 	g.Expect(names("none")).To(BeEmpty())
 	g.Expect(l.Of("aa")[0].Source).To(Equal("core-a-1"))
@@ -67,6 +72,8 @@
 		"it completed after 8s, 6.5s later than its objective",
 	}))
 	g.Expect(texts("bb")).To(Equal([]string{"a task was slowed for a serving task and took 1.2s longer than estimated"}))
+	g.Expect(texts("dd")).To(Equal([]string{"3 of its 4 tasks had no worker when it missed its objective; its largest task needs 9.0 processors, " +
+		"the largest room on a worker was 2.5, and serving tasks reserved 60 of 64"}))
 	g.Expect(texts("cc")).To(Equal([]string{"a call (submit) had the outcome unknown: the leader did not answer in time"}))
 }
 
