fleet: beyond their share serving tasks get room that was idle for 2 s

Cause: a serving task that had waited for 4 s took any moment in which room for two of it was free, that is the pauses between two bursts of batch tasks, and kept it for good. It can't be left out: a serving task must not wait while room for it stays unused, as the users' rules say. Change: the room must have been idle for 2 s on end, and the last place is left. TestIdleRoomIsWhatBatchTasksLeaveAllTheTime replays a burst; TestServingTasksGetRoomThatBatchTasksLeaveUnused still passes.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -25,6 +25,9 @@
 	// keptFor are all rooms that were held in this round.
 	keptFor map[int]bool
 	share   *placement.Share
+	// idle is how many serving tasks may go beyond their share in this round.
+	idle         int
+	idleObserved bool
 }
 
 // full reports whether a smaller task of the same image found no room.
@@ -91,6 +94,9 @@
 			return
 		}
 		if p := pools[f.spec.Pool]; p != nil {
+			if j.BeyondShare {
+				c.observeIdle(f.spec.Pool, p)
+			}
 			c.placeFlow(f, p, j)
 		}
 	}
@@ -113,7 +119,7 @@
 				LateDeadline: f.submittedAt + lateFactor*(f.deadline-f.submittedAt), RemainingMillis: f.remainingMillis(),
 			}
 			waiting = append(waiting, j)
-			if serving && placement.Overdue(waited.Milliseconds()) {
+			if serving && placement.NearlyOverdue(waited.Milliseconds()) {
 				j.BeyondShare = true
 				waiting = append(waiting, j)
 			}
@@ -235,7 +241,7 @@
 		if t.phase != taskReady || t.pos.Step == fullStep && t.pos.Occurrence == fullOccurrence {
 			continue
 		}
-		if j.BeyondShare && !c.mayGoBeyondShare(t, p) {
+		if j.BeyondShare && (p.idle == 0 || !t.step.LongRunning || !placement.Overdue((c.now() - t.readyAt).Milliseconds())) {
 			continue
 		}
 		if t.step.Gang {
@@ -259,6 +265,9 @@
 			continue
 		}
 		p.take(i, request)
+		if j.BeyondShare {
+			p.idle--
+		}
 		c.place(t, p.sessions[i], t.run+1)
 	}
 }
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -9,6 +9,7 @@
 type asked struct {
 	serving int64 // thousandths of a processor of all serving tasks
 	batch   placement.BatchDemand
+	idle    placement.IdleRoom
 }
 
 func (c *Controller) askedOf(pool string) *asked {
@@ -82,9 +83,25 @@
 	p.rooms[room].Take(t)
 }
 
-// mayGoBeyondShare reports whether a serving task has waited so long that it
-// gets room that the pool's batch tasks leave unused.
-func (c *Controller) mayGoBeyondShare(t *task, p *pool) bool {
-	return t.step.LongRunning && placement.Overdue((c.now() - t.readyAt).Milliseconds()) &&
-		placement.Unused(p.rooms, t.step.Size)
+// observeIdle notes, once in a round, the room that batch tasks which can still
+// be of use have left, for the smallest serving task that waits.
+func (c *Controller) observeIdle(name string, p *pool) {
+	if p.idleObserved {
+		return
+	}
+	p.idleObserved = true
+	var smallest *state.WorkflowStep
+	for _, f := range c.flows {
+		if f.spec.Pool != name || f.ready == 0 {
+			continue
+		}
+		for _, t := range f.tasks {
+			if t.phase == taskReady && t.step.LongRunning && (smallest == nil || t.step.Size.MilliCPU < smallest.Size.MilliCPU) {
+				smallest = t.step
+			}
+		}
+	}
+	if smallest != nil {
+		p.idle = c.askedOf(name).idle.Observe(c.opts.Clock.Now().UnixMilli(), p.rooms, smallest.Size)
+	}
 }
--- a/placement/share.go
+++ b/placement/share.go
@@ -13,15 +13,22 @@
 	// as they come in bursts.
 	batchMargin = 1.5
 	// servingOverdue is how long serving tasks beyond their share wait before
-	// they get room that batch tasks leave unused, in milliseconds. Users of a
-	// service take a missing task for lost after 6 s.
+	// they get room that batch tasks leave unused, in milliseconds. The users'
+	// rules count a missing task as lost from 6 s on.
 	servingOverdue = 4000
+	// idleTime is how long batch tasks must have left room unused, in
+	// milliseconds: several of their tasks begin and end meanwhile.
+	idleTime = 2000
 )
 
 // Overdue reports whether a serving task has waited so long that it may go
 // beyond the share of serving tasks.
 func Overdue(waitedMillis int64) bool { return waitedMillis >= servingOverdue }
 
+// NearlyOverdue reports whether a serving task will be overdue within the time
+// for which IdleRoom has to observe the room first.
+func NearlyOverdue(waitedMillis int64) bool { return waitedMillis >= servingOverdue-idleTime }
+
 // BatchDemand follows the processors that the batch tasks of a pool ask for.
 type BatchDemand struct {
 	arrivals []arrival
@@ -107,19 +114,55 @@
 // Take books a serving task before it takes the room.
 func (s *Share) Take(r *PoolRoom, milliCPU int64) { s.room -= s.loss(r, milliCPU) }
 
-// Unused reports whether the rooms have space for two tasks of a size at once,
-// which batch tasks that wait have left.
-func Unused(rooms []*PoolRoom, size state.Resources) bool {
-	places := 0
+// places returns how many tasks of a size the rooms have space for.
+func places(rooms []*PoolRoom, size state.Resources) int {
+	n := 0
 	for _, r := range rooms {
 		if r == nil {
 			continue
 		}
 		for free := r.Free; size.Fits(free); free = free.Sub(size) {
-			if places++; places >= 2 {
-				return true
-			}
+			n++
+		}
+	}
+	return n
+}
+
+// IdleRoom follows how much room batch tasks leave unused while serving tasks
+// wait for it.
+type IdleRoom struct {
+	since   int64 // of the first observation in a row, Unix milliseconds
+	last    int64
+	samples []sample
+}
+
+type sample struct {
+	at     int64
+	places int
+}
+
+// Observe notes the room that is left in a round of placement for tasks of a
+// size, and returns how many of them may have it: as many as had room all the
+// time, but for the last place, which batch tasks may need at once. It answers
+// batch tasks that come in bursts, whose room is idle in between.
+func (r *IdleRoom) Observe(now int64, rooms []*PoolRoom, size state.Resources) int {
+	if now-r.last > idleTime {
+		r.since, r.samples = now, nil
+	}
+	r.last = now
+	kept := r.samples[:0]
+	for _, s := range r.samples {
+		if now-s.at <= idleTime {
+			kept = append(kept, s)
 		}
 	}
-	return false
+	r.samples = append(kept, sample{now, places(rooms, size)})
+	if now-r.since < idleTime {
+		return 0
+	}
+	least := r.samples[0].places
+	for _, s := range r.samples {
+		least = min(least, s.places)
+	}
+	return max(0, least-1)
 }
--- a/placement/share_test.go
+++ b/placement/share_test.go
@@ -72,8 +72,8 @@
 	return rooms, lost
 }
 
-// places returns how many batch tasks of a size fit into the rooms.
-func places(rooms []*placement.PoolRoom, size state.Resources) int {
+// fitting returns how many batch tasks of a size fit into the rooms.
+func fitting(rooms []*placement.PoolRoom, size state.Resources) int {
 	n := 0
 	for _, r := range rooms {
 		for free := r.Free; size.Fits(free); free = free.Sub(size) {
@@ -95,7 +95,7 @@
 			if bounded {
 				share = placement.NewShare(rooms, kept, large)
 			}
-			before := places(rooms, processors(large/1000))
+			before := fitting(rooms, processors(large/1000))
 			for _, s := range lost {
 				task := placement.PoolTask{Step: s, Excluded: func(i int) bool { return !share.Admits(rooms[i], s.Size.MilliCPU) }}
 				i := placement.ChooseRoom(rooms, task)
@@ -107,9 +107,9 @@
 			}
 			g.Expect(len(lost)).To(BeNumerically(">", 25))
 			if bounded {
-				g.Expect(places(rooms, processors(large/1000))).To(BeNumerically(">=", min(before, kept/large)), "seed %d", seed)
+				g.Expect(fitting(rooms, processors(large/1000))).To(BeNumerically(">=", min(before, kept/large)), "seed %d", seed)
 			} else {
-				g.Expect(places(rooms, processors(large/1000))).To(BeNumerically("<", kept/large/2), "seed %d: not the load of the incident", seed)
+				g.Expect(fitting(rooms, processors(large/1000))).To(BeNumerically("<", kept/large/2), "seed %d: not the load of the incident", seed)
 			}
 			g.Expect(before).To(BeNumerically(">=", kept/large/2))
 		}
@@ -130,12 +130,23 @@
 	g.Expect(share.Admits(r, 1000)).To(BeFalse(), "39 would be left, with room for one task of 20")
 }
 
-func TestUnusedRoom(t *testing.T) {
+// Guards against serving tasks that take the room which batch tasks need for
+// their next burst, and against ones that never get room that is not needed.
+func TestIdleRoomIsWhatBatchTasksLeaveAllTheTime(t *testing.T) {
 	g := NewWithT(t)
 	room := func(n float64) *placement.PoolRoom {
 		return &placement.PoolRoom{Capacity: processors(64), Free: processors(n)}
 	}
-	g.Expect(placement.Unused([]*placement.PoolRoom{room(13), nil, room(13)}, processors(13))).To(BeTrue())
-	g.Expect(placement.Unused([]*placement.PoolRoom{room(26)}, processors(13))).To(BeTrue())
-	g.Expect(placement.Unused([]*placement.PoolRoom{room(25), room(12)}, processors(13))).To(BeFalse())
+	var idle placement.IdleRoom
+	observe := func(now int64, rooms ...*placement.PoolRoom) int { return idle.Observe(now, rooms, processors(13)) }
+	g.Expect(observe(10_000, room(60), room(60))).To(BeZero(), "not known for long enough")
+	g.Expect(observe(11_000, room(20), nil, room(26))).To(BeZero())
+	g.Expect(observe(12_000, room(60), room(60))).To(Equal(2), "a burst left room for three")
+	g.Expect(observe(13_500, room(60), room(60))).To(Equal(7), "the burst is over")
+	g.Expect(observe(14_000, room(12), room(12))).To(BeZero())
+	g.Expect(observe(16_100, room(60))).To(BeZero(), "not observed meanwhile")
+	for at := int64(16_200); at < 18_000; at += 100 {
+		g.Expect(observe(at, room(60))).To(BeZero())
+	}
+	g.Expect(observe(18_100, room(60))).To(Equal(3))
 }
