fleet: accepted workflows are logged with their work and largest task

Whether the largest jobs of a queue are served as often as all could not be read from logs: only late workflows named their work. Line 811 now has the estimated work and the processors of the largest task.

--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -146,7 +146,7 @@
 		c.metrics.late.WithLabelValues(f.queue, strconv.FormatBool(waiting > 0)).Inc()
 		event.Log(c.opts.Logger, event.WorkflowLate, slog.String("workflow", f.spec.ID), slog.String("queue", f.queue),
 			slog.String("pool", f.spec.Pool), slog.Int("tasks", len(f.tasks)), slog.Int("done", done), slog.Int("running", running), slog.Int("waiting", waiting),
-			slog.Int64("work_milli_cpu_ms", f.work()), slog.Int64("largest_milli_cpu", f.largest()),
+			slog.Int64("work_milli_cpu_ms", workOf(f.spec)), slog.Int64("largest_milli_cpu", largestOf(f.spec)),
 			slog.Int64("longest_wait_ms", longest.Milliseconds()), slog.Int64("objective_ms", f.deadline-f.submittedAt),
 			slog.Int64("held_ms", (now-c.takeover).Milliseconds()))
 	}
@@ -162,22 +162,22 @@
 	return false
 }
 
-// work returns the estimated work of all tasks in thousandths of a processor
+// workOf returns the estimated work of all tasks in thousandths of a processor
 // times milliseconds.
-func (f *flow) work() int64 {
+func workOf(spec *state.WorkflowSpec) int64 {
 	total := int64(0)
-	for i := range f.spec.Steps {
-		s := &f.spec.Steps[i]
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
 		total += int64(s.Count) * s.Size.MilliCPU * s.EstimateMillis
 	}
 	return total
 }
 
-// largest returns the processors of the largest task, in thousandths.
-func (f *flow) largest() int64 {
+// largestOf returns the processors of the largest task, in thousandths.
+func largestOf(spec *state.WorkflowSpec) int64 {
 	most := int64(0)
-	for i := range f.spec.Steps {
-		most = max(most, f.spec.Steps[i].Size.MilliCPU)
+	for i := range spec.Steps {
+		most = max(most, spec.Steps[i].Size.MilliCPU)
 	}
 	return most
 }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -171,6 +171,7 @@
 	}
 	event.Log(s.logger, event.WorkflowAccepted, slog.String("workflow", id), slog.String("request", req.RequestID),
 		slog.String("queue", q.Name), slog.Uint64("config_version", st.Queues.Version), slog.Int("tasks", spec.Width()),
+		slog.Int64("work_milli_cpu_ms", workOf(&spec)), slog.Int64("largest_milli_cpu", largestOf(&spec)),
 		slog.Int64("objective_ms", objectiveMillis(&spec)), slog.Uint64("index", result.Index))
 	s.resync()
 	return &Response{Outcome: Done}
