--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -73,7 +73,9 @@
 		f.open[t.pos.Occurrence][t.pos.Step]++
 	}
 	c.flows[spec.ID] = f
-	c.noteDemand(f)
+	if spec.Occurrences == 0 {
+		c.noteDemand(spec, w.SubmittedAt)
+	}
 	for n := range w.Tasks {
 		c.refresh(f.tasks[n], &w.Tasks[n])
 	}
@@ -124,6 +126,9 @@
 			continue
 		}
 		t.phase, t.readyAt = taskReady, c.now()
+		if f.spec.Occurrences > 0 && t.pos.Step == 0 && t.pos.Index == 0 && t.run == 0 {
+			c.noteDemand(f.spec, wall)
+		}
 		f.ready++
 		c.dirty = true
 	}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -24,7 +24,8 @@
 	held map[int]bool
 	// keptFor are all rooms that were held in this round.
 	keptFor map[int]bool
-	share   *placement.Share
+	// shares are those of serving tasks by their priority.
+	shares map[int]*placement.Share
 	// idle is how many serving tasks may go beyond their share in this round.
 	idle         int
 	idleObserved bool
@@ -84,6 +85,12 @@
 		return
 	}
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
+	for _, j := range waiting {
+		pool := c.flows[j.ID].spec.Pool
+		if p := pools[pool]; p != nil && j.Serving {
+			c.setShare(pool, p, j.Priority)
+		}
+	}
 	for _, j := range waiting {
 		f := c.flows[j.ID]
 		if p := pools[f.spec.Pool]; p != nil && !j.Pressing() {
@@ -169,13 +176,12 @@
 		}
 		p := all[w.worker.Pool]
 		if p == nil {
-			p = &pool{tight: make(map[string]state.Resources), held: make(map[int]bool), keptFor: make(map[int]bool)}
+			p = &pool{tight: make(map[string]state.Resources), held: make(map[int]bool), keptFor: make(map[int]bool), shares: make(map[int]*placement.Share)}
 			all[w.worker.Pool] = p
 		}
 		p.sessions = append(p.sessions, w)
 		p.rooms = append(p.rooms, w.cached)
 	}
-	c.setShares(all)
 	return all
 }
 
@@ -250,7 +256,7 @@
 		}
 		request := c.poolTask(t, p)
 		if !j.BeyondShare {
-			request.Excluded = p.withinShare(t.step, request.Excluded)
+			request.Excluded = p.withinShare(t, request.Excluded)
 		}
 		i := -1
 		if !p.full(t.step) {
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -21,18 +21,19 @@
 	return a
 }
 
-// noteDemand counts the batch tasks of a workflow that was submitted.
-func (c *Controller) noteDemand(f *flow) {
-	work, largest := int64(0), int64(0)
-	for i := range f.spec.Steps {
-		s := &f.spec.Steps[i]
+// noteDemand counts the batch tasks of a workflow, or of an occurrence of it,
+// that begin to ask for room.
+func (c *Controller) noteDemand(spec *state.WorkflowSpec, at int64) {
+	a := placement.Arrival{At: at, Priority: spec.Priority}
+	for i := range spec.Steps {
+		s := &spec.Steps[i]
 		if kindOf(s) == kindBatch {
-			work += int64(s.Count) * s.Size.MilliCPU * s.EstimateMillis
-			largest = max(largest, s.Size.MilliCPU)
+			a.Work += int64(s.Count) * s.Size.MilliCPU * s.EstimateMillis
+			a.Largest = max(a.Largest, s.Size.MilliCPU)
 		}
 	}
-	if work > 0 {
-		c.askedOf(f.spec.Pool).batch.Add(f.submittedAt, work, largest)
+	if a.Work > 0 {
+		c.askedOf(spec.Pool).batch.Add(a)
 	}
 }
 
@@ -50,35 +51,40 @@
 	}
 }
 
-// setShares bounds what serving tasks may reserve of each pool in this round.
-func (c *Controller) setShares(pools map[string]*pool) {
-	wall := c.opts.Clock.Now().UnixMilli()
-	since := wall - (c.now() - c.takeover).Milliseconds()
-	for name, p := range pools {
-		a := c.askedOf(name)
-		capacity := int64(0)
-		for _, r := range p.rooms {
-			capacity += r.Capacity.MilliCPU
-		}
-		batch, largest := a.batch.MilliCPU(wall, since)
-		p.share = placement.NewShare(p.rooms, placement.BatchShare(capacity, batch, a.serving), largest)
+// setShare bounds what serving tasks of a priority may reserve of a pool in
+// this round.
+func (c *Controller) setShare(name string, p *pool, priority int) {
+	if p.shares[priority] != nil {
+		return
 	}
+	capacity, largest := int64(0), int64(0)
+	for _, r := range p.rooms {
+		capacity += r.Capacity.MilliCPU
+		largest = max(largest, r.Capacity.MilliCPU)
+	}
+	a := c.askedOf(name)
+	wall := c.opts.Clock.Now().UnixMilli()
+	batch, unit := a.batch.Of(wall, wall-(c.now()-c.takeover).Milliseconds(), priority, largest)
+	p.shares[priority] = placement.NewShare(p.rooms, placement.BatchShare(capacity, batch, a.serving), unit)
 }
 
-// withinShare excludes rooms that serving tasks must leave to batch tasks.
-func (p *pool) withinShare(s *state.WorkflowStep, excluded func(int) bool) func(int) bool {
-	if !s.LongRunning {
+// withinShare excludes rooms that a serving task must leave to batch tasks.
+func (p *pool) withinShare(t *task, excluded func(int) bool) func(int) bool {
+	share := p.shares[t.flow.spec.Priority]
+	if !t.step.LongRunning || share == nil {
 		return excluded
 	}
 	return func(i int) bool {
-		return !p.share.Admits(p.rooms[i], s.Size.MilliCPU) || excluded != nil && excluded(i)
+		return !share.Admits(p.rooms[i], t.step.Size.MilliCPU) || excluded != nil && excluded(i)
 	}
 }
 
 // take books a task on a room.
 func (p *pool) take(room int, t placement.PoolTask) {
 	if t.Step.LongRunning {
-		p.share.Take(p.rooms[room], t.Step.Size.MilliCPU)
+		for _, s := range p.shares {
+			s.Take(p.rooms[room], t.Step.Size.MilliCPU)
+		}
 	}
 	p.rooms[room].Take(t)
 }
--- a/fleet/share_test.go
+++ b/fleet/share_test.go
@@ -24,6 +24,22 @@
 // is left but for pieces that are too small for the larger batch jobs, which
 // are never served again while small ones are.
 func TestServingTasksLeaveRoomForTheLargerBatchJobs(t *testing.T) {
+	expectLargerJobsServed(t, func(*harness, int) {})
+}
+
+// Guards against the same where submissions come that no worker can ever do.
+func TestJobsThatFitNoWorkerDoNotUndoTheShare(t *testing.T) {
+	expectLargerJobsServed(t, func(h *harness, i int) {
+		if i%10 == 0 {
+			h.submitAs(fmt.Sprintf("c%015x", i), step(1, sized(100_000)))
+		}
+	})
+}
+
+// expectLargerJobsServed plays the loss of a worker with a stream of batch
+// jobs, a quarter of them large, and what else is submitted beside each.
+func expectLargerJobsServed(t *testing.T, beside func(h *harness, i int)) {
+	t.Helper()
 	h := newHarness(t)
 	const smallWork, largeWork = 100 * time.Millisecond, 200 * time.Millisecond
 	work := func(p fleet.TaskPosition, _ uint64) time.Duration {
@@ -47,7 +63,6 @@
 		}
 		return n
 	}, patience).Should(Equal(12))
-	// A quarter of the jobs are large.
 	const interval, lossAt, judgedFrom, jobs = 100 * time.Millisecond, 20, 40, 90
 	id := func(i int) string {
 		if i%4 == 0 {
@@ -59,6 +74,7 @@
 		if i == lossAt {
 			workers[0].SetDown(true)
 		}
+		beside(h, i)
 		if i%4 == 0 {
 			h.submitAs(id(i), step(2, sized(800), lasting(largeWork)))
 		} else {
--- a/placement/share.go
+++ b/placement/share.go
@@ -1,6 +1,10 @@
 package placement
 
-import "apricotrouter/state"
+import (
+	"slices"
+
+	"apricotrouter/state"
+)
 
 const (
 	// demandWindow is the time over which the demand of batch tasks is taken,
@@ -31,41 +35,34 @@
 
 // BatchDemand follows the processors that the batch tasks of a pool ask for.
 type BatchDemand struct {
-	arrivals []arrival
-	largest  []arrival
+	arrivals []Arrival
 }
 
-type arrival struct{ at, value int64 }
-
-// Add notes a submission: its work in thousandths of a processor times
-// milliseconds, and the processors of its largest task in thousandths.
-func (d *BatchDemand) Add(at, work, largest int64) {
-	d.arrivals = append(d.arrivals, arrival{at, work})
-	d.largest = append(d.largest, arrival{at, largest})
+// Arrival is batch tasks that begin to ask for room at a time.
+type Arrival struct {
+	At       int64 // Unix milliseconds
+	Priority int   // 0 is served first
+	Work     int64 // thousandths of a processor times milliseconds
+	Largest  int64 // processors of the largest task, in thousandths
 }
 
-// MilliCPU returns the mean demand in thousandths of a processor, and the
-// processors of the largest task, over the submissions that are known since a
-// time, Unix milliseconds.
-func (d *BatchDemand) MilliCPU(now, since int64) (mean, largest int64) {
-	first := now - demandWindow
-	d.arrivals, d.largest = after(d.arrivals, first), after(d.largest, first)
-	work := int64(0)
-	for i := range d.arrivals {
-		work += d.arrivals[i].value
-		largest = max(largest, d.largest[i].value)
-	}
-	return work / min(demandWindow, max(minDemandWindow, now-since)), largest
-}
+// Add notes an arrival.
+func (d *BatchDemand) Add(a Arrival) { d.arrivals = append(d.arrivals, a) }
 
-func after(all []arrival, first int64) []arrival {
-	kept := all[:0]
-	for _, a := range all {
-		if a.at >= first {
-			kept = append(kept, a)
+// Of returns the mean demand in thousandths of a processor, and the processors
+// of the largest task, over the arrivals that are known since a time, Unix
+// milliseconds. Those that are less urgent than a priority don't count, nor do
+// those with tasks that fit no worker, whose processors are at most the limit.
+func (d *BatchDemand) Of(now, since int64, priority int, limit int64) (mean, largest int64) {
+	d.arrivals = slices.DeleteFunc(d.arrivals, func(a Arrival) bool { return a.At < now-demandWindow })
+	work := int64(0)
+	for _, a := range d.arrivals {
+		if a.Priority <= priority && a.Largest <= limit {
+			work += a.Work
+			largest = max(largest, a.Largest)
 		}
 	}
-	return kept
+	return work / min(demandWindow, max(minDemandWindow, now-since)), largest
 }
 
 // BatchShare returns how many of a pool's processors are kept for batch tasks.
--- a/placement/share_test.go
+++ b/placement/share_test.go
@@ -29,19 +29,34 @@
 	}
 }
 
-func TestBatchDemandIsTheMeanOfRecentSubmissions(t *testing.T) {
+func TestBatchDemandIsTheMeanOfRecentArrivals(t *testing.T) {
 	g := NewWithT(t)
+	const limit = 64_000
 	var d placement.BatchDemand
-	d.Add(1000, 5_000_000, 20_000) // 1,000 and 10,000 ms: 500 of 20,000
-	d.Add(9000, 20_000_000, 7000)
-	mean, largest := d.MilliCPU(10_000, 0)
-	g.Expect([]int64{mean, largest}).To(Equal([]int64{2500, 20_000}))
-	mean, largest = d.MilliCPU(12_000, 0)
-	g.Expect([]int64{mean, largest}).To(Equal([]int64{2000, 7000}), "the first one is too old")
-	mean, _ = d.MilliCPU(12_000, 8000)
-	g.Expect(mean).To(Equal(int64(5000)), "this leader knows the last 4 s only")
-	mean, _ = d.MilliCPU(30_000, 0)
-	g.Expect(mean).To(BeZero())
+	d.Add(placement.Arrival{At: 1000, Work: 5_000_000, Largest: 20_000})
+	d.Add(placement.Arrival{At: 9000, Work: 20_000_000, Largest: 7000})
+	of := func(now, since int64, priority int) []int64 {
+		mean, largest := d.Of(now, since, priority, limit)
+		return []int64{mean, largest}
+	}
+	g.Expect(of(10_000, 0, 0)).To(Equal([]int64{2500, 20_000}))
+	g.Expect(of(12_000, 0, 0)).To(Equal([]int64{2000, 7000}), "the first one is too old")
+	g.Expect(of(12_000, 8000, 0)).To(Equal([]int64{5000, 7000}), "this leader knows the last 4 s only")
+	d.Add(placement.Arrival{At: 12_000, Priority: 2, Work: 10_000_000, Largest: 9000})
+	g.Expect(of(12_000, 0, 0)).To(Equal([]int64{2000, 7000}), "it is less urgent than the serving tasks")
+	g.Expect(of(12_000, 0, 2)).To(Equal([]int64{3000, 9000}))
+	g.Expect(of(30_000, 0, 2)).To(Equal([]int64{0, 0}))
+}
+
+// Guards against submissions that can never be done, for which room would be
+// kept or which would make all room look useless.
+func TestTasksThatFitNoWorkerAreNoDemand(t *testing.T) {
+	g := NewWithT(t)
+	var d placement.BatchDemand
+	d.Add(placement.Arrival{At: 1000, Work: 10_000_000, Largest: 8000})
+	d.Add(placement.Arrival{At: 1000, Work: 900_000_000, Largest: 900_000})
+	mean, largest := d.Of(2000, 0, 0, 64_000)
+	g.Expect([]int64{mean, largest}).To(Equal([]int64{5000, 8000}))
 }
 
 // lossOfWorkers is the load of the incident: serving tasks of 10 to 16
