--- a/fleet/share_test.go
+++ b/fleet/share_test.go
@@ -20,7 +20,16 @@
 	return func(s *state.WorkflowStep) { s.EstimateMillis = d.Milliseconds() }
 }
 
-// Guards against SHORT: after the loss of a worker, serving tasks reserve what
+// briefBatch lets tasks of workflows whose id begins with "a" end soon, and
+// others run on.
+func briefBatch(p fleet.TaskPosition, _ uint64) time.Duration {
+	if p.Workflow[0] == 'a' {
+		return 20 * time.Millisecond
+	}
+	return 0
+}
+
+// Guards against large jobs that starve: after the loss of a worker, serving tasks reserve what
 // is left but for pieces that are too small for the larger batch jobs, which
 // are never served again while small ones are.
 func TestServingTasksLeaveRoomForTheLargerBatchJobs(t *testing.T) {
@@ -101,12 +110,7 @@
 // it never fits, since nothing there ends but other serving tasks.
 func TestServingTaskKeepsNoRoomThatStaysTooSmall(t *testing.T) {
 	h := newHarness(t)
-	a := h.worker("a", pool.Options{Work: func(p fleet.TaskPosition, _ uint64) time.Duration {
-		if p.Workflow[0] == 'a' {
-			return 20 * time.Millisecond
-		}
-		return 0
-	}})
+	a := h.worker("a", pool.Options{Work: briefBatch})
 	h.submitAs("0000000000000001", step(1, serving, sized(2500))) // leaves 1500
 	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
 	h.submitAs("0000000000000002", step(1, serving, sized(3000)))
@@ -120,12 +124,7 @@
 // no longer come.
 func TestServingTasksGetRoomThatBatchTasksLeaveUnused(t *testing.T) {
 	h := newHarness(t)
-	a := h.worker("a", pool.Options{Work: func(p fleet.TaskPosition, _ uint64) time.Duration {
-		if p.Workflow[0] == 'a' {
-			return 20 * time.Millisecond
-		}
-		return 0
-	}})
+	a := h.worker("a", pool.Options{Work: briefBatch})
 	// For ten seconds the batch tasks count as a demand that leaves room for one
 	// serving task, although none of them comes again.
 	h.submitAs("a000000000000001", step(4, sized(1500), lasting(2*time.Second)))
--- a/placement/share_test.go
+++ b/placement/share_test.go
@@ -99,7 +99,7 @@
 }
 
 // Guards against serving tasks that leave batch tasks nothing but pieces after
-// a loss of workers (SHORT on the users' days).
+// a loss of workers.
 func TestServingTasksLeaveBatchTasksTheirShareAfterALossOfWorkers(t *testing.T) {
 	g := NewWithT(t)
 	const large, kept = 20_000, 100_000
