fleet, platform: a call that was never sent is known not to have run

A call that got no connection is now a NotSentError: its run is void and its task is placed again at once. Where the cause is on this machine it says nothing of the worker. Event 836 and a counter tell of it. A worker whose connections are refused is still taken for silent.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -48,6 +48,8 @@
 		"worker answers again", "Nothing to do.")
 	WorkerQuarantined = define(835, "worker-quarantined", slog.LevelWarn,
 		"worker is not used for a while", "It failed or refused several tasks that others could run. Check the worker.")
+	WorkerCallNotSent = define(836, "worker-call-not-sent", slog.LevelWarn,
+		"calls to workers fail on this instance", "The calls were never sent, for want of descriptors, memory or ports here. Nothing is held against the workers. Compare the open connections with their limit in the metrics.")
 	QueuesChanged = define(841, "queues-changed", slog.LevelInfo,
 		"configuration of queues changed", "A newer version is in force. Nothing to do.")
 	ZoneEvacuation = define(842, "zone-evacuation", slog.LevelInfo,
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -135,6 +135,14 @@
 		}
 		return
 	}
+	if never, _ := unsent(err); never {
+		event.Log(c.opts.Logger, event.FleetStartRefused, slog.String("workflow", a.run.Workflow),
+			slog.Int("task", a.run.Task), slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID),
+			slog.String("reason", "not-sent"), slog.Any("error", err))
+		s.failedCall(c, now, err)
+		c.void(a, "its start was not sent")
+		return
+	}
 	reason := refusal(err)
 	if reason == 0 {
 		c.starts.observe(now - begin) // it took at least that long
@@ -142,7 +150,7 @@
 			slog.Int("task", a.run.Task), slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID),
 			slog.Any("error", err))
 		a.phase = attemptUnknown
-		s.failedCall(c, now)
+		s.failedCall(c, now, err)
 		c.stop(a, "the outcome of its start is unknown")
 		return
 	}
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -83,6 +83,8 @@
 	pressure   *placement.Pressure
 	asked      map[string]*asked // by pool
 	starts     roundTrip         // of starts
+	unsent     int               // calls that failed locally since that was logged
+	nextUnsent time.Duration     // when it may be logged again
 	saving     bool              // pressures are being committed
 	nextSave   time.Duration
 }
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -9,6 +9,7 @@
 // metrics of the controller and the service.
 type metrics struct {
 	looks    prometheus.Counter
+	unsent   prometheus.Counter
 	start    prometheus.Histogram
 	commit   prometheus.Histogram
 	refusals *prometheus.CounterVec
@@ -24,6 +25,9 @@
 		looks: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "apricotrouter_fleet_looks_total", Help: "Looks at workers.",
 		}),
+		unsent: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_unsent_calls_total", Help: "Calls to workers that failed on this instance before they were sent.",
+		}),
 		start: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "apricotrouter_fleet_start_seconds", Help: "Time until a worker answered a start.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
@@ -53,7 +57,7 @@
 		}, []string{"pool", "kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.looks, m.start, m.commit, m.refusals, m.took, m.calls, m.late, m.room, m.waiting)
+		r.MustRegister(m.looks, m.unsent, m.start, m.commit, m.refusals, m.took, m.calls, m.late, m.room, m.waiting)
 	}
 	return m
 }
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -153,15 +154,35 @@
 // answered notes that the worker answers.
 func (s *session) answered(time.Duration) { s.silent = false }
 
-// failedCall notes a call without an answer.
-func (s *session) failedCall(c *Controller, now time.Duration) {
+// failedCall notes a call without an answer. A call that failed here says
+// nothing of the worker.
+func (s *session) failedCall(c *Controller, now time.Duration, err error) {
 	s.nextLook = now + lookRetry
+	if _, local := unsent(err); local {
+		c.metrics.unsent.Inc()
+		c.reportUnsent(s, now, err)
+		return
+	}
 	if s.silent {
 		return
 	}
 	s.silent = true
 	event.Log(c.opts.Logger, event.WorkerSilent, slog.String("worker", s.worker.ID),
-		slog.Int("runs", len(s.attempts)), slog.Int64("lease_left_ms", (s.leaseEnd-now).Milliseconds()))
+		slog.Int("runs", len(s.attempts)), slog.Int64("lease_left_ms", (s.leaseEnd-now).Milliseconds()), slog.Any("error", err))
+}
+
+// unsentInterval bounds how often calls that failed locally are logged: a lack
+// of descriptors fails thousands of them in a second.
+const unsentInterval = time.Second
+
+// reportUnsent logs that calls to workers fail on this side.
+func (c *Controller) reportUnsent(s *session, now time.Duration, err error) {
+	c.unsent++
+	if now < c.nextUnsent {
+		return
+	}
+	event.Log(c.opts.Logger, event.WorkerCallNotSent, slog.String("worker", s.worker.ID), slog.Int("calls", c.unsent), slog.Any("error", err))
+	c.unsent, c.nextUnsent = 0, now+unsentInterval
 }
 
 // usable reports whether tasks may be placed on the worker.
@@ -174,7 +195,7 @@
 // look sends a look if the worker has anything to tell.
 func (c *Controller) look(s *session) {
 	now := c.now()
-	needed := !s.contacted || len(s.attempts) > 0 || len(s.strays) > 0 || s.unacked
+	needed := !s.contacted || s.silent || len(s.attempts) > 0 || len(s.strays) > 0 || s.unacked
 	if s.gone || s.looking || s.ackWaits || !needed || now < s.nextLook {
 		return
 	}
@@ -200,7 +221,7 @@
 // lookWait returns how long the answer may wait for an end. It doesn't wait if
 // the answer itself decides about a run.
 func (s *session) lookWait(holdMax time.Duration) time.Duration {
-	if !s.contacted || s.silent || len(s.attempts) == 0 {
+	if !s.contacted || len(s.attempts) == 0 {
 		return 0
 	}
 	serving, leftover := false, false
@@ -234,13 +255,13 @@
 		case RefusedFence:
 			c.deactivate("a worker has seen a higher fence")
 		default:
-			s.failedCall(c, now)
+			s.failedCall(c, now, err)
 		}
 		return
 	}
 	if r.Born != 0 && r.Born != s.worker.Born {
 		// What runs there is told apart once the later life has reported.
-		s.failedCall(c, now)
+		s.failedCall(c, now, errOtherLife)
 		return
 	}
 	if s.silent {
@@ -462,6 +483,9 @@
 	}()
 }
 
+// errOtherLife is the cause of a look that a later life of the worker answered.
+var errOtherLife = errors.New("a later life of the worker answered")
+
 // unreachable is the interface of a worker whose address is not known.
 type unreachable struct{}
 
--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -46,6 +46,31 @@
 	return 0
 }
 
+// NotSentError means that a call never left this process: it has not run and
+// never will.
+type NotSentError struct {
+	Err error
+	// Local is set if the cause is this process or its machine, such as a lack
+	// of descriptors. It says nothing of the worker.
+	Local bool
+}
+
+// Error implements error.
+func (e *NotSentError) Error() string { return "call was not sent: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// unsent reports whether a call was never sent, and whether the cause was
+// local.
+func unsent(err error) (unsent, local bool) {
+	var e *NotSentError
+	if errors.As(err, &e) {
+		return true, e.Local
+	}
+	return false, false
+}
+
 // Run names one run of a task on a worker.
 type Run struct {
 	Workflow string
@@ -137,7 +162,8 @@
 }
 
 // Worker is the interface of one life of a worker. Errors other than a
-// RefusedError leave open whether the call was or will be carried out.
+// RefusedError and a NotSentError leave open whether the call was or will be
+// carried out.
 type Worker interface {
 	// Start returns nil also if the run is there already.
 	Start(ctx context.Context, c StartCall) error
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -76,6 +76,7 @@
 	loseStarts int  // so many starts are carried out without an answer
 	late       []func()
 	lateStarts int // so many starts get no answer and are carried out by RunLate
+	stops      int // calls of Stop
 }
 
 // New returns a worker on which nothing runs.
@@ -265,10 +266,18 @@
 	w.changed = make(chan struct{})
 }
 
+// Stops returns how often a run was to be stopped.
+func (w *Worker) Stops() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stops
+}
+
 // Stop implements fleet.Worker.
 func (w *Worker) Stop(_ context.Context, c fleet.StopCall) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.stops++
 	if w.down {
 		return ErrNoAnswer
 	}
