conns, platform, fleet: connections of a process stay within a budget

Each use of connections (peers, callers, control, workers, probes) now has a share of the descriptors that settings and system allow. With more workers than looks in flight, looks wait less, so that each worker has its turn. A call is built when it is sent, so that its lease and fence are no older than the call. Open connections and limits are metrics; a use at 90% is logged (event 710).

--- a/config/node.go
+++ b/config/node.go
@@ -41,8 +41,11 @@
 
 // NodeLimits holds what the process may use.
 type NodeLimits struct {
-	MemoryMiB int64   `yaml:"memory_mib"`
-	GraceS    float64 `yaml:"grace_s"` // from SIGTERM to SIGKILL
+	MemoryMiB int64 `yaml:"memory_mib"`
+	// Descriptors is how many file descriptors the process may have; 0 for the
+	// limit of the system.
+	Descriptors int     `yaml:"descriptors"`
+	GraceS      float64 `yaml:"grace_s"` // from SIGTERM to SIGKILL
 }
 
 // Grace returns the time from SIGTERM to SIGKILL.
@@ -98,6 +101,8 @@
 		return fmt.Errorf("peer_port %d is not a port (1 to 65535)", n.PeerPort)
 	case len(n.Seeds) == 0:
 		return fmt.Errorf("seeds names no control instance")
+	case n.Limits.Descriptors < 0:
+		return fmt.Errorf("limits.descriptors %d is negative", n.Limits.Descriptors)
 	}
 	if n.LostInstances <= 0 {
 		n.LostInstances = defaultLostInstances
--- /dev/null
+++ b/conns/budget_test.go
@@ -0,0 +1,83 @@
+package conns_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/conns"
+)
+
+const patience = 5 * time.Second
+
+// Guards against connections of one use that take the descriptors of another,
+// and against a budget that is not given back.
+func TestUsesDoNotTakeEachOthersConnections(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	b := conns.NewBudget(conns.Options{Limit: 20})
+	g.Expect(b.Of(conns.Workers)).To(Equal(10))
+	dial := b.DialContext(conns.Workers)
+	var open []net.Conn
+	for range b.Of(conns.Workers) {
+		c, err := dial(t.Context(), "tcp", l.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		open = append(open, c)
+	}
+	_, err = dial(t.Context(), "tcp", l.Addr().String())
+	g.Expect(err).To(MatchError(conns.ErrExhausted))
+	other, err := b.DialContext(conns.Peers)(t.Context(), "tcp", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(other.Close()).To(Succeed())
+	for range 2 { // the second time has no effect on the count
+		_ = open[0].Close()
+	}
+	g.Expect(b.Open(conns.Workers)).To(Equal(len(open) - 1))
+	for _, c := range open {
+		_ = c.Close()
+	}
+	g.Expect(b.Open(conns.Workers)).To(BeZero())
+	g.Expect(b.Open(conns.Peers)).To(BeZero())
+}
+
+// Guards against callers who open connections until the process has no
+// descriptor left for its own calls.
+func TestAcceptedConnectionsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	b := conns.NewBudget(conns.Options{Limit: 12})
+	g.Expect(b.Of(conns.Control)).To(Equal(3))
+	bounded := b.Listen(l, conns.Control)
+	defer func() { _ = bounded.Close() }()
+	accepted := make(chan net.Conn, 10)
+	go func() {
+		for {
+			c, err := bounded.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	for range 5 {
+		c, err := net.Dial("tcp", l.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = c.Close() }()
+	}
+	g.Eventually(func() int { return b.Open(conns.Control) }, patience).Should(Equal(3))
+	g.Consistently(func() int { return len(accepted) }, 100*time.Millisecond).Should(Equal(3))
+	g.Expect((<-accepted).Close()).To(Succeed())
+	g.Eventually(func() int { return len(accepted) }, patience).Should(Equal(3))
+}
+
+// Guards against a limit in the settings that is above what the system allows.
+func TestLimitOfTheSystemHolds(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(conns.NewBudget(conns.Options{Limit: 1 << 30}).Of(conns.Workers)).To(BeNumerically("<=", 1<<29))
+	g.Expect(conns.NewBudget(conns.Options{}).Of(conns.Workers)).To(BeNumerically(">", 1))
+}
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -22,4 +22,6 @@
 		"settings changed", "What may change without a restart is in force. Nothing to do.")
 	SettingsRefused = define(709, "settings-refused", slog.LevelWarn,
 		"settings file can't be used", "The settings read before stay in force. Correct the file; it is read again at intervals and on SIGHUP.")
+	ConnectionsNearLimit = define(710, "connections-near-limit", slog.LevelWarn,
+		"connections are near their limit", "Connections of this use beyond the limit wait or fail here. Compare the open connections with their limit in the metrics; raise the limit of descriptors, or look for a peer that opens too many.")
 )
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -92,10 +93,17 @@
 
 // send starts a recorded run.
 func (c *Controller) send(a *attempt) {
+	c.call(callStart, func() *workerCall { return c.prepareStart(a) })
+}
+
+func (c *Controller) prepareStart(a *attempt) *workerCall {
+	if a.phase != attemptRecording {
+		return nil
+	}
 	s := a.session
 	if a.stopping || s.gone || a.task.phase != taskOnWorker {
 		c.void(a, "stopped before it was sent")
-		return
+		return nil
 	}
 	a.phase, a.startedAt = attemptStarting, c.now()
 	c.touched[s] = true
@@ -107,15 +115,12 @@
 		slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID), slog.Uint64("fence", c.fence),
 		slog.String("queue", a.task.flow.queue), slog.String("image", a.task.step.Image), slog.Int64("late_in_ms", a.task.flow.deadline-c.opts.Clock.Now().UnixMilli()),
 		slog.Int64("waited_ms", (a.startedAt-a.task.readyAt).Milliseconds()))
-	begin, timeout := a.startedAt, c.starts.timeout()
 	var err error
-	done := c.later(func() { c.startAnswered(a, begin, err) })
-	go func() {
-		ctx, cancel := callContext(c.ctx, timeout)
-		defer cancel()
-		err = s.api.Start(ctx, call)
-		done()
-	}()
+	return &workerCall{
+		timeout: c.starts.timeout(),
+		send:    func(ctx context.Context) { err = s.api.Start(ctx, call) },
+		done:    func() { c.startAnswered(a, a.startedAt, err) },
+	}
 }
 
 func (c *Controller) startAnswered(a *attempt, begin time.Duration, err error) {
@@ -236,14 +241,14 @@
 	a.calling = true
 	call := StopCall{Run: a.run, Position: a.position(), Fence: c.fence}
 	s := a.session
-	var err error
-	done := c.later(func() { c.stopAnswered(a, err) })
-	go func() {
-		ctx, cancel := callContext(c.ctx, startTimeout)
-		defer cancel()
-		err = s.api.Stop(ctx, call)
-		done()
-	}()
+	c.call(callStart, func() *workerCall {
+		var err error
+		return &workerCall{
+			timeout: startTimeout,
+			send:    func(ctx context.Context) { err = s.api.Stop(ctx, call) },
+			done:    func() { c.stopAnswered(a, err) },
+		}
+	})
 }
 
 func (c *Controller) stopAnswered(a *attempt, err error) {
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -41,6 +41,8 @@
 	// MaxOverTarget is how long neighbours may keep a serving task over its
 	// target on end; 0 for no bound.
 	MaxOverTarget time.Duration
+	// Calls is how many calls to workers may be in flight; 0 for no bound.
+	Calls int
 }
 
 // Options configures a Controller. Log and Dial are required.
@@ -83,6 +85,7 @@
 	pressure   *placement.Pressure
 	asked      map[string]*asked // by pool
 	starts     roundTrip         // of starts
+	calls      callQueue         // to workers
 	unsent     int               // calls that failed locally since that was logged
 	nextUnsent time.Duration     // when it may be logged again
 	saving     bool              // pressures are being committed
@@ -99,7 +102,7 @@
 	}
 	return &Controller{
 		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), box: make(chan func(), boxSize), done: make(chan struct{}),
-		pressure: placement.NewPressure(),
+		pressure: placement.NewPressure(), calls: callQueue{limit: o.Limits.Calls},
 	}
 }
 
@@ -215,6 +218,7 @@
 	}
 	c.active = false
 	c.generation++
+	c.calls.clear()
 	for _, s := range c.sessions {
 		s.gone = true
 		s.api.Close()
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -10,6 +10,7 @@
 type metrics struct {
 	looks    prometheus.Counter
 	unsent   prometheus.Counter
+	inFlight prometheus.Gauge
 	start    prometheus.Histogram
 	commit   prometheus.Histogram
 	refusals *prometheus.CounterVec
@@ -28,6 +29,9 @@
 		unsent: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "apricotrouter_fleet_unsent_calls_total", Help: "Calls to workers that failed on this instance before they were sent.",
 		}),
+		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_calls_in_flight", Help: "Calls to workers that have not been answered.",
+		}),
 		start: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "apricotrouter_fleet_start_seconds", Help: "Time until a worker answered a start.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
@@ -57,7 +61,7 @@
 		}, []string{"pool", "kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.looks, m.unsent, m.start, m.commit, m.refusals, m.took, m.calls, m.late, m.room, m.waiting)
+		r.MustRegister(m.looks, m.unsent, m.inFlight, m.start, m.commit, m.refusals, m.took, m.calls, m.late, m.room, m.waiting)
 	}
 	return m
 }
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"log/slog"
 	"math"
 	"time"
@@ -270,17 +271,20 @@
 		slog.Int("before", old), slog.String("image", a.task.step.Image))
 	call := PaceCall{Run: a.run, Position: a.position(), Fence: c.fence, Percent: pace}
 	s := a.session
-	var err error
-	done := c.later(func() {
-		a.measures.calling = false
-		if err != nil {
-			a.measures.pace, a.measures.paceUnknown = old, unknown
+	c.call(callPace, func() *workerCall {
+		if a.phase == attemptEnded {
+			return nil
+		}
+		var err error
+		return &workerCall{
+			timeout: startTimeout,
+			send:    func(ctx context.Context) { err = s.api.Pace(ctx, call) },
+			done: func() {
+				a.measures.calling = false
+				if err != nil {
+					a.measures.pace, a.measures.paceUnknown = old, unknown
+				}
+			},
 		}
 	})
-	go func() {
-		ctx, cancel := callContext(c.ctx, startTimeout)
-		defer cancel()
-		err = s.api.Pace(ctx, call)
-		done()
-	}()
 }
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -200,7 +200,15 @@
 		return
 	}
 	s.looking = true
-	call := LookCall{Fence: c.fence, Acknowledged: s.acked, WaitMillis: s.lookWait(c.opts.Limits.HoldMax).Milliseconds()}
+	c.call(callLook, func() *workerCall { return c.prepareLook(s) })
+}
+
+func (c *Controller) prepareLook(s *session) *workerCall {
+	if s.gone {
+		return nil
+	}
+	begin := c.now()
+	call := LookCall{Fence: c.fence, Acknowledged: s.acked, WaitMillis: c.lookWait(s).Milliseconds()}
 	// A silent worker's lease is left to end: its runs are given up then, and a
 	// look whose answer is lost must not extend it.
 	if s.contacted && !s.silent {
@@ -208,19 +216,17 @@
 	}
 	var report *Report
 	var err error
-	done := c.later(func() { c.looked(s, now, call, report, err) })
-	timeout := startTimeout + time.Duration(call.WaitMillis)*time.Millisecond
-	go func() {
-		ctx, cancel := callContext(c.ctx, timeout)
-		defer cancel()
-		report, err = s.api.Look(ctx, call)
-		done()
-	}()
+	return &workerCall{
+		timeout: startTimeout + time.Duration(call.WaitMillis)*time.Millisecond,
+		send:    func(ctx context.Context) { report, err = s.api.Look(ctx, call) },
+		done:    func() { c.looked(s, begin, call, report, err) },
+	}
 }
 
 // lookWait returns how long the answer may wait for an end. It doesn't wait if
-// the answer itself decides about a run.
-func (s *session) lookWait(holdMax time.Duration) time.Duration {
+// the answer itself decides about a run. With more workers than looks that may
+// be in flight, all of them wait less, so that each has its turn.
+func (c *Controller) lookWait(s *session) time.Duration {
 	if !s.contacted || len(s.attempts) == 0 {
 		return 0
 	}
@@ -236,7 +242,11 @@
 	if serving && leftover {
 		wait = paceWait
 	}
-	return min(wait, holdMax/looksPerLease)
+	wait = min(wait, c.opts.Limits.HoldMax/looksPerLease)
+	if most := c.calls.most(callLook); c.calls.limit > 0 && len(c.sessions) > most {
+		wait = wait * time.Duration(most) / time.Duration(len(c.sessions))
+	}
+	return wait
 }
 
 // looked takes over what a worker reported. begin is when the look was sent.
@@ -386,12 +396,14 @@
 		slog.Int("step", r.Position.Step), slog.Int("index", r.Position.Index), slog.Uint64("run", r.Number),
 		slog.String("worker", s.worker.ID), slog.String("reason", "no record of this run"))
 	call := StopCall{Run: Run{Workflow: r.Position.Workflow, Number: r.Number}, Position: r.Position, Fence: c.fence}
-	go func() {
-		ctx, cancel := callContext(c.ctx, startTimeout)
-		defer cancel()
-		// The next look shows whether the run has ended, and repeats the stop.
-		_ = s.api.Stop(ctx, call)
-	}()
+	c.call(callStart, func() *workerCall {
+		return &workerCall{
+			timeout: startTimeout,
+			// The next look shows whether the run has ended, and repeats the stop.
+			send: func(ctx context.Context) { _ = s.api.Stop(ctx, call) },
+			done: func() {},
+		}
+	})
 }
 
 // watchSession does what depends on time alone.
--- a/transport/mesh.go
+++ b/transport/mesh.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -40,7 +41,9 @@
 	OnDemand bool
 	Mux      *Mux
 	// TLS is used to dial; nil dials without TLS.
-	TLS        *tls.Config
+	TLS *tls.Config
+	// Dial opens connections; nil is the usual dialler.
+	Dial       func(ctx context.Context, network, address string) (net.Conn, error)
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -72,7 +75,7 @@
 		accepts: make(chan *conn),
 		demand:  make(map[string]*atomic.Int64),
 		demands: make(chan string, demandQueue),
-		client:  &http.Client{Transport: &http.Transport{TLSClientConfig: opts.TLS, DisableKeepAlives: true}},
+		client:  &http.Client{Transport: &http.Transport{TLSClientConfig: opts.TLS, DialContext: opts.Dial, DisableKeepAlives: true}},
 		metrics: newMetrics(opts.Registerer),
 	}
 	return m
