event: write lines that wait in one call

Lines that wait are written together, at most 100 of them. What is held back stays bounded by the lines not yet written.

TestLinesThatWaitAreWrittenTogether failed before (100 calls for 100 lines).

--- a/event/writer.go
+++ b/event/writer.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"sync"
@@ -17,6 +18,7 @@
 type Writer struct {
 	out     io.Writer
 	lines   chan []byte
+	pending atomic.Int64 // lines that were taken and are not written yet
 	dropped atomic.Uint64
 	done    sync.WaitGroup
 }
@@ -30,11 +32,12 @@
 
 // Write implements io.Writer. It takes one whole line and always succeeds.
 func (w *Writer) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
+	if w.pending.Add(1) > int64(cap(w.lines)) {
+		w.pending.Add(-1)
 		w.dropped.Add(1)
+		return len(line), nil
 	}
+	w.lines <- append([]byte(nil), line...) // has room, as pending is bounded
 	return len(line), nil
 }
 
@@ -47,12 +50,36 @@
 	w.done.Wait()
 }
 
+// bufferBytes and writtenLines bound the lines that are written in one call.
+const (
+	bufferBytes  = 32 << 10
+	writtenLines = 100
+)
+
+// run writes lines that wait together in one call.
 func (w *Writer) run() {
+	// A reader that has gone takes no lines; there is nowhere to tell.
+	out := bufio.NewWriterSize(ignoreErrors{w.out}, bufferBytes)
+	taken := int64(0) // lines that out holds
 	for line := range w.lines {
-		// A reader that has gone takes no lines; there is nowhere to tell.
-		_, _ = w.out.Write(line)
+		_, _ = out.Write(line)
+		taken++
 		if n := w.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(w.out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
+			_, _ = fmt.Fprintf(out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
+		}
+		if len(w.lines) == 0 || taken >= writtenLines {
+			_ = out.Flush()
+			w.pending.Add(-taken)
+			taken = 0
 		}
 	}
 }
+
+// ignoreErrors lets a buffer go on after a write that failed.
+type ignoreErrors struct{ io.Writer }
+
+// Write implements io.Writer.
+func (w ignoreErrors) Write(p []byte) (int, error) {
+	_, _ = w.Writer.Write(p)
+	return len(p), nil
+}
--- a/event/writer_test.go
+++ b/event/writer_test.go
@@ -58,3 +58,32 @@
 			slog.Uint64("run", 2), slog.String("worker", "i-7f3a91c2"))
 	}
 }
+
+// calls counts the calls of Write.
+type calls struct {
+	stuck
+	n int
+}
+
+func (c *calls) Write(p []byte) (int, error) {
+	n, err := c.stuck.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n++
+	return n, err
+}
+
+// Guards against a system call for each line of a burst.
+func TestLinesThatWaitAreWrittenTogether(t *testing.T) {
+	g := NewWithT(t)
+	out := &calls{stuck: stuck{release: make(chan struct{})}}
+	w := event.NewWriter(out, 200)
+	const lines = 100
+	for range lines {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	close(out.release)
+	w.Close()
+	g.Expect(bytes.Count(out.buf.Bytes(), []byte("line\n"))).To(Equal(lines))
+	g.Expect(out.n).To(BeNumerically("<=", 3))
+}
