--- a/conns/budget.go
+++ b/conns/budget.go
@@ -31,9 +31,10 @@
 )
 
 // shares are the parts of the limit that the uses may have, in percent. Peers
-// need one connection each way to every instance; what is left of the limit
-// covers files, listeners and sockets that are being closed.
-var shares = map[Use]int{Peers: 15, Callers: 80, Control: 25, Workers: 50, Probes: 3}
+// need one connection each way to every instance. An instance serves callers or
+// calls workers, not both; what is left of the limit covers files, listeners
+// and sockets that are being closed.
+var shares = map[Use]int{Peers: 10, Callers: 80, Control: 15, Workers: 70, Probes: 2}
 
 const (
 	// nearLimit is the share of its limit, in percent, from which a use is
--- a/conns/budget_test.go
+++ b/conns/budget_test.go
@@ -20,7 +20,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = l.Close() }()
 	b := conns.NewBudget(conns.Options{Limit: 20})
-	g.Expect(b.Of(conns.Workers)).To(Equal(10))
+	g.Expect(b.Of(conns.Workers)).To(Equal(14))
 	dial := b.DialContext(conns.Workers)
 	var open []net.Conn
 	for range b.Of(conns.Workers) {
@@ -50,7 +50,7 @@
 	g := NewWithT(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
-	b := conns.NewBudget(conns.Options{Limit: 12})
+	b := conns.NewBudget(conns.Options{Limit: 20})
 	g.Expect(b.Of(conns.Control)).To(Equal(3))
 	bounded := b.Listen(l, conns.Control)
 	defer func() { _ = bounded.Close() }()
