placement: rank the rooms of a pool once for the tasks of a step

The cost of a decision grew with the pool: every task of a step looked at all rooms. Equal tasks now share a ranking, of which only the room that was taken is rated anew. It chooses the same rooms (TestRankingChoosesLikeALookAtAllRooms).

--- a/placement/pool.go
+++ b/placement/pool.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"container/heap"
 	"slices"
 
 	"apricotrouter/state"
@@ -60,30 +61,115 @@
 // costs little, and tasks on leftover processors keep away from serving tasks.
 func ChooseRoom(rooms []*PoolRoom, t PoolTask) int {
 	best, bestScore := -1, 0.0
-	var by Pressures
-	disturbs := t.Step.Leftover && t.Pressure != nil
-	if disturbs {
-		by = t.Pressure.By(t.Step.Image)
-	}
-	for i, r := range rooms {
-		if r == nil || !admits(r, t.Step) || t.Excluded != nil && t.Excluded(i) {
-			continue
-		}
-		score := roomScore(r, t.Step)
-		if disturbs {
-			excess, added := pressureOn(r, share(t.Step.Size.MilliCPU, r.Capacity.MilliCPU), by)
-			if excess > maxExcess {
-				continue
-			}
-			score += pressureWeight * added
-		}
-		if best < 0 || score < bestScore {
+	by := t.pressures()
+	for i := range rooms {
+		if score, ok := t.rate(rooms, i, by); ok && (best < 0 || score < bestScore) {
 			best, bestScore = i, score
 		}
 	}
 	return best
 }
 
+// pressures returns how the task disturbs serving tasks, or nil if it does not.
+func (t *PoolTask) pressures() Pressures {
+	if !t.Step.Leftover || t.Pressure == nil {
+		return nil
+	}
+	return t.Pressure.By(t.Step.Image)
+}
+
+// rate returns how bad a room is for the task, and whether it may go there.
+func (t *PoolTask) rate(rooms []*PoolRoom, i int, by Pressures) (score float64, ok bool) {
+	r := rooms[i]
+	if r == nil || !admits(r, t.Step) || t.Excluded != nil && t.Excluded(i) {
+		return 0, false
+	}
+	score = roomScore(r, t.Step)
+	if t.Step.Leftover && t.Pressure != nil {
+		excess, added := pressureOn(r, share(t.Step.Size.MilliCPU, r.Capacity.MilliCPU), by)
+		if excess > maxExcess {
+			return 0, false
+		}
+		score += pressureWeight * added
+	}
+	return score, true
+}
+
+// Ranking is the rooms that a task may go to, the best one first. It answers
+// wide steps in large pools: equal tasks need one look at all rooms, not one
+// each. A Ranking and ChooseRoom choose the same rooms.
+type Ranking struct {
+	rooms []*PoolRoom
+	task  PoolTask
+	by    Pressures
+	heap  []rankedRoom
+}
+
+// rankedRoom is a room with its score; a lower one is better.
+type rankedRoom struct {
+	score float64
+	room  int
+}
+
+// Rank ranks the rooms for tasks that are equal to t. While the ranking is in
+// use, rooms may only change by Take on the best one, and nothing that Excluded
+// reports may change for another room but from false to true.
+func Rank(rooms []*PoolRoom, t PoolTask) *Ranking {
+	k := &Ranking{rooms: rooms, task: t, by: t.pressures()}
+	for i := range rooms {
+		if score, ok := t.rate(rooms, i, k.by); ok {
+			k.heap = append(k.heap, rankedRoom{score, i})
+		}
+	}
+	heap.Init(k)
+	return k
+}
+
+// Best returns the index of the best room, or -1.
+func (k *Ranking) Best() int {
+	for len(k.heap) > 0 {
+		i := k.heap[0].room
+		if k.task.Excluded == nil || !k.task.Excluded(i) {
+			return i
+		}
+		heap.Pop(k)
+	}
+	return -1
+}
+
+// Update rates the best room anew, after a task was booked on it.
+func (k *Ranking) Update() {
+	score, ok := k.task.rate(k.rooms, k.heap[0].room, k.by)
+	if !ok {
+		heap.Pop(k)
+		return
+	}
+	k.heap[0].score = score
+	heap.Fix(k, 0)
+}
+
+// Len implements heap.Interface.
+func (k *Ranking) Len() int { return len(k.heap) }
+
+// Less implements heap.Interface.
+func (k *Ranking) Less(i, j int) bool {
+	a, b := k.heap[i], k.heap[j]
+	return a.score < b.score || a.score == b.score && a.room < b.room
+}
+
+// Swap implements heap.Interface.
+func (k *Ranking) Swap(i, j int) { k.heap[i], k.heap[j] = k.heap[j], k.heap[i] }
+
+// Push implements heap.Interface.
+func (k *Ranking) Push(x any) { k.heap = append(k.heap, x.(rankedRoom)) }
+
+// Pop implements heap.Interface.
+func (k *Ranking) Pop() any {
+	last := k.heap[len(k.heap)-1]
+	k.heap = k.heap[:len(k.heap)-1]
+	return last
+}
+
 func admits(r *PoolRoom, s *state.WorkflowStep) bool {
 	if !s.Reserves().Fits(r.Free) || s.Label != "" && !slices.Contains(r.Labels, s.Label) {
 		return false
