fleet: rounds and submissions no longer cost a look at everything

Three costs grew with pool or backlog: - a round rated all rooms for each task, and once more for each workflow that found none. Tasks of a step share a ranking; a class of tasks (kind, image, priority) that found no room is not looked for again in the round; - each submission and cancellation compared all open workflows with the state; now only its own; - each round walked the tasks of all workflows for some that are released; now only where a step ended, a task came back, or a time may have come. The rooms of workers keep their memory between rounds.

--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -83,12 +83,13 @@
 	touched    map[*session]bool   // sessions that may have to be looked at
 	journal    journal
 	pressure   *placement.Pressure
-	asked      map[string]*asked // by pool
-	starts     roundTrip         // of starts
-	calls      callQueue         // to workers
-	unsent     int               // calls that failed locally since that was logged
-	nextUnsent time.Duration     // when it may be logged again
-	saving     bool              // pressures are being committed
+	asked      map[string]*asked  // by pool
+	uses       map[string]float64 // by image; scratch of updateRoom
+	starts     roundTrip          // of starts
+	calls      callQueue          // to workers
+	unsent     int                // calls that failed locally since that was logged
+	nextUnsent time.Duration      // when it may be logged again
+	saving     bool               // pressures are being committed
 	nextSave   time.Duration
 }
 
@@ -103,6 +104,7 @@
 	return &Controller{
 		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), box: make(chan func(), boxSize), done: make(chan struct{}),
 		pressure: placement.NewPressure(), calls: callQueue{limit: o.Limits.Calls},
+		uses: make(map[string]float64),
 	}
 }
 
@@ -277,16 +279,21 @@
 // sync opens workflows that are new and closes those that have ended.
 func (c *Controller) sync(s *state.State) {
 	for id := range s.OpenWorkflows() {
-		if c.flows[id] == nil {
-			if w, ok := s.Workflows.Get(id); ok {
-				c.openFlow(w)
-			}
-		}
+		c.syncFlow(s, id)
 	}
-	for id, f := range c.flows {
-		if w, ok := s.Workflows.Get(id); !ok || w.Phase.Ended() {
-			c.closeFlow(f, w)
-		}
+	for id := range c.flows {
+		c.syncFlow(s, id)
+	}
+}
+
+// syncFlow opens a workflow that is new, or closes it if it has ended.
+func (c *Controller) syncFlow(s *state.State, id string) {
+	w, ok := s.Workflows.Get(id)
+	f := c.flows[id]
+	switch {
+	case f == nil && ok && !w.Phase.Ended():
+		c.openFlow(w)
+	case f != nil && (!ok || w.Phase.Ended()):
+		c.closeFlow(f, w)
 	}
-	c.countServing()
 }
--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -19,6 +19,7 @@
 	tasks    []*task
 	open     [][]int // tasks not done, by occurrence and step
 	ready    int     // tasks that wait for a worker
+	blocked  bool    // tasks may be blocked that no longer have to be
 	started  bool
 	late     bool // it was logged as late
 	// doneRuns and doneMillis are the runs that did a whole task, by step.
@@ -61,6 +62,7 @@
 	f.deadline = w.SubmittedAt + objectiveMillis(spec)
 	f.doneRuns, f.doneMillis = make([]int64, len(spec.Steps)), make([]int64, len(spec.Steps))
 	f.loads = make([]placement.Load, len(spec.Steps))
+	f.blocked = true
 	f.open = make([][]int, max(1, spec.Occurrences))
 	for k := range f.open {
 		f.open[k] = make([]int, len(spec.Steps))
@@ -73,6 +75,7 @@
 		f.open[t.pos.Occurrence][t.pos.Step]++
 	}
 	c.flows[spec.ID] = f
+	c.countServing(spec, 1)
 	if spec.Occurrences == 0 {
 		c.noteDemand(spec, w.SubmittedAt)
 	}
@@ -97,7 +100,7 @@
 	case state.TaskWaiting:
 		if t.phase == taskOnWorker && (t.attempt == nil || t.attempt.run.Number <= r.Run) {
 			c.dropAttempt(t.attempt)
-			t.phase = taskBlocked
+			t.block()
 		}
 	}
 }
@@ -111,15 +114,24 @@
 		t.flow.ready--
 	}
 	t.phase = taskDone
-	t.flow.open[t.pos.Occurrence][t.pos.Step]--
+	left := &t.flow.open[t.pos.Occurrence][t.pos.Step]
+	*left--
+	t.flow.blocked = t.flow.blocked || *left == 0
 	if a := t.attempt; a != nil {
 		c.stop(a, "the task is done")
 	}
 	c.release(t.flow)
 }
 
+// block makes a task wait for what it depends on, which release looks at.
+func (t *task) block() { t.phase, t.flow.blocked = taskBlocked, true }
+
 // release makes the tasks ready whose steps are no longer blocked.
 func (c *Controller) release(f *flow) {
+	if !f.blocked {
+		return
+	}
+	f.blocked = f.spec.Occurrences > 0 // whose time may come
 	wall := c.opts.Clock.Now().UnixMilli()
 	for _, t := range f.tasks {
 		if t.phase != taskBlocked || !t.unblocked() || t.dueAt() > wall {
@@ -155,6 +167,7 @@
 // closeFlow stops what still runs of a workflow that has ended.
 func (c *Controller) closeFlow(f *flow, w *state.Workflow) {
 	delete(c.flows, f.spec.ID)
+	c.countServing(f.spec, -1)
 	for _, t := range f.tasks {
 		t.phase = taskDone
 		if t.attempt != nil {
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -129,7 +129,7 @@
 			reply(Unknown)
 			return
 		}
-		s.worker, s.cached = b.Worker, nil
+		s.worker, s.roomKnown = b.Worker, false
 		event.Log(c.opts.Logger, event.WorkerKnown, slog.String("worker", s.worker.ID),
 			slog.Int64("born", s.worker.Born), slog.Uint64("sequence", b.Sequence), slog.Bool("draining", s.worker.Draining))
 		reply(Done)
--- a/fleet/journal.go
+++ b/fleet/journal.go
@@ -114,7 +114,7 @@
 	if !ok || w.Phase.Ended() || !w.Tasks[r.start.Task].Records(r.start) {
 		c.dropAttempt(a)
 		if a.task.phase == taskOnWorker {
-			a.task.phase = taskBlocked
+			a.task.block()
 		}
 		if f := c.flows[r.start.Workflow]; f != nil && ok && !w.Phase.Ended() {
 			c.refresh(a.task, &w.Tasks[r.start.Task])
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -17,9 +17,9 @@
 type pool struct {
 	sessions []*session
 	rooms    []*placement.PoolRoom
-	// tight holds the smallest tasks on leftover processors that found no room
-	// in this round, by image: larger ones find none either.
-	tight map[string]state.Resources
+	// tight holds the smallest tasks that found no room in this round, by what
+	// else decides about room: larger ones find none either.
+	tight map[roomClass]state.Resources
 	// held are the rooms that pressing tasks keep from others in this round.
 	held map[int]bool
 	// keptFor are all rooms that were held in this round.
@@ -31,10 +31,33 @@
 	idleObserved bool
 }
 
-// full reports whether a smaller task of the same image found no room.
-func (p *pool) full(s *state.WorkflowStep) bool {
-	least, ok := p.tight[s.Image]
-	return ok && s.Leftover && least.Fits(s.Size)
+// roomClass is what decides about the room of a task besides its size.
+type roomClass struct {
+	kind     taskKind
+	leftover bool
+	image    string // of a task on leftover processors, which decides whom it disturbs
+	// priority and beyondShare of a serving task, which decide about its share.
+	priority    int
+	beyondShare bool
+}
+
+func classOf(s *state.WorkflowStep, j placement.WaitingJob) roomClass {
+	class := roomClass{kind: kindOf(s), leftover: s.Leftover}
+	if s.Leftover {
+		class.image = s.Image
+	}
+	if s.LongRunning {
+		class.priority, class.beyondShare = j.Priority, j.BeyondShare
+	}
+	return class
+}
+
+// full reports whether a smaller task of the same class found no room. It
+// answers a long queue: a round that finds no room costs one look at the rooms
+// for each class, not for each workflow.
+func (p *pool) full(s *state.WorkflowStep, class roomClass) bool {
+	least, ok := p.tight[class]
+	return ok && least.Fits(s.Size)
 }
 
 // hold keeps tasks that are not pressing off the worker with the most
@@ -66,12 +89,13 @@
 
 // noRoom notes that a task found no room. One that is bound to some workers
 // says nothing about others.
-func (p *pool) noRoom(s *state.WorkflowStep) {
-	if !s.Leftover || s.Label != "" || s.DataRack != "" || s.MaxPerWorker > 0 {
+func (p *pool) noRoom(t *task, class roomClass) {
+	s := t.step
+	if s.Label != "" || s.DataRack != "" || s.MaxPerWorker > 0 || len(t.avoid) > 0 {
 		return
 	}
-	if least, ok := p.tight[s.Image]; !ok || s.Size.Fits(least) {
-		p.tight[s.Image] = s.Size
+	if least, ok := p.tight[class]; !ok || s.Size.Fits(least) {
+		p.tight[class] = s.Size
 	}
 }
 
@@ -171,16 +195,16 @@
 		if !w.usable(c, now) || s.ZoneEvacuated(w.worker.Zone) {
 			continue
 		}
-		if w.cached == nil {
-			w.cached = c.room(w)
+		if !w.roomKnown {
+			c.updateRoom(w)
 		}
 		p := all[w.worker.Pool]
 		if p == nil {
-			p = &pool{tight: make(map[string]state.Resources), held: make(map[int]bool), keptFor: make(map[int]bool), shares: make(map[int]*placement.Share)}
+			p = &pool{tight: make(map[roomClass]state.Resources), held: make(map[int]bool), keptFor: make(map[int]bool), shares: make(map[int]*placement.Share)}
 			all[w.worker.Pool] = p
 		}
 		p.sessions = append(p.sessions, w)
-		p.rooms = append(p.rooms, w.cached)
+		p.rooms = append(p.rooms, &w.room)
 	}
 	return all
 }
@@ -196,34 +220,42 @@
 	return c.sorted
 }
 
-// room returns what the worker has left.
-func (c *Controller) room(s *session) *placement.PoolRoom {
-	r := &placement.PoolRoom{
+// updateRoom computes what the worker has left.
+func (c *Controller) updateRoom(s *session) {
+	s.roomKnown = true
+	r := &s.room
+	*r = placement.PoolRoom{
 		Zone: s.worker.Zone, Labels: s.worker.Labels, Capacity: s.worker.Capacity, Free: s.free(),
-		IdleCPU: s.worker.Capacity.MilliCPU,
+		IdleCPU: s.worker.Capacity.MilliCPU, Servers: r.Servers[:0],
 	}
-	uses := make(map[string]float64)
+	clear(c.uses)
+	servers := 0
 	for _, a := range s.attempts {
 		step := a.task.step
 		use := step.Size.MilliCPU
 		if step.LongRunning {
 			use = use * servingUse / 100
+			if step.TailMillis > 0 {
+				servers++
+			}
 		}
 		if step.Leftover {
 			r.Leftover++
-			uses[step.Image] += s.share(step.Size.MilliCPU)
+			c.uses[step.Image] += s.share(step.Size.MilliCPU)
 		}
 		r.IdleCPU -= use
 		if !step.LongRunning {
 			r.Batch = r.Batch.Add(step.Reserves())
 		}
 	}
+	if servers == 0 {
+		return
+	}
 	for _, a := range s.attempts {
 		if a.task.step.LongRunning && a.task.step.TailMillis > 0 {
-			r.AddServer(a.task.step.Image, c.headroom(a, uses))
+			r.AddServer(a.task.step.Image, c.headroom(a, c.uses))
 		}
 	}
-	return r
 }
 
 // headroom returns how much more a serving task bears, with the load that is
@@ -243,6 +275,7 @@
 // it is free.
 func (c *Controller) placeFlow(f *flow, p *pool, j placement.WaitingJob) {
 	fullStep, fullOccurrence := -1, -1
+	var equal *equalTasks
 	for _, t := range f.tasks {
 		if t.phase != taskReady || t.pos.Step == fullStep && t.pos.Occurrence == fullOccurrence {
 			continue
@@ -252,36 +285,81 @@
 		}
 		if t.step.Gang {
 			c.placeGang(t, p)
+			equal = nil
 			continue
 		}
-		request := c.poolTask(t, p)
-		if !j.BeyondShare {
-			request.Excluded = p.withinShare(t, request.Excluded)
+		class := classOf(t.step, j)
+		if !equal.includes(t) {
+			equal = c.equalTasks(t, p, j)
 		}
 		i := -1
-		if !p.full(t.step) {
-			i = placement.ChooseRoom(p.rooms, request)
+		if !p.full(t.step, class) {
+			i = equal.best()
 		}
 		if i < 0 {
-			p.noRoom(t.step)
+			p.noRoom(t, class)
 			if j.Pressing() && t.step.LongRunning {
-				p.hold(request)
+				p.hold(equal.request)
 			}
 			fullStep, fullOccurrence = t.pos.Step, t.pos.Occurrence
 			continue
 		}
-		p.take(i, request)
+		p.take(i, equal.request)
 		if j.BeyondShare {
 			p.idle--
 		}
 		c.place(t, p.sessions[i], t.run+1)
+		equal.placed(i)
+	}
+}
+
+// equalTasks is the tasks of a step that look for room in one round.
+type equalTasks struct {
+	first   *task
+	pool    *pool
+	request placement.PoolTask
+	// onWorker is how many tasks of the step a worker has, where that is bounded.
+	onWorker map[*session]int
+	ranking  *placement.Ranking // nil before it is needed
+}
+
+func (c *Controller) equalTasks(t *task, p *pool, j placement.WaitingJob) *equalTasks {
+	e := &equalTasks{first: t, pool: p}
+	e.request, e.onWorker = c.poolTask(t, p)
+	if !j.BeyondShare {
+		e.request.Excluded = p.withinShare(t, e.request.Excluded)
+	}
+	return e
+}
+
+// includes reports whether a task may go where the first may.
+func (e *equalTasks) includes(t *task) bool {
+	return e != nil && e.first.pos.Step == t.pos.Step && e.first.pos.Occurrence == t.pos.Occurrence &&
+		len(e.first.avoid) == 0 && len(t.avoid) == 0
+}
+
+// best returns the index of the best room, or -1.
+func (e *equalTasks) best() int {
+	if e.ranking == nil {
+		e.ranking = placement.Rank(e.pool.rooms, e.request)
+	}
+	return e.ranking.Best()
+}
+
+// placed notes that a task was booked on the best room.
+func (e *equalTasks) placed(room int) {
+	if e.onWorker != nil {
+		e.onWorker[e.pool.sessions[room]]++
 	}
+	e.ranking.Update()
 }
 
-func (c *Controller) poolTask(t *task, p *pool) placement.PoolTask {
+// poolTask returns what a task asks for, and how many tasks of its step each
+// worker has if that is bounded.
+func (c *Controller) poolTask(t *task, p *pool) (placement.PoolTask, map[*session]int) {
 	limit := t.step.MaxPerWorker
 	if limit == 0 && len(t.avoid) == 0 {
-		return placement.PoolTask{Step: t.step, Pressure: c.pressure}
+		return placement.PoolTask{Step: t.step, Pressure: c.pressure}, nil
 	}
 	onWorker := make(map[*session]int)
 	first := t.flow.spec.FirstTask(t.pos.Occurrence, t.pos.Step)
@@ -297,7 +375,7 @@
 	return placement.PoolTask{Step: t.step, Pressure: c.pressure, Excluded: func(i int) bool {
 		s := p.sessions[i]
 		return limit > 0 && onWorker[s] >= limit || avoid[s.worker.ID]
-	}}
+	}}, onWorker
 }
 
 // placeGang places all tasks of a gang, or none. They share the run number.
@@ -312,10 +390,11 @@
 		}
 		number = max(number, m.run+1)
 	}
+	request, _ := c.poolTask(t, p)
 	for _, rack := range gangRacks(t.step, p) {
-		if chosen := chooseGang(c.poolTask(t, p), len(members), p.rooms, rack); chosen != nil {
+		if chosen := chooseGang(request, len(members), p.rooms, rack); chosen != nil {
 			for i, m := range members {
-				p.take(chosen[i], c.poolTask(m, p))
+				p.take(chosen[i], request)
 				c.place(m, p.sessions[chosen[i]], number)
 			}
 			return
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -173,15 +173,15 @@
 		slog.String("queue", q.Name), slog.Uint64("config_version", st.Queues.Version), slog.Int("tasks", spec.Width()),
 		slog.Int64("work_milli_cpu_ms", workOf(&spec)), slog.Int64("largest_milli_cpu", largestOf(&spec)),
 		slog.Int64("objective_ms", objectiveMillis(&spec)), slog.Uint64("index", result.Index))
-	s.resync()
+	s.resync(id)
 	return &Response{Outcome: Done}
 }
 
-// resync lets the controller see a change at once.
-func (s *Service) resync() {
+// resync lets the controller see a change of a workflow at once.
+func (s *Service) resync(id string) {
 	s.controller.post(func() {
 		if s.controller.active {
-			s.controller.sync(s.group.State())
+			s.controller.syncFlow(s.group.State(), id)
 		}
 	})
 }
@@ -194,7 +194,7 @@
 	case result.Code == state.CodeNotFound:
 		return &Response{Outcome: Gone}
 	}
-	s.resync()
+	s.resync(id)
 	return &Response{Outcome: Done}
 }
 
@@ -211,7 +211,6 @@
 	}
 	event.Log(s.logger, event.QueuesChanged, slog.Uint64("version", cfg.Version), slog.String("code", string(result.Code)),
 		slog.Uint64("current", max(result.Current, cfg.Version)), slog.Int("queues", len(cfg.Queues)))
-	s.resync()
 	return &Response{Outcome: Done}
 }
 
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -53,12 +53,13 @@
 
 // session is the leader's view of one life of a worker.
 type session struct {
-	worker   state.PoolWorker
-	api      Worker
-	attempts map[runKey]*attempt
-	used     state.Resources
-	cached   *placement.PoolRoom      // nil once it may be out of date
-	strays   map[runKey]time.Duration // runs that nobody should have, by the time of their last stop
+	worker    state.PoolWorker
+	api       Worker
+	attempts  map[runKey]*attempt
+	used      state.Resources
+	room      placement.PoolRoom       // as of the last round of placement
+	roomKnown bool                     // room is not out of date
+	strays    map[runKey]time.Duration // runs that nobody should have, by the time of their last stop
 
 	contacted bool // looked at in this term, so that all its runs are known
 	gone      bool
@@ -125,14 +126,14 @@
 	a.session = s
 	s.attempts[s.key(a)] = a
 	s.used = s.used.Add(a.reserves())
-	s.cached = nil
+	s.roomKnown = false
 }
 
 func (s *session) remove(a *attempt) {
 	if s.attempts[s.key(a)] == a {
 		delete(s.attempts, s.key(a))
 		s.used = s.used.Sub(a.reserves())
-		s.cached = nil
+		s.roomKnown = false
 	}
 }
 
@@ -287,7 +288,7 @@
 	c.takeReport(s, begin, r)
 	c.observe(s)
 	c.moveStragglers(s)
-	s.cached = nil
+	s.roomKnown = false
 	if !s.contacted {
 		s.contacted = true
 		c.dirty = true
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -37,16 +37,12 @@
 	}
 }
 
-// countServing counts what the serving tasks of the open workflows ask for.
-func (c *Controller) countServing() {
-	for _, a := range c.asked {
-		a.serving = 0
-	}
-	for _, f := range c.flows {
-		for i := range f.spec.Steps {
-			if s := &f.spec.Steps[i]; s.LongRunning {
-				c.askedOf(f.spec.Pool).serving += int64(s.Count) * s.Size.MilliCPU
-			}
+// countServing adds what the serving tasks of a workflow ask for, as it is
+// opened (1) or closed (-1).
+func (c *Controller) countServing(spec *state.WorkflowSpec, sign int64) {
+	for i := range spec.Steps {
+		if s := &spec.Steps[i]; s.LongRunning {
+			c.askedOf(spec.Pool).serving += sign * int64(s.Count) * s.Size.MilliCPU
 		}
 	}
 }
