--- a/event/writer.go
+++ b/event/writer.go
@@ -64,13 +64,14 @@
 	for line := range w.lines {
 		_, _ = out.Write(line)
 		taken++
-		if n := w.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
+		if len(w.lines) > 0 && taken < writtenLines {
+			continue
 		}
-		if len(w.lines) == 0 || taken >= writtenLines {
-			_ = out.Flush()
-			w.pending.Add(-taken)
-			taken = 0
+		_ = out.Flush()
+		w.pending.Add(-taken)
+		taken = 0
+		if n := w.dropped.Swap(0); n > 0 {
+			_, _ = fmt.Fprintf(w.out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
 		}
 	}
 }
