fleet: one round of placement for each log entry; goroutines of calls are kept

Rounds followed every event of the loop, although starts that are placed while an entry is being committed wait for the next one: a round now begins only when its starts can be committed. In a profile of BenchmarkStarts at 890 workers collecting the rooms took 0.44 s of 0.57 s of the rounds.

Each call ran on a new goroutine, whose stack grew through the HTTP client: 0.38 s of 7.2 s in the same profile. Up to 256 goroutines are kept.

--- a/fleet/calls.go
+++ b/fleet/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 )
 
@@ -90,7 +91,7 @@
 		}
 		c.metrics.inFlight.Inc()
 		generation := c.generation
-		go func() {
+		c.callers.run(func() {
 			ctx, cancel := callContext(c.ctx, w.timeout)
 			w.send(ctx)
 			cancel()
@@ -101,7 +102,42 @@
 					w.done()
 				}
 			})
-		}()
+		})
 		return true
 	})
 }
+
+// idleCallers is how many goroutines are kept for calls.
+const idleCallers = 256
+
+// callers runs calls on goroutines that are kept: a call through the HTTP
+// client needs a deep stack, which a new goroutine would have to grow each time.
+type callers struct {
+	jobs chan func()
+	idle atomic.Int64
+}
+
+func newCallers() *callers { return &callers{jobs: make(chan func())} }
+
+func (p *callers) run(job func()) {
+	select {
+	case p.jobs <- job:
+		return
+	default:
+	}
+	go func() {
+		job()
+		for p.idle.Add(1) <= idleCallers {
+			next, ok := <-p.jobs
+			p.idle.Add(-1)
+			if !ok {
+				return
+			}
+			next()
+		}
+		p.idle.Add(-1)
+	}()
+}
+
+// close ends the goroutines that are idle; those with a call end after it.
+func (p *callers) close() { close(p.jobs) }
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -87,9 +87,10 @@
 	uses       map[string]float64 // by image; scratch of updateRoom
 	starts     roundTrip          // of starts
 	calls      callQueue          // to workers
-	unsent     int                // calls that failed locally since that was logged
-	nextUnsent time.Duration      // when it may be logged again
-	saving     bool               // pressures are being committed
+	callers    *callers
+	unsent     int           // calls that failed locally since that was logged
+	nextUnsent time.Duration // when it may be logged again
+	saving     bool          // pressures are being committed
 	nextSave   time.Duration
 }
 
@@ -104,7 +105,7 @@
 	return &Controller{
 		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), box: make(chan func(), boxSize), done: make(chan struct{}),
 		pressure: placement.NewPressure(), calls: callQueue{limit: o.Limits.Calls},
-		uses: make(map[string]float64),
+		uses: make(map[string]float64), callers: newCallers(),
 	}
 }
 
@@ -112,6 +113,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	c.ctx = ctx
 	defer close(c.done)
+	defer c.callers.close() // the loop alone runs calls
 	ticker := c.opts.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -273,8 +275,10 @@
 	clear(c.touched)
 }
 
-// roundDue reports whether tasks may be placed now.
-func (c *Controller) roundDue() bool { return c.dirty && !c.journal.full() && c.now() >= c.nextRound }
+// roundDue reports whether tasks are placed now. Starts that are placed while
+// an entry is being committed would wait for the next one all the same, so one
+// round serves each entry.
+func (c *Controller) roundDue() bool { return c.dirty && !c.journal.inFlight && c.now() >= c.nextRound }
 
 // sync opens workflows that are new and closes those that have ended.
 func (c *Controller) sync(s *state.State) {
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -31,6 +31,14 @@
 	idleObserved bool
 }
 
+func newPool(workers int) *pool {
+	return &pool{
+		sessions: make([]*session, 0, workers), rooms: make([]*placement.PoolRoom, 0, workers),
+		tight: make(map[roomClass]state.Resources), held: make(map[int]bool), keptFor: make(map[int]bool),
+		shares: make(map[int]*placement.Share),
+	}
+}
+
 // roomClass is what decides about the room of a task besides its size.
 type roomClass struct {
 	kind     taskKind
@@ -191,17 +199,30 @@
 func (c *Controller) pools(now time.Duration) map[string]*pool {
 	s := c.opts.Log.State()
 	all := make(map[string]*pool)
+	evacuated := make(map[string]bool)
+	var p *pool // of the worker before
+	name := ""
 	for _, w := range c.sortedSessions() {
-		if !w.usable(c, now) || s.ZoneEvacuated(w.worker.Zone) {
+		if !w.usable(c, now) {
+			continue
+		}
+		out, known := evacuated[w.worker.Zone]
+		if !known {
+			out = s.ZoneEvacuated(w.worker.Zone)
+			evacuated[w.worker.Zone] = out
+		}
+		if out {
 			continue
 		}
 		if !w.roomKnown {
 			c.updateRoom(w)
 		}
-		p := all[w.worker.Pool]
-		if p == nil {
-			p = &pool{tight: make(map[roomClass]state.Resources), held: make(map[int]bool), keptFor: make(map[int]bool), shares: make(map[int]*placement.Share)}
-			all[w.worker.Pool] = p
+		if p == nil || name != w.worker.Pool {
+			name = w.worker.Pool
+			if p = all[name]; p == nil {
+				p = newPool(len(c.sorted))
+				all[name] = p
+			}
 		}
 		p.sessions = append(p.sessions, w)
 		p.rooms = append(p.rooms, &w.room)
