state, fleet: refuse submissions whose numbers overflow

A submission with steps of 2^62, 2^62, 2^62, 2^62 and 5 tasks counted as one of 5: it passed the bound, was replicated, and every instance that applied or read it indexed beyond its tasks and ended, again after each restart. Occurrences, estimates, times and sizes overflowed likewise in the controller.

Counts are now bounded one by one, in the check of the leader and in the state; other numbers have bounds above any use. TestTasksBeyondAnyCountAreRefused and TestNumbersBeyondReasonAreRefused failed before.

--- a/fleet/check.go
+++ b/fleet/check.go
@@ -11,6 +11,11 @@
 	maxSteps        = 256
 	// maxDelayMillis bounds times and intervals of a workflow to a year.
 	maxDelayMillis = 366 * 24 * 60 * 60 * 1000
+	// maxTimeMillis bounds points in time: the end of the year 9999.
+	maxTimeMillis = 253_402_300_799_999
+	// maxAmount bounds what a task asks for of a resource, in its unit, far
+	// above any worker: sums over all tasks of a workflow don't overflow.
+	maxAmount = 1 << 30
 )
 
 // CheckWorkflow returns why a workflow can't be accepted, or nil.
@@ -20,7 +25,8 @@
 		return fmt.Errorf("payload has %d bytes, more than %d", len(w.Payload), maxPayloadBytes)
 	case len(w.Steps) == 0 || len(w.Steps) > maxSteps:
 		return fmt.Errorf("a workflow has 1 to %d steps, not %d", maxSteps, len(w.Steps))
-	case w.Occurrences < 0 || w.IntervalMillis < 0 || w.IntervalMillis > maxDelayMillis || w.FirstAtMillis < 0:
+	case w.Occurrences < 0 || w.Occurrences > state.MaxWorkflowTasks || w.IntervalMillis < 0 || w.IntervalMillis > maxDelayMillis ||
+		w.FirstAtMillis < 0 || w.FirstAtMillis > maxTimeMillis:
 		return fmt.Errorf("schedule of %d occurrences every %d ms from %d is not valid",
 			w.Occurrences, w.IntervalMillis, w.FirstAtMillis)
 	}
@@ -35,10 +41,14 @@
 func checkStep(w *state.WorkflowSpec, i int) error {
 	s := &w.Steps[i]
 	switch {
-	case s.Count <= 0:
-		return fmt.Errorf("count %d is not positive", s.Count)
+	case s.Count <= 0 || s.Count > state.MaxWorkflowTasks:
+		return fmt.Errorf("count %d is not 1 to %d", s.Count, state.MaxWorkflowTasks)
 	case !s.Size.Valid():
 		return fmt.Errorf("size %s is negative", s.Size)
+	case !s.Size.Fits(state.Resources{MilliCPU: maxAmount, MemoryMiB: maxAmount, Accelerators: maxAmount}):
+		return fmt.Errorf("size %s is larger than any worker", s.Size)
+	case s.EstimateMillis > maxDelayMillis || s.TailMillis > maxDelayMillis:
+		return fmt.Errorf("estimate or target is longer than a year")
 	case s.EstimateMillis < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.TailMillis < 0:
 		return fmt.Errorf("estimate, limits and target must not be negative")
 	}
--- /dev/null
+++ b/fleet/service_test.go
@@ -0,0 +1,47 @@
+package fleet_test
+
+import (
+	"math"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/fleet"
+	"apricotrouter/state"
+)
+
+// Guards against a call of a peer that lacks what its operation needs, and
+// that ends the process of the leader: each gets an answer, and work goes on.
+func TestCallsWithoutABodyAreRefused(t *testing.T) {
+	h := newHarness(t)
+	for op := range fleet.Op(200) {
+		outcome := h.call(&fleet.Request{Op: op}).Outcome
+		h.Expect(outcome).NotTo(BeZero(), op)
+	}
+	h.Expect(h.call(&fleet.Request{Op: fleet.OpWorkerLeft}).Outcome).To(Equal(fleet.Invalid))
+	h.Expect(h.call(&fleet.Request{Op: fleet.OpHeartbeat, Beat: &fleet.Heartbeat{}}).Outcome).To(Equal(fleet.Invalid))
+	h.Expect(h.submit(step(1))).To(Equal(fleet.Done))
+}
+
+// Guards against numbers of a submission that overflow in the controller, which
+// counts work, objectives and times.
+func TestNumbersBeyondReasonAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	valid := func(mod func(*state.WorkflowSpec)) error {
+		w := &state.WorkflowSpec{Steps: []state.WorkflowStep{{Count: 1, Size: state.Resources{MilliCPU: 1}, EstimateMillis: 1}}}
+		mod(w)
+		return fleet.CheckWorkflow(w)
+	}
+	g.Expect(valid(func(*state.WorkflowSpec) {})).To(Succeed())
+	for name, mod := range map[string]func(*state.WorkflowSpec){
+		"count":       func(w *state.WorkflowSpec) { w.Steps[0].Count = math.MaxInt },
+		"estimate":    func(w *state.WorkflowSpec) { w.Steps[0].EstimateMillis = math.MaxInt64 },
+		"processors":  func(w *state.WorkflowSpec) { w.Steps[0].Size.MilliCPU = math.MaxInt64 },
+		"memory":      func(w *state.WorkflowSpec) { w.Steps[0].Size.MemoryMiB = math.MaxInt64 },
+		"tail":        func(w *state.WorkflowSpec) { w.Steps[0].TailMillis = math.MaxInt64 },
+		"first time":  func(w *state.WorkflowSpec) { w.Occurrences, w.FirstAtMillis = 2, math.MaxInt64 },
+		"occurrences": func(w *state.WorkflowSpec) { w.Occurrences = math.MaxInt },
+	} {
+		g.Expect(valid(mod)).NotTo(Succeed(), name)
+	}
+}
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -10,8 +10,8 @@
 	// the time for which clients ask for the state of a workflow and the time
 	// in which a late copy of a submission may arrive.
 	workflowRetentionMillis = 10 * 60 * 1000
-	// maxWorkflowTasks bounds the tasks of one workflow over all occurrences.
-	maxWorkflowTasks = 1 << 16
+	// MaxWorkflowTasks bounds the tasks of one workflow over all occurrences.
+	MaxWorkflowTasks = 1 << 16
 )
 
 // setQueues takes a configuration with a higher version than the current one.
@@ -61,9 +61,9 @@
 	if _, ok := tx.workflows.get(b.Spec.ID); ok {
 		return Result{Code: CodeOK, Object: object}
 	}
-	tasks := b.Spec.Width() * max(1, b.Spec.Occurrences)
-	if tasks <= 0 || tasks > maxWorkflowTasks {
-		return tx.refuse(CodeInvalid, object, "a workflow has 1 to %d tasks, not %d", maxWorkflowTasks, tasks)
+	tasks, ok := b.Spec.taskCount()
+	if !ok {
+		return tx.refuse(CodeInvalid, object, "a workflow has 1 to %d tasks, and none of its steps is empty", MaxWorkflowTasks)
 	}
 	w := &Workflow{Spec: b.Spec, Phase: WorkflowQueued, SubmittedAt: tx.now, Tasks: make([]WorkflowTask, tasks)}
 	tx.workflows.put(b.Spec.ID, w)
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -122,6 +122,25 @@
 	return n
 }
 
+// taskCount returns the number of tasks over all occurrences, if it is within
+// MaxWorkflowTasks. Each count is checked by itself, as their sum may overflow.
+func (s *WorkflowSpec) taskCount() (n int, ok bool) {
+	if s.Occurrences < 0 || s.Occurrences > MaxWorkflowTasks {
+		return 0, false
+	}
+	for i := range s.Steps {
+		count := s.Steps[i].Count
+		if count <= 0 || count > MaxWorkflowTasks {
+			return 0, false
+		}
+		if n += count; n > MaxWorkflowTasks {
+			return 0, false
+		}
+	}
+	n *= max(1, s.Occurrences)
+	return n, n > 0 && n <= MaxWorkflowTasks
+}
+
 // TaskPosition is the place of a task within its workflow.
 type TaskPosition struct {
 	Occurrence, Step, Index int
--- a/state/workflow_test.go
+++ b/state/workflow_test.go
@@ -240,3 +240,24 @@
 	w.Expect(err).NotTo(HaveOccurred())
 	w.Expect(got.Pressures).To(Equal(&saved))
 }
+
+// Guards against a submission whose tasks overflow when they are counted: it
+// passed the bound, and every replica that applied it ended.
+func TestTasksBeyondAnyCountAreRefused(t *testing.T) {
+	w := newWorkflows(t)
+	const quarter = 1 << 62 // of the numbers of an int
+	for name, spec := range map[string]state.WorkflowSpec{
+		"steps that add up to 5":  {Steps: []state.WorkflowStep{{Count: quarter}, {Count: quarter}, {Count: quarter}, {Count: quarter}, {Count: 5}}},
+		"occurrences of 2 to 4":   {Occurrences: quarter + 1, Steps: []state.WorkflowStep{{Count: 4}}},
+		"more than the bound":     {Steps: []state.WorkflowStep{{Count: 1 << 16}, {Count: 1}}},
+		"a step without tasks":    {Steps: []state.WorkflowStep{{Count: 3}, {Count: 0}}},
+		"occurrences below zero":  {Occurrences: -1, Steps: []state.WorkflowStep{{Count: 3}}},
+		"no step":                 {},
+		"counts that cancel out":  {Steps: []state.WorkflowStep{{Count: 5}, {Count: -3}}},
+		"one step of all numbers": {Steps: []state.WorkflowStep{{Count: 1<<63 - 1}}},
+	} {
+		spec.ID = "w"
+		w.Expect(w.apply(state.SubmitWorkflow{Spec: spec}).Code).To(Equal(state.CodeInvalid), name)
+	}
+	w.submit(state.WorkflowStep{Count: 1 << 16})
+}
