fleet: refuse a worker's notice without a worker

A call of a peer without the report that its operation needs ended the process of the leader (nil pointer in the controller's loop). It is answered as invalid. TestCallsWithoutABodyAreRefused failed before by a panic.

--- a/fleet/service.go
+++ b/fleet/service.go
@@ -73,6 +73,9 @@
 	case OpHeartbeat:
 		return s.heartbeat(ctx, req.Beat)
 	case OpWorkerLeft:
+		if req.Beat == nil || req.Beat.Worker.ID == "" {
+			return &Response{Outcome: Invalid, Reason: "a notice of a worker names its id"}
+		}
 		s.controller.post(func() {
 			if s.controller.active {
 				s.controller.workerLeft(req.Beat.Worker.ID)
