transport, fleet: a fault in a handler or the controller ends what met it, not the process

A panic in the handler of a peer's message ended the whole process, and so did one in the controller's loop, for all workflows. The controller starts anew from the replicated state under a higher fence, as after a change of leader (event 806, a counter); after more than three faults in 10 s the process stops. Replica and log still end the process: their memory may be damaged, and it comes back by the log.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -12,6 +12,8 @@
 		"leader holds the workers", "This instance leads and looks at every known worker under its own fence. Nothing to do.")
 	FleetGaveUp = define(804, "fleet-gave-up", slog.LevelInfo,
 		"leader no longer holds the workers", "Another instance leads, or a commit has an unknown outcome and the state is read again. Nothing to do.")
+	FleetLoopFailed = define(806, "fleet-loop-failed", slog.LevelError,
+		"the controller of workflows failed and starts anew", "A fault of this program. The controller has read the replicated state again under a higher fence, so that runs go on. If it repeats within seconds the process stops and another instance leads. Report it with the stack.")
 	FleetCall = define(805, "fleet-call", slog.LevelInfo,
 		"answered a call", "The outcome of a client's or operator's call, with its id, on the instance that took it.")
 	WorkflowAccepted = define(811, "workflow-accepted", slog.LevelInfo,
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
+	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -88,6 +91,7 @@
 	starts     roundTrip          // of starts
 	calls      callQueue          // to workers
 	callers    *callers
+	failures   recentFailures
 	unsent     int           // calls that failed locally since that was logged
 	nextUnsent time.Duration // when it may be logged again
 	saving     bool          // pressures are being committed
@@ -117,20 +121,70 @@
 	ticker := c.opts.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		changed := c.opts.Log.Changed()
-		c.followLeadership()
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case f := <-c.box:
-			f()
-			c.drainBox()
-		case <-ticker.Chan():
-			c.tick()
-		case <-changed:
+		if err := c.step(ctx, ticker.Chan()); err != nil {
+			return err
+		}
+	}
+}
+
+// step waits for one event and does what follows from it. A panic ends what the
+// controller holds in memory, and it takes over from the replicated state like
+// a new leader.
+func (c *Controller) step(ctx context.Context, tick <-chan time.Time) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = c.failed(v)
 		}
-		c.work()
+	}()
+	changed := c.opts.Log.Changed()
+	c.followLeadership()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case f := <-c.box:
+		f()
+		c.drainBox()
+	case <-tick:
+		c.tick()
+	case <-changed:
+	}
+	c.work()
+	return nil
+}
+
+const (
+	// maxFailures is how often the loop may fail within failureSpan before the
+	// process stops: a fault that comes back with the state needs another leader.
+	maxFailures = 3
+	failureSpan = 10 * time.Second
+)
+
+// errFailing ends a controller that fails again and again.
+var errFailing = errors.New("the controller of workflows fails again and again")
+
+// failed restarts the controller after a panic.
+func (c *Controller) failed(cause any) error {
+	now := c.now()
+	c.metrics.panics.Inc()
+	event.Log(c.opts.Logger, event.FleetLoopFailed, slog.Uint64("fence", c.fence), slog.Int("failures", c.failures.count(now)),
+		slog.Any("cause", cause), slog.String("stack", string(debug.Stack())))
+	if c.failures.count(now) > maxFailures {
+		return errFailing
+	}
+	c.deactivate("the loop failed")
+	return nil
+}
+
+// recentFailures are the times of the failures within failureSpan.
+type recentFailures []time.Duration
+
+// count adds a failure once for each time and returns how many there were.
+func (f *recentFailures) count(now time.Duration) int {
+	*f = slices.DeleteFunc(*f, func(at time.Duration) bool { return now-at > failureSpan })
+	if n := len(*f); n == 0 || (*f)[n-1] != now {
+		*f = append(*f, now)
 	}
+	return len(*f)
 }
 
 // drainBox runs what has arrived meanwhile, so that it is worked on together.
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -11,6 +11,7 @@
 	looks    prometheus.Counter
 	unsent   prometheus.Counter
 	inFlight prometheus.Gauge
+	panics   prometheus.Counter
 	start    prometheus.Histogram
 	commit   prometheus.Histogram
 	refusals *prometheus.CounterVec
@@ -32,6 +33,9 @@
 		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "apricotrouter_fleet_calls_in_flight", Help: "Calls to workers that have not been answered.",
 		}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_loop_failures_total", Help: "Faults of the controller's loop after which it started anew.",
+		}),
 		start: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "apricotrouter_fleet_start_seconds", Help: "Time until a worker answered a start.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
@@ -61,7 +65,7 @@
 		}, []string{"pool", "kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.looks, m.unsent, m.inFlight, m.start, m.commit, m.refusals, m.took, m.calls, m.late, m.room, m.waiting)
+		r.MustRegister(m.looks, m.unsent, m.inFlight, m.panics, m.start, m.commit, m.refusals, m.took, m.calls, m.late, m.room, m.waiting)
 	}
 	return m
 }
--- a/transport/mesh.go
+++ b/transport/mesh.go
@@ -78,6 +78,9 @@
 		client:  &http.Client{Transport: &http.Transport{TLSClientConfig: opts.TLS, DialContext: opts.Dial, DisableKeepAlives: true}},
 		metrics: newMetrics(opts.Registerer),
 	}
+	if opts.Mux != nil {
+		opts.Mux.logTo(opts.Logger)
+	}
 	return m
 }
 
--- a/transport/mesh_test.go
+++ b/transport/mesh_test.go
@@ -242,3 +242,24 @@
 		return ma.conns[b] != nil || ma.demand[b] != nil
 	}, 5*time.Second, "50ms").Should(BeFalse())
 }
+
+// Guards against a message that ends the process: the fault is the answer, and
+// the connection serves the next call.
+func TestHandlerThatPanicsEndsItsCallAlone(t *testing.T) {
+	g := NewWithT(t)
+	la, a := listener(t)
+	lb, b := listener(t)
+	addrs := map[string]string{"a": a, "b": b}
+	mux := echoMux()
+	OnCall(mux, KindPropose, func(context.Context, string, *echo) (*echo, error) { panic("a fault") })
+	OnNotice(mux, KindFleet, func(string, *echo) { panic("another fault") })
+	startMesh(t, "b", lb, addrs, mux)
+	m := startMesh(t, "a", la, addrs, echoMux())
+	var resp echo
+	call := func(kind Kind) error { return m.Call(t.Context(), "b", kind, &echo{Text: "x"}, &resp) }
+	g.Eventually(func() error { return call(KindFormation) }, "5s", "10ms").Should(Succeed())
+	g.Expect(call(KindPropose)).To(MatchError(ContainSubstring("a fault")))
+	g.Expect(m.Notify("b", KindFleet, &echo{})).To(Succeed())
+	g.Expect(call(KindFormation)).To(Succeed())
+	g.Expect(resp.Text).To(Equal("a:x"))
+}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -7,10 +7,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
+	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"apricotrouter/event"
 )
 
 // Version is the protocol version named in the handshake. Instances with
@@ -100,6 +104,7 @@
 type Mux struct {
 	mu       sync.RWMutex
 	handlers map[Kind]handler
+	logger   *slog.Logger // of the mesh that uses it
 }
 
 // NewMux returns an empty Mux.
@@ -132,17 +137,33 @@
 	})
 }
 
+// logTo lets the mux log to the logger of its mesh.
+func (m *Mux) logTo(logger *slog.Logger) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.logger = logger
+}
+
 func (m *Mux) set(kind Kind, h handler) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.handlers[kind] = h
 }
 
-// dispatch runs the handler of kind.
-func (m *Mux) dispatch(ctx context.Context, from string, kind Kind, body []byte) (any, error) {
+// dispatch runs the handler of kind. A handler that panics ends its own message
+// alone: handlers keep no state of their own between messages, and what they
+// pass on is decided in the loops of its owners.
+func (m *Mux) dispatch(ctx context.Context, from string, kind Kind, body []byte) (out any, err error) {
 	m.mu.RLock()
-	h := m.handlers[kind]
+	h, logger := m.handlers[kind], m.logger
 	m.mu.RUnlock()
+	defer func() {
+		if v := recover(); v != nil {
+			out, err = nil, fmt.Errorf("handler of messages of kind %d failed: %v", kind, v)
+			event.Log(logger, event.PeerHandlerFailed, slog.String("peer", from), slog.Int("kind", int(kind)),
+				slog.Any("cause", v), slog.String("stack", string(debug.Stack())))
+		}
+	}()
 	if h == nil {
 		return nil, fmt.Errorf("no handler for messages of kind %d", kind)
 	}
