state, fleet: a worker that left or drains is not used again

The state keeps lives that left after a drain for 10 minutes and lets a drain end with its life only. A notice counts once the worker has no runs or no longer answers. A departure that could not be committed is logged (838).

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -52,6 +52,10 @@
 		"worker is not used for a while", "It failed or refused several tasks that others could run. Check the worker.")
 	WorkerCallNotSent = define(836, "worker-call-not-sent", slog.LevelWarn,
 		"calls to workers fail on this instance", "The calls were never sent, for want of descriptors, memory or ports here. Nothing is held against the workers. Compare the open connections with their limit in the metrics.")
+	WorkerLeaves = define(837, "worker-leaves", slog.LevelInfo,
+		"worker says that it leaves", "Its runs are given up once it no longer answers. Nothing to do.")
+	WorkerGoneNotSaved = define(838, "worker-gone-not-saved", slog.LevelWarn,
+		"could not commit that a worker is gone", "Nothing is placed there. A later leader finds that it does not answer. If it repeats, check that the control group has a leader.")
 	QueuesChanged = define(841, "queues-changed", slog.LevelInfo,
 		"configuration of queues changed", "A newer version is in force. Nothing to do.")
 	ZoneEvacuation = define(842, "zone-evacuation", slog.LevelInfo,
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -19,6 +19,10 @@
 		c.beatOfKnown(s, b, reply)
 		return
 	}
+	if c.opts.Log.State().HasDeparted(&b.Worker) {
+		reply(Done) // a late report of a life that has left
+		return
+	}
 	var gone []state.PoolWorker
 	for _, old := range c.sessions {
 		if old.worker.ID != b.Worker.ID && old.worker.Address != b.Worker.Address || old.worker.Address == "" {
@@ -109,6 +113,10 @@
 		reply(Done)
 		return
 	}
+	if s.worker.Draining && !b.Worker.Draining && b.Worker.Born != 0 {
+		reply(Done) // it was sent before the drain, which nothing takes back
+		return
+	}
 	now := c.now()
 	s.sequence, s.lastBeat = b.Sequence, now
 	if s.clockAt == 0 {
@@ -121,11 +129,12 @@
 		reply(Done)
 		return
 	}
-	s.worker.Draining = s.worker.Draining || b.Worker.Draining
+	drained := s.worker.Draining
+	s.worker.Draining = drained || b.Worker.Draining
 	c.dirty = true
 	c.change(state.SetPoolWorkers{Workers: []state.PoolWorker{b.Worker}}, func(err error) {
 		if err != nil {
-			s.worker.Draining = false // the next report commits it again
+			s.worker.Draining = drained // the next report commits it again
 			reply(Unknown)
 			return
 		}
@@ -141,14 +150,18 @@
 		a.Zone == b.Zone
 }
 
-// workerLeft takes a worker's notice that it ends. A notice of a life that did
-// not drain is late or of another life, and the lease decides.
+// workerLeft takes a worker's notice that it ends. It names no life: a notice
+// of one that did not drain, or that answers later, is of another life, and the
+// lease decides.
 func (c *Controller) workerLeft(id string) {
 	s := c.sessions[id]
 	if s == nil || !s.worker.Draining || s.leaveAt != 0 {
 		return
 	}
-	s.leaveAt = c.now() + leaveDelay
+	s.leftAt = c.now()
+	s.leaveAt = s.leftAt + leaveDelay
+	event.Log(c.opts.Logger, event.WorkerLeaves, slog.String("worker", id), slog.Int64("born", s.worker.Born),
+		slog.Int("runs", len(s.attempts)))
 }
 
 // failureWindow counts the failed runs of a worker since its last good one.
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -79,6 +79,7 @@
 	sequence  uint64 // of the last heartbeat
 	lastBeat  time.Duration
 	drainEnd  time.Duration // when a draining worker may end
+	leftAt    time.Duration // when it said that it leaves
 	leaveAt   time.Duration // when a worker that left is given up; 0 if it did not
 	fullUntil time.Duration
 	// pauseUntil keeps tasks off a worker for another reason than room.
@@ -413,7 +414,7 @@
 	case s.gone:
 		return
 	case s.leaveAt != 0 && now >= s.leaveAt:
-		c.loseSession(s, "it left")
+		c.leave(s)
 		return
 	case s.silent && now >= s.leaseEnd:
 		c.leaseEnded(s, now)
@@ -429,6 +430,18 @@
 	c.drain(s, now)
 }
 
+// leave gives up a worker that said that it leaves, once it has no runs or no
+// longer answers. One that answered a later look has not left.
+func (c *Controller) leave(s *session) {
+	switch {
+	case len(s.attempts) == 0 || s.silent:
+		c.loseSession(s, "it left")
+	case s.lastLook > s.leftAt:
+		s.leaveAt = 0
+		event.Log(c.opts.Logger, event.WorkerAnswers, slog.String("worker", s.worker.ID), slog.String("reason", "the notice was of an earlier life"))
+	}
+}
+
 // leaseEnded gives up the runs of a worker that was silent for a whole lease.
 func (c *Controller) leaseEnded(s *session, now time.Duration) {
 	c.voidAll(s, "the worker's lease ended")
@@ -483,7 +496,12 @@
 	c.dirty = true
 	event.Log(c.opts.Logger, event.WorkerGone, slog.String("worker", s.worker.ID), slog.Int64("born", s.worker.Born),
 		slog.String("reason", reason))
-	c.change(state.SetPoolWorkers{Gone: []state.PoolWorker{s.worker}}, func(error) {})
+	c.change(state.SetPoolWorkers{Gone: []state.PoolWorker{s.worker}}, func(err error) {
+		if err != nil {
+			// A later leader finds it in the state, and that it doesn't answer.
+			event.Log(c.opts.Logger, event.WorkerGoneNotSaved, slog.String("worker", s.worker.ID), slog.Any("error", err))
+		}
+	})
 }
 
 // change commits a change beside the journal and reports to the loop.
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -10,6 +10,9 @@
 	// the time for which clients ask for the state of a workflow and the time
 	// in which a late copy of a submission may arrive.
 	workflowRetentionMillis = 10 * 60 * 1000
+	// departedRetention is how long lives of workers that left are remembered, in
+	// milliseconds: much longer than a report may be on its way.
+	departedRetention = 10 * 60 * 1000
 	// MaxWorkflowTasks bounds the tasks of one workflow over all occurrences.
 	MaxWorkflowTasks = 1 << 16
 )
@@ -41,15 +44,27 @@
 }
 
 func (tx *txn) setPoolWorkers(b *SetPoolWorkers) Result {
+	for id, d := range tx.Departed.All() {
+		if tx.now-d.At > departedRetention {
+			tx.Departed = tx.Departed.Delete(id)
+		}
+	}
 	for _, w := range b.Gone {
-		if old, ok := tx.PoolWorkers.Get(w.ID); ok && old.Born == w.Born {
-			tx.PoolWorkers = tx.PoolWorkers.Delete(w.ID)
+		old, ok := tx.PoolWorkers.Get(w.ID)
+		if !ok || old.Born != w.Born {
+			continue
+		}
+		tx.PoolWorkers = tx.PoolWorkers.Delete(w.ID)
+		if old.Draining && old.Born != 0 {
+			tx.Departed = tx.Departed.Put(w.ID, &DepartedWorker{ID: w.ID, Born: w.Born, At: tx.now})
 		}
 	}
 	for i := range b.Workers {
 		w := &b.Workers[i]
-		if old, ok := tx.PoolWorkers.Get(w.ID); ok && old.Born > w.Born {
+		if old, ok := tx.PoolWorkers.Get(w.ID); ok && old.Born > w.Born || tx.HasDeparted(w) {
 			continue
+		} else if ok && old.Born == w.Born && w.Born != 0 {
+			w.Draining = w.Draining || old.Draining
 		}
 		tx.PoolWorkers = tx.PoolWorkers.Put(w.ID, w)
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -26,7 +26,8 @@
 	Queues      *QueueConfig // nil before the first configuration
 	Workflows   Table[*Workflow]
 	PoolWorkers Table[*PoolWorker]
-	Evacuated   Table[string] // availability zones that workflows must not use
+	Departed    Table[*DepartedWorker] // lives of pool workers that ended after a drain
+	Evacuated   Table[string]          // availability zones that workflows must not use
 	// Pressures are the last saved estimates, for the next leader; nil if none.
 	Pressures *SetPressures
 
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -283,7 +283,23 @@
 	Starts []TaskStart `cbor:"2,keyasint,omitempty"`
 }
 
-// SetPoolWorkers makes lives of workers known and forgets others.
+// DepartedWorker is a life of a worker that drained and ended. Reports of it
+// that arrive later don't bring it back.
+type DepartedWorker struct {
+	ID   string `cbor:"1,keyasint"`
+	Born int64  `cbor:"2,keyasint"` // Unix milliseconds
+	At   int64  `cbor:"3,keyasint"` // when it was forgotten, Unix milliseconds
+}
+
+// HasDeparted reports whether the life of the worker, or a later one, has ended
+// after a drain.
+func (s *State) HasDeparted(w *PoolWorker) bool {
+	d, ok := s.Departed.Get(w.ID)
+	return ok && w.Born != 0 && w.Born <= d.Born
+}
+
+// SetPoolWorkers makes lives of workers known and forgets others. A life that
+// drains does so until its end.
 type SetPoolWorkers struct {
 	Workers []PoolWorker `cbor:"1,keyasint,omitempty"`
 	Gone    []PoolWorker `cbor:"2,keyasint,omitempty"` // only ID and Born count
--- a/state/workflow_test.go
+++ b/state/workflow_test.go
@@ -261,3 +261,32 @@
 	}
 	w.submit(state.WorkflowStep{Count: 1 << 16})
 }
+
+// Guards against a life of a worker that is back after it left, or that no
+// longer drains, since a report from before was delayed; also from a snapshot.
+func TestLifeThatLeftStaysAway(t *testing.T) {
+	w := newWorkflows(t)
+	report := func(born int64, draining bool) {
+		w.apply(state.SetPoolWorkers{Workers: []state.PoolWorker{{ID: "a", Born: born, Draining: draining}}})
+	}
+	known := func() *state.PoolWorker {
+		one, _ := w.s.PoolWorkers.Get("a")
+		return one
+	}
+	report(5, true)
+	report(5, false)
+	w.Expect(known().Draining).To(BeTrue())
+	w.apply(state.SetPoolWorkers{Gone: []state.PoolWorker{{ID: "a", Born: 5}}})
+	data, err := w.s.EncodeSnapshot()
+	w.Expect(err).NotTo(HaveOccurred())
+	w.s, err = state.DecodeSnapshot(data)
+	w.Expect(err).NotTo(HaveOccurred())
+	report(5, false)
+	w.Expect(known()).To(BeNil())
+	report(6, false)
+	w.Expect(known().Draining).To(BeFalse())
+	// One that did not drain may come back: it was only silent.
+	w.apply(state.SetPoolWorkers{Gone: []state.PoolWorker{{ID: "a", Born: 6}}})
+	report(6, false)
+	w.Expect(known()).NotTo(BeNil())
+}
