fleet: the starts of a step go into the entry of the ends that it waits for

Each step of a workflow cost two commits between the end of its last task and its start (one for the end, one for the start), some 25 ms each over zones, of objectives that leave short jobs 0.6 s to 1.1 s. If the state takes another end than expected the controller starts anew. Gangs and serving tasks are left as they were.

TestDependentStepStartsWithTheEntryOfItsEnds failed before (4 entries for 2 steps, now 3). All tests of fleet pass with the race detector.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -199,6 +199,12 @@
 		c.avoid(a)
 	case state.OutcomeDone:
 		a.task.flow.noteDuration(a, c.now())
+		if !a.task.step.Gang && !a.task.step.LongRunning && a.task.attempt == a {
+			// The entry that records the end precedes or holds the starts that
+			// depend on it.
+			a.task.ending = true
+			c.finish(a.task)
+		}
 	}
 	c.journal.ends = append(c.journal.ends, state.TaskEnd{
 		Workflow: a.run.Workflow, Task: a.run.Task, Run: a.run.Number, Outcome: outcome, Checkpoint: checkpoint,
--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -26,7 +26,7 @@
 	})
 	faults.Store(1)
 	a := h.worker("a", pool.Options{Work: slowly})
-	h.Expect(h.submit(step(2), step(2, func(s *state.WorkflowStep) { s.DependsOn = []int{0} }))).To(Equal(fleet.Done))
+	h.Expect(h.submit(step(2), step(2, afterFirst))).To(Equal(fleet.Done))
 	b := pool.New(pool.Options{ID: "b", Born: 1, Work: slowly, HoldMax: holdMax})
 	h.mu.Lock()
 	h.workers[address("b", 1)] = b
--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -49,6 +49,7 @@
 	failures   int
 	checkpoint string
 	attempt    *attempt
+	ending     bool // its end is being committed; it counts as done
 	avoid      map[string]bool // workers on which a run failed
 	readyAt    time.Duration
 	moves      int // how often it was moved because it was slow
@@ -89,6 +90,9 @@
 // refresh takes over what the replicated state says of a task.
 func (c *Controller) refresh(t *task, r *state.WorkflowTask) {
 	t.run, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	if t.ending {
+		return // an earlier entry than that of its end
+	}
 	switch r.Phase {
 	case state.TaskDone:
 		c.finish(t)
--- a/fleet/journal.go
+++ b/fleet/journal.go
@@ -69,8 +69,11 @@
 		return
 	}
 	s := c.opts.Log.State()
+	generation := c.generation
 	for _, e := range batch.ends {
-		c.endCommitted(s, e)
+		if c.endCommitted(s, e); c.generation != generation {
+			return // it started anew; starts that were not sent are found missing
+		}
 	}
 	for _, r := range batch.starts {
 		c.startCommitted(s, r)
@@ -92,6 +95,13 @@
 		c.closeFlow(f, w)
 		return
 	}
+	if t := f.tasks[e.Task]; t.ending && e.Run >= t.run {
+		t.ending = false
+		if w.Tasks[e.Task].Phase != state.TaskDone {
+			c.restart("the state took another end than was expected")
+			return
+		}
+	}
 	p := f.spec.Position(e.Task)
 	first, count := e.Task, 1
 	if f.spec.Steps[p.Step].Gang {
