fleet: don't collect the rooms of workers when no task waits

A round follows each entry of ends, most of which let no task wait for room. Collecting 890 rooms was 0.61 s of 0.93 s of the rounds in a profile of BenchmarkStarts at 890 workers.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -111,6 +111,9 @@
 func (c *Controller) schedule() {
 	now := c.now()
 	waiting := c.waitingJobs()
+	if len(waiting) == 0 && now < c.nextReport {
+		return
+	}
 	pools := c.pools(now)
 	defer c.reportRoom(pools)
 	if len(waiting) == 0 {
