placement: batch tasks that reserve go where they leave least free

Small tasks went to the workers with the most processors free, which broke up the whole workers that serving tasks leave to batch tasks.

Tasks that reserve now go where they leave least free.

The row of TestChooseRoom on the least loaded worker named that policy: it is replaced by the new one and by the same row for tasks on leftover processors; three rows that the new policy would meet by accident have their rooms exchanged.

--- a/placement/pool.go
+++ b/placement/pool.go
@@ -57,8 +57,10 @@
 
 // ChooseRoom returns the index of the best room for a task, or -1. It answers
 // a mixed load of serving tasks, tasks that reserve processors and tasks that
-// use leftover ones: work is spread by load, so that the loss of a worker
-// costs little, and tasks on leftover processors keep away from serving tasks.
+// use leftover ones. Tasks that reserve go where they leave least free: the
+// pieces beside serving tasks serve the small ones, and the large ones, which
+// fit nowhere else, find whole workers. Tasks on leftover processors are spread
+// by load and keep away from serving tasks.
 func ChooseRoom(rooms []*PoolRoom, t PoolTask) int {
 	best, bestScore := -1, 0.0
 	by := t.pressures()
@@ -212,7 +214,7 @@
 	if s.Leftover {
 		score += share(r.Capacity.MilliCPU-r.IdleCPU+s.Size.MilliCPU, r.Capacity.MilliCPU)
 	} else {
-		score += share(r.Capacity.MilliCPU-r.Free.MilliCPU+s.Size.MilliCPU, r.Capacity.MilliCPU)
+		score += share(r.Free.MilliCPU-s.Size.MilliCPU, r.Capacity.MilliCPU)
 	}
 	if len(r.Servers) == 0 && !serves(s) {
 		score += clearWeight
--- a/placement/pressure_test.go
+++ b/placement/pressure_test.go
@@ -203,7 +203,8 @@
 		excluded func(int) bool
 		want     int
 	}{
-		"the least loaded":              {[]*placement.PoolRoom{room(10000), room(50000)}, state.WorkflowStep{Size: size}, nil, 1},
+		"where it leaves least free":    {[]*placement.PoolRoom{room(50000), room(10000)}, state.WorkflowStep{Size: size}, nil, 1},
+		"leftover on the least loaded":  {[]*placement.PoolRoom{room(10000), room(50000)}, state.WorkflowStep{Size: size, Leftover: true}, nil, 1},
 		"no room":                       {[]*placement.PoolRoom{room(7000)}, state.WorkflowStep{Size: size}, nil, -1},
 		"leftover needs no reservation": {[]*placement.PoolRoom{room(7000)}, state.WorkflowStep{Size: size, Leftover: true}, nil, 0},
 		"leftover waits for idle processors": {
@@ -211,9 +212,9 @@
 			state.WorkflowStep{Size: size, Leftover: true},
 			nil, -1,
 		},
-		"label":    {[]*placement.PoolRoom{room(60000), room(20000, labelled("gpu"))}, state.WorkflowStep{Size: size, Label: "gpu"}, nil, 1},
-		"data":     {[]*placement.PoolRoom{room(60000), room(20000, labelled("a", "r1"))}, state.WorkflowStep{Size: size, DataRack: "r1"}, nil, 1},
-		"excluded": {[]*placement.PoolRoom{room(60000), room(20000)}, state.WorkflowStep{Size: size}, func(i int) bool { return i == 0 }, 1},
+		"label":    {[]*placement.PoolRoom{room(20000), room(60000, labelled("gpu"))}, state.WorkflowStep{Size: size, Label: "gpu"}, nil, 1},
+		"data":     {[]*placement.PoolRoom{room(20000), room(60000, labelled("a", "r1"))}, state.WorkflowStep{Size: size, DataRack: "r1"}, nil, 1},
+		"excluded": {[]*placement.PoolRoom{room(20000), room(60000)}, state.WorkflowStep{Size: size}, func(i int) bool { return i == 0 }, 1},
 		"the fullest for a serving task": {
 			[]*placement.PoolRoom{room(60000), room(20000, serving("y", 1))},
 			state.WorkflowStep{Size: size, Image: "y", LongRunning: true, TailMillis: 50},
