--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -49,7 +49,7 @@
 	failures   int
 	checkpoint string
 	attempt    *attempt
-	ending     bool // its end is being committed; it counts as done
+	ending     bool            // its end is being committed; it counts as done
 	avoid      map[string]bool // workers on which a run failed
 	readyAt    time.Duration
 	moves      int // how often it was moved because it was slow
