fleet: log what keeps a serving task off the workers

Event 828 gives processors alone, so memory, the share of batch tasks, workers left out and room that is free for an instant could not be told apart.

Event 829 (serving-task-waits), once a second a pool at most, counts the usable workers by what refuses the serving task that has waited longest, with the share as it is and how many may go beyond it. placement.Refuse is pure. No decision changes.

--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"apricotrouter/event"
+	"apricotrouter/placement"
 	"apricotrouter/state"
 )
 
@@ -40,6 +41,7 @@
 	tasks    int
 	milliCPU int64
 	longest  time.Duration // that one of them has waited
+	task     *task         // which has waited longest
 }
 
 // occupancy is how the processors of a pool's usable workers are used, in
@@ -79,9 +81,44 @@
 				slog.Int64("milli_cpu", d.milliCPU), slog.Int64("longest_ms", d.longest.Milliseconds())))
 		}
 		event.Log(c.opts.Logger, event.PoolRoom, attrs...)
+		c.reportServingWait(name, p, o.waiting[kindServing])
 	}
 }
 
+// reportServingWait logs what keeps the serving task that has waited longest
+// off the workers of its pool.
+func (c *Controller) reportServingWait(name string, p *pool, d demand) {
+	t := d.task
+	if t == nil || !placement.NearlyOverdue(d.longest.Milliseconds()) {
+		return
+	}
+	request, _ := c.poolTask(t, p)
+	share := p.shares[t.flow.spec.Priority]
+	var room, kept int64
+	if share != nil {
+		room, kept = share.Room()
+	}
+	n := placement.Refuse(p.rooms, request, share)
+	event.Log(c.opts.Logger, event.ServingTaskWaits,
+		slog.String("workflow", t.flow.spec.ID), slog.Int("task", t.number), slog.Uint64("run", t.run), slog.String("pool", name),
+		slog.Int64("waited_ms", d.longest.Milliseconds()), slog.Int64("milli_cpu", t.step.Size.MilliCPU), slog.Int64("memory_mib", t.step.Size.MemoryMiB),
+		slog.Int("admitted", n.Admitted), slog.Int("processors", n.Processors), slog.Int("memory", n.Memory), slog.Int("accelerators", n.Accelerators),
+		slog.Int("label", n.Label), slog.Int("excluded", n.Excluded), slog.Int("held", n.Held), slog.Int("share", n.Share),
+		slog.Int64("largest_admitted_milli_cpu", n.LargestAdmitted), slog.Int("unusable", c.unusableWorkers(name, p)),
+		slog.Int("failed_on", len(t.avoid)), slog.Int64("share_room_milli_cpu", room), slog.Int64("share_kept_milli_cpu", kept), slog.Int("idle", p.idle))
+}
+
+// unusableWorkers counts the workers of a pool that are left out of a round.
+func (c *Controller) unusableWorkers(name string, p *pool) int {
+	n := -len(p.sessions)
+	for _, s := range c.sessions {
+		if s.worker.Pool == name {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *pool) occupancy() occupancy {
 	o := occupancy{workers: len(p.sessions), held: len(p.keptFor)}
 	for i, s := range p.sessions {
@@ -115,7 +152,9 @@
 			d := &kinds[kindOf(t.step)]
 			d.tasks++
 			d.milliCPU += t.step.Size.MilliCPU
-			d.longest = max(d.longest, now-t.readyAt)
+			if waited := now - t.readyAt; d.task == nil || waited > d.longest {
+				d.longest, d.task = waited, t
+			}
 		}
 		waiting[f.spec.Pool] = kinds
 	}
--- a/fleet/occupancy_test.go
+++ b/fleet/occupancy_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -61,3 +62,20 @@
 	h.Expect(room).To(HaveKeyWithValue("serving_milli_cpu", 3000.0))
 	h.Expect(room).To(HaveKeyWithValue("largest_free_milli_cpu", 1000.0))
 }
+
+// Guards against logs that don't tell room that is missing from room that is
+// kept for others.
+func TestLogsTellWhatKeepsAServingTaskWaiting(t *testing.T) {
+	var logs logBuffer
+	h := newHarness(t, func(o *fleet.Options) { o.Logger = slog.New(slog.NewJSONHandler(&logs, nil)) })
+	h.worker("a", pool.Options{Work: briefBatch})
+	h.submitAs("a000000000000001", step(4, sized(1500), lasting(10*time.Second)))
+	h.Eventually(func() state.WorkflowPhase { return h.phaseOf("a000000000000001") }, patience).Should(Equal(state.WorkflowCompleted))
+	h.submitAs("0000000000000002", step(4, serving, sized(1000)))
+	h.Eventually(func() any { return logs.last(event.ServingTaskWaits) }, patience).ShouldNot(BeNil())
+	line := logs.last(event.ServingTaskWaits)
+	h.Expect(line).To(HaveKeyWithValue("workflow", "0000000000000002"))
+	h.Expect(line).To(HaveKeyWithValue("share", 1.0), "%v", line)
+	h.Expect(line).To(HaveKeyWithValue("largest_admitted_milli_cpu", BeNumerically(">=", 2000.0)))
+	h.Expect(line).To(HaveKeyWithValue("waited_ms", BeNumerically(">=", 2000.0)))
+}
