fleet: a test of serving tasks that wait beside room kept for batch tasks

What callers saw: LOST, a serving task without a run for 23 s on, and waits up to 22.9 s on, with room for it several times over.

--- a/fleet/share_test.go
+++ b/fleet/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -134,3 +135,31 @@
 	h.Consistently(func() int { return running(a) }, "2s").Should(Equal(1))
 	h.Eventually(func() int { return running(a) }, "4s").Should(Equal(3))
 }
+
+// Guards against serving tasks that wait without a bound for room which batch
+// tasks use for a moment in each burst only.
+func TestServingTasksWaitBoundedTimeForRoomBetweenBursts(t *testing.T) {
+	h := newHarness(t)
+	a := h.worker("a", pool.Options{Work: briefBatch})
+	const interval, bursts = 500 * time.Millisecond, 24
+	burst := func(i int) {
+		// Four tasks that fill the worker for 20 ms, and count as 4 s of it.
+		h.submitAs(fmt.Sprintf("a%015x", i), step(4, sized(1000), lasting(time.Second)))
+	}
+	for i := range 4 {
+		burst(i)
+		time.Sleep(interval)
+	}
+	h.submitAs("0000000000000001", step(1, serving, sized(2000)))
+	since := time.Now()
+	started := func() bool {
+		return slices.ContainsFunc(a.Records(), func(r pool.Record) bool { return r.Position.Workflow == "0000000000000001" })
+	}
+	for i := 4; i < bursts && !started(); i++ {
+		burst(i)
+		time.Sleep(interval)
+	}
+	const lost = 6 * time.Second // from the users' rules
+	h.Expect(started()).To(BeTrue(), "after %s", time.Since(since))
+	h.Expect(time.Since(since)).To(BeNumerically("<", lost+2*interval))
+}
