placement: count places without a loop over tasks of no size

What callers would see: one serving submission that asks for no processors, no memory and a label that no worker has, stops the leader for good, and after it each next one: nothing is placed, reported or answered any more.

Cause: placement.places took the size off a room until it no longer fitted, which never happens for a size of zero. The room is counted once a serving task has waited for 2 s. Found by reading while the share was worked on.

TestServingTaskThatAsksForNothingDoesNotStopTheLeader (two workers, as one is held) on the code before: no answer, stopped by the time-out of 20 s. The count is now a division for each resource, bounded for tasks that ask for next to nothing, and counts rooms that the task may go to only.

--- a/fleet/share.go
+++ b/fleet/share.go
@@ -104,6 +104,6 @@
 		}
 	}
 	if smallest != nil {
-		p.idle = c.askedOf(name).idle.Observe(c.opts.Clock.Now().UnixMilli(), p.rooms, smallest.Size)
+		p.idle = c.askedOf(name).idle.Observe(c.opts.Clock.Now().UnixMilli(), p.rooms, placement.PoolTask{Step: smallest})
 	}
 }
--- a/fleet/share_test.go
+++ b/fleet/share_test.go
@@ -163,3 +163,15 @@
 	h.Expect(started()).To(BeTrue(), "after %s", time.Since(since))
 	h.Expect(time.Since(since)).To(BeNumerically("<", lost+2*interval))
 }
+
+// Guards against a serving task that asks for nothing and fits nowhere, which
+// keeps the leader counting its places.
+func TestServingTaskThatAsksForNothingDoesNotStopTheLeader(t *testing.T) {
+	h := newHarness(t)
+	h.worker("a", pool.Options{Work: briefBatch})
+	h.worker("b", pool.Options{Work: briefBatch})
+	h.submitAs("0000000000000001", step(1, serving, func(s *state.WorkflowStep) { s.Size, s.Label = state.Resources{}, "none" }))
+	time.Sleep(3 * time.Second) // until the room that it may have is counted
+	h.submitAs("a000000000000002", step(1))
+	h.Eventually(func() state.WorkflowPhase { return h.phaseOf("a000000000000002") }, "2s", "10ms").Should(Equal(state.WorkflowCompleted))
+}
--- a/placement/share.go
+++ b/placement/share.go
@@ -111,20 +111,34 @@
 // Take books a serving task before it takes the room.
 func (s *Share) Take(r *PoolRoom, milliCPU int64) { s.room -= s.loss(r, milliCPU) }
 
-// places returns how many tasks of a size the rooms have space for.
-func places(rooms []*PoolRoom, size state.Resources) int {
+// maxPlaces bounds the places that are counted in one room, for tasks that ask
+// for next to nothing.
+const maxPlaces = 1000
+
+// Places returns how many tasks of the size of t there is space for in rooms
+// that t may go to.
+func Places(rooms []*PoolRoom, t PoolTask) int {
 	n := 0
-	for _, r := range rooms {
-		if r == nil {
-			continue
-		}
-		for free := r.Free; size.Fits(free); free = free.Sub(size) {
-			n++
+	for i, r := range rooms {
+		if r != nil && admits(r, t.Step) && (t.Excluded == nil || !t.Excluded(i)) {
+			n += placesIn(r.Free, t.Step.Reserves())
 		}
 	}
 	return n
 }
 
+func placesIn(free, size state.Resources) int {
+	n := int64(maxPlaces)
+	for _, d := range [][2]int64{
+		{free.MilliCPU, size.MilliCPU}, {free.MemoryMiB, size.MemoryMiB}, {free.Accelerators, size.Accelerators},
+	} {
+		if d[1] > 0 {
+			n = min(n, d[0]/d[1])
+		}
+	}
+	return int(n)
+}
+
 // IdleRoom follows how much room batch tasks leave unused while serving tasks
 // wait for it.
 type IdleRoom struct {
@@ -138,11 +152,11 @@
 	places int
 }
 
-// Observe notes the room that is left in a round of placement for tasks of a
-// size, and returns how many of them may have it: as many as had room all the
+// Observe notes the room that is left in a round of placement for tasks that are
+// equal to t, and returns how many of them may have it: as many as had room all the
 // time, but for the last place, which batch tasks may need at once. It answers
 // batch tasks that come in bursts, whose room is idle in between.
-func (r *IdleRoom) Observe(now int64, rooms []*PoolRoom, size state.Resources) int {
+func (r *IdleRoom) Observe(now int64, rooms []*PoolRoom, t PoolTask) int {
 	if now-r.last > idleTime {
 		r.since, r.samples = now, nil
 	}
@@ -153,7 +167,7 @@
 			kept = append(kept, s)
 		}
 	}
-	r.samples = append(kept, sample{now, places(rooms, size)})
+	r.samples = append(kept, sample{now, Places(rooms, t)})
 	if now-r.since < idleTime {
 		return 0
 	}
--- a/placement/share_test.go
+++ b/placement/share_test.go
@@ -153,7 +153,9 @@
 		return &placement.PoolRoom{Capacity: processors(64), Free: processors(n)}
 	}
 	var idle placement.IdleRoom
-	observe := func(now int64, rooms ...*placement.PoolRoom) int { return idle.Observe(now, rooms, processors(13)) }
+	observe := func(now int64, rooms ...*placement.PoolRoom) int {
+		return idle.Observe(now, rooms, placement.PoolTask{Step: &state.WorkflowStep{LongRunning: true, Size: processors(13)}})
+	}
 	g.Expect(observe(10_000, room(60), room(60))).To(BeZero(), "not known for long enough")
 	g.Expect(observe(11_000, room(20), nil, room(26))).To(BeZero())
 	g.Expect(observe(12_000, room(60), room(60))).To(Equal(2), "a burst left room for three")
