fleet: a serving task keeps no worker without the label that it needs

What callers would see: a serving task whose label no worker has keeps the worker with the most free processors from everybody else, for as long as it is open; several such submissions keep several workers, and in a small pool nothing else is placed.

Cause: hold looked at the room alone, not at the label.

TestServingTaskKeepsNoWorkerWithoutItsLabel on the commit before: a batch job beside such a task stays queued for 2 s; now it completes. The rule is placement.AdmitsWithoutBatch, which shares the check of labels with the rest of placement.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -74,7 +74,7 @@
 func (p *pool) hold(t placement.PoolTask) {
 	best := -1
 	for i, r := range p.rooms {
-		if r == nil || p.held[i] || t.Excluded != nil && t.Excluded(i) || !t.Step.Size.Fits(r.Free.Add(r.Batch)) {
+		if r == nil || p.held[i] || t.Excluded != nil && t.Excluded(i) || !placement.AdmitsWithoutBatch(r, t.Step) {
 			continue
 		}
 		if best < 0 || r.Free.MilliCPU > p.rooms[best].Free.MilliCPU {
--- a/fleet/share_test.go
+++ b/fleet/share_test.go
@@ -175,3 +175,14 @@
 	h.submitAs("a000000000000002", step(1))
 	h.Eventually(func() state.WorkflowPhase { return h.phaseOf("a000000000000002") }, "2s", "10ms").Should(Equal(state.WorkflowCompleted))
 }
+
+// Guards against a serving task that keeps others off a worker without the
+// label that it needs.
+func TestServingTaskKeepsNoWorkerWithoutItsLabel(t *testing.T) {
+	h := newHarness(t)
+	h.worker("a", pool.Options{Work: briefBatch})
+	h.submitAs("0000000000000001", step(1, serving, func(s *state.WorkflowStep) { s.Label = "none" }))
+	time.Sleep(1500 * time.Millisecond) // until it may keep a worker
+	h.submitAs("a000000000000002", step(1))
+	h.Eventually(func() state.WorkflowPhase { return h.phaseOf("a000000000000002") }, "2s", "10ms").Should(Equal(state.WorkflowCompleted))
+}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -172,8 +172,18 @@
 	return last
 }
 
+// AdmitsWithoutBatch reports whether a task has room once the batch tasks there
+// have ended.
+func AdmitsWithoutBatch(r *PoolRoom, s *state.WorkflowStep) bool {
+	return s.Reserves().Fits(r.Free.Add(r.Batch)) && hasLabel(r, s)
+}
+
+func hasLabel(r *PoolRoom, s *state.WorkflowStep) bool {
+	return s.Label == "" || slices.Contains(r.Labels, s.Label)
+}
+
 func admits(r *PoolRoom, s *state.WorkflowStep) bool {
-	if !s.Reserves().Fits(r.Free) || s.Label != "" && !slices.Contains(r.Labels, s.Label) {
+	if !s.Reserves().Fits(r.Free) || !hasLabel(r, s) {
 		return false
 	}
 	return !s.Leftover || r.IdleCPU >= s.Size.MilliCPU/minLeftoverShare || r.Leftover == 0
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -1,7 +1,5 @@
 package placement
 
-import "slices"
-
 // Refusals counts the rooms of a pool by the first thing that keeps a task out
 // of each of them.
 type Refusals struct {
@@ -27,7 +25,7 @@
 		switch {
 		case r == nil:
 			n.Held++
-		case t.Step.Label != "" && !slices.Contains(r.Labels, t.Step.Label):
+		case !hasLabel(r, t.Step):
 			n.Label++
 		case size.MilliCPU > r.Free.MilliCPU:
 			n.Processors++
