fleet: the share of batch tasks bounds how long a serving task waits

Cause: the share kept for batch tasks refuses the room, and its way out needs two places that are free at every moment of 2 s, for the smallest task that waits. Bursts of batch tasks, or several serving tasks for the same places, leave no such time, though no batch task waits. Nothing else bounds the wait.

Change: from 6 s on, from which the users' rules count a missing task as lost, a serving task gets any room that is free for two of its size once batch tasks that can still be of use have had their turn, also on a worker that is kept for another serving task. placement.BeyondShare is pure.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -17,6 +17,8 @@
 type pool struct {
 	sessions []*session
 	rooms    []*placement.PoolRoom
+	// allRooms are the rooms with those that are held, which are nil in rooms.
+	allRooms []*placement.PoolRoom
 	// tight holds the smallest tasks that found no room in this round, by what
 	// else decides about room: larger ones find none either.
 	tight map[roomClass]state.Resources
@@ -45,8 +47,8 @@
 	leftover bool
 	image    string // of a task on leftover processors, which decides whom it disturbs
 	// priority and beyondShare of a serving task, which decide about its share.
-	priority    int
-	beyondShare bool
+	priority          int
+	beyondShare, lost bool
 }
 
 func classOf(s *state.WorkflowStep, j placement.WaitingJob) roomClass {
@@ -229,6 +231,7 @@
 		}
 		p.sessions = append(p.sessions, w)
 		p.rooms = append(p.rooms, &w.room)
+		p.allRooms = append(p.allRooms, &w.room)
 	}
 	return all
 }
@@ -304,7 +307,8 @@
 		if t.phase != taskReady || t.pos.Step == fullStep && t.pos.Occurrence == fullOccurrence {
 			continue
 		}
-		if j.BeyondShare && (p.idle == 0 || !t.step.LongRunning || !placement.Overdue((c.now() - t.readyAt).Milliseconds())) {
+		waited := (c.now() - t.readyAt).Milliseconds()
+		if j.BeyondShare && (!t.step.LongRunning || !placement.Overdue(waited)) {
 			continue
 		}
 		if t.step.Gang {
@@ -313,11 +317,12 @@
 			continue
 		}
 		class := classOf(t.step, j)
-		if !equal.includes(t) {
-			equal = c.equalTasks(t, p, j)
+		class.lost = j.BeyondShare && placement.Lost(waited)
+		if !equal.includes(t) || equal.lost != class.lost {
+			equal = c.equalTasks(t, p, j, class.lost)
 		}
 		i := -1
-		if !p.full(t.step, class) {
+		if !p.full(t.step, class) && (!j.BeyondShare || equal.mayExceedShare(waited)) {
 			i = equal.best()
 		}
 		if i < 0 {
@@ -325,12 +330,14 @@
 			if j.Pressing() && t.step.LongRunning {
 				p.hold(equal.request)
 			}
-			fullStep, fullOccurrence = t.pos.Step, t.pos.Occurrence
+			if !j.BeyondShare { // where siblings may have waited for longer
+				fullStep, fullOccurrence = t.pos.Step, t.pos.Occurrence
+			}
 			continue
 		}
 		p.take(i, equal.request)
 		if j.BeyondShare {
-			p.idle--
+			p.idle = max(0, p.idle-1)
 		}
 		c.place(t, p.sessions[i], t.run+1)
 		equal.placed(i)
@@ -341,14 +348,19 @@
 type equalTasks struct {
 	first   *task
 	pool    *pool
+	lost    bool // they have waited too long for any room to be withheld
+	rooms   []*placement.PoolRoom
 	request placement.PoolTask
 	// onWorker is how many tasks of the step a worker has, where that is bounded.
 	onWorker map[*session]int
 	ranking  *placement.Ranking // nil before it is needed
 }
 
-func (c *Controller) equalTasks(t *task, p *pool, j placement.WaitingJob) *equalTasks {
-	e := &equalTasks{first: t, pool: p}
+func (c *Controller) equalTasks(t *task, p *pool, j placement.WaitingJob, lost bool) *equalTasks {
+	e := &equalTasks{first: t, pool: p, lost: lost, rooms: p.rooms}
+	if lost {
+		e.rooms = p.allRooms
+	}
 	e.request, e.onWorker = c.poolTask(t, p)
 	if !j.BeyondShare {
 		e.request.Excluded = p.withinShare(t, e.request.Excluded)
@@ -362,10 +374,20 @@
 		len(e.first.avoid) == 0 && len(t.avoid) == 0
 }
 
+// mayExceedShare reports whether the next of the tasks may go beyond the share
+// of serving tasks.
+func (e *equalTasks) mayExceedShare(waitedMillis int64) bool {
+	places := 0
+	if e.lost {
+		places = placement.Places(e.rooms, e.request)
+	}
+	return placement.BeyondShare(waitedMillis, e.pool.idle, places)
+}
+
 // best returns the index of the best room, or -1.
 func (e *equalTasks) best() int {
 	if e.ranking == nil {
-		e.ranking = placement.Rank(e.pool.rooms, e.request)
+		e.ranking = placement.Rank(e.rooms, e.request)
 	}
 	return e.ranking.Best()
 }
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -79,10 +79,10 @@
 func (p *pool) take(room int, t placement.PoolTask) {
 	if t.Step.LongRunning {
 		for _, s := range p.shares {
-			s.Take(p.rooms[room], t.Step.Size.MilliCPU)
+			s.Take(p.allRooms[room], t.Step.Size.MilliCPU)
 		}
 	}
-	p.rooms[room].Take(t)
+	p.allRooms[room].Take(t)
 }
 
 // observeIdle notes, once in a round, the room that batch tasks which can still
--- a/placement/share.go
+++ b/placement/share.go
@@ -17,9 +17,12 @@
 	// as they come in bursts.
 	batchMargin = 1.5
 	// servingOverdue is how long serving tasks beyond their share wait before
-	// they get room that batch tasks leave unused, in milliseconds. The users'
-	// rules count a missing task as lost from 6 s on.
+	// they get room that batch tasks leave unused, in milliseconds.
 	servingOverdue = 4000
+	// servingLost is how long they wait before they get any room that is free
+	// for two of them, in milliseconds: from then on the users' rules count a
+	// missing task as lost while there is such room.
+	servingLost = 6000
 	// idleTime is how long batch tasks must have left room unused, in
 	// milliseconds: several of their tasks begin and end meanwhile.
 	idleTime = 2000
@@ -29,6 +32,19 @@
 // beyond the share of serving tasks.
 func Overdue(waitedMillis int64) bool { return waitedMillis >= servingOverdue }
 
+// Lost reports whether a serving task has waited so long that no share keeps it
+// from room that is there.
+func Lost(waitedMillis int64) bool { return waitedMillis >= servingLost }
+
+// BeyondShare reports whether a serving task that has waited may go beyond the
+// share of serving tasks. Idle is how many of them may have what batch tasks
+// leave unused, and places how many have room now. It answers batch tasks whose
+// bursts use all room for moments only: they have had their turn, and there is
+// as much room for them as for the serving task.
+func BeyondShare(waitedMillis int64, idle, places int) bool {
+	return Overdue(waitedMillis) && idle > 0 || Lost(waitedMillis) && places > 1
+}
+
 // NearlyOverdue reports whether a serving task will be overdue within the time
 // for which IdleRoom has to observe the room first.
 func NearlyOverdue(waitedMillis int64) bool { return waitedMillis >= servingOverdue-idleTime }
--- a/placement/share_test.go
+++ b/placement/share_test.go
@@ -167,3 +167,91 @@
 	}
 	g.Expect(observe(18_100, room(60))).To(Equal(3))
 }
+
+// replayBursts plays a minute of a pool in which batch tasks need all that the
+// share keeps in bursts of 200 ms, more than once in 2 s, and serving tasks wait
+// that would go beyond the share. It returns the longest time for which one of
+// them waited, and how many it placed.
+func replayBursts(mayExceed func(waited int64, idle, places int) bool, seed uint64) (longest int64, placed int) {
+	const interval = 50
+	r := rand.New(rand.NewPCG(seed, 1))
+	rooms := make([]*placement.PoolRoom, 12)
+	for i := range rooms {
+		rooms[i] = &placement.PoolRoom{Capacity: processors(64), Free: processors(36 + 13*r.Float64())}
+	}
+	server := placement.PoolTask{Step: &state.WorkflowStep{LongRunning: true, Size: processors(14)}}
+	share := placement.NewShare(rooms, 1_000_000, 18_000)
+	withinShare := server
+	withinShare.Excluded = func(i int) bool { return !share.Admits(rooms[i], server.Step.Size.MilliCPU) }
+	var idle placement.IdleRoom
+	var since []int64 // when tasks began to wait
+	burstEnds, nextBurst := int64(0), int64(0)
+	for now := int64(0); now < 60_000; now += interval {
+		if now%10_000 == 0 {
+			since = append(since, now)
+		}
+		if now >= nextBurst {
+			burstEnds, nextBurst = now+200, now+600+r.Int64N(1200)
+		}
+		usable := rooms
+		if now < burstEnds {
+			usable = nil // batch tasks have had their turn and left nothing
+		}
+		n := idle.Observe(now, usable, server)
+		left := since[:0]
+		for _, at := range since {
+			waited := now - at
+			longest = max(longest, waited)
+			i := placement.ChooseRoom(usable, withinShare)
+			if i < 0 && mayExceed(waited, n, placement.Places(usable, server)) {
+				i = placement.ChooseRoom(usable, server)
+			}
+			if i < 0 {
+				left = append(left, at)
+				continue
+			}
+			share.Take(rooms[i], server.Step.Size.MilliCPU)
+			rooms[i].Take(server)
+			placed++
+		}
+		since = left
+	}
+	return longest, placed
+}
+
+// Guards against serving tasks that wait without a bound, beside room for them,
+// for batch tasks whose bursts need it for moments.
+func TestServingTasksGoBeyondTheirShareBetweenBurstsWithinTheBound(t *testing.T) {
+	g := NewWithT(t)
+	const lost, burst = 6000, 200 // ms; the first from the users' rules
+	for seed := range uint64(50) {
+		longest, placed := replayBursts(placement.BeyondShare, seed)
+		g.Expect(longest).To(BeNumerically("<=", lost+2*burst), "seed %d", seed)
+		g.Expect(placed).To(BeNumerically(">=", 5), "seed %d", seed)
+		longest, _ = replayBursts(func(waited int64, idle, _ int) bool { return placement.Overdue(waited) && idle > 0 }, seed)
+		g.Expect(longest).To(BeNumerically(">", 2*lost), "seed %d: idle room alone serves them", seed)
+	}
+}
+
+func TestBeyondShare(t *testing.T) {
+	for name, c := range map[string]struct {
+		waited       int64
+		idle, places int
+		want         bool
+	}{
+		"within its share's time":      {3999, 5, 50, false},
+		"room that was idle":           {4000, 1, 0, true},
+		"no idle room":                 {5999, 0, 50, false},
+		"lost, room for two":           {6000, 0, 2, true},
+		"lost, room for itself alone":  {6000, 0, 1, false},
+		"lost, room for itself, idle":  {6000, 1, 1, true},
+		"lost, no room on any worker":  {60_000, 0, 0, false},
+		"just released, a whole pool":  {0, 100, 100, false},
+		"waits for long, idle room":    {60_000, 3, 0, true},
+		"waits for long, room for two": {60_000, 0, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(placement.BeyondShare(c.waited, c.idle, c.places)).To(Equal(c.want))
+		})
+	}
+}
