event: calls bring whole lines, no more than a pipe takes at once

What an operator saw: logs without the starts of runs whose ends are there.

Cause: since lines that wait are written together, up to 32 KiB in a call, which a pipe may take in parts, and whose last line a full buffer splits. Before it each line was one call.

Change: a call brings whole lines of at most 4,096 bytes, PIPE_BUF of Linux, which one write to a pipe brings undivided; only a longer line goes alone. TestCallsBringWholeLinesThatAPipeTakesAtOnce failed before (a call that ends in the middle of a line).

--- a/event/writer.go
+++ b/event/writer.go
@@ -50,26 +50,34 @@
 	w.done.Wait()
 }
 
-// bufferBytes and writtenLines bound the lines that are written in one call.
 const (
-	bufferBytes  = 32 << 10
+	// writeBytes bounds the lines that are written in one call: more may be
+	// split where several processes write to one pipe (PIPE_BUF of Linux).
+	writeBytes = 4096
+	// writtenLines bounds how many lines that is.
 	writtenLines = 100
 )
 
-// run writes lines that wait together in one call.
+// run writes whole lines that wait together in one call.
 func (w *Writer) run() {
 	// A reader that has gone takes no lines; there is nowhere to tell.
-	out := bufio.NewWriterSize(ignoreErrors{w.out}, bufferBytes)
+	out := bufio.NewWriterSize(ignoreErrors{w.out}, writeBytes)
 	taken := int64(0) // lines that out holds
+	flush := func() {
+		_ = out.Flush()
+		w.pending.Add(-taken)
+		taken = 0
+	}
 	for line := range w.lines {
+		if len(line) > out.Available() {
+			flush()
+		}
 		_, _ = out.Write(line)
 		taken++
 		if len(w.lines) > 0 && taken < writtenLines {
 			continue
 		}
-		_ = out.Flush()
-		w.pending.Add(-taken)
-		taken = 0
+		flush()
 		if n := w.dropped.Swap(0); n > 0 {
 			_, _ = fmt.Fprintf(w.out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
 		}
--- a/event/writer_test.go
+++ b/event/writer_test.go
@@ -87,3 +87,44 @@
 	g.Expect(bytes.Count(out.buf.Bytes(), []byte("line\n"))).To(Equal(lines))
 	g.Expect(out.n).To(BeNumerically("<=", 3))
 }
+
+// pieces keeps what each call of Write brought.
+type pieces struct {
+	stuck
+	all [][]byte
+}
+
+func (p *pieces) Write(b []byte) (int, error) {
+	n, err := p.stuck.Write(b)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = append(p.all, bytes.Clone(b))
+	return n, err
+}
+
+// Guards against lines that are split or mixed with those of other processes,
+// as more than 4 KiB in one call may be on a pipe.
+func TestCallsBringWholeLinesThatAPipeTakesAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	const pipeBuf = 4096
+	out := &pieces{stuck: stuck{release: make(chan struct{})}}
+	w := event.NewWriter(out, 200)
+	line := append(bytes.Repeat([]byte("x"), 299), '\n')
+	long := append(bytes.Repeat([]byte("y"), 2*pipeBuf), '\n')
+	for i := range 100 {
+		if i == 50 {
+			_, _ = w.Write(long)
+		}
+		_, _ = w.Write(line)
+	}
+	close(out.release)
+	w.Close()
+	for i, p := range out.all {
+		g.Expect(p).To(HaveSuffix("\n"), "call %d", i)
+		if !bytes.Equal(p, long) {
+			g.Expect(len(p)).To(BeNumerically("<=", pipeBuf), "call %d", i)
+		}
+	}
+	g.Expect(bytes.Count(out.buf.Bytes(), line)).To(Equal(100))
+	g.Expect(out.buf.Bytes()).To(ContainSubstring(string(long)))
+}
