fleet: a serving task returns to the worker where it failed if no other has room

What callers see: a serving task without a run for ever, beside a worker with room for it many times over.

Cause: a task avoids the workers on which a run of it failed for as long as the leader lives, unless they are half of the pool (poolTask). Where only such a worker has room the task waits until another one has.

Evidence: TestServingTaskReturnsToTheOnlyWorkerWithRoom failed before: of three workers two are full, and the task has no second run within the 6 s of the users' rule.

Why it works: a serving task that has waited too long (placement.WaitedTooLong, the time after which it goes before jobs with an objective) takes any worker if those that it doesn't avoid have no room. It still prefers these, so that a worker that fails it does not draw it back, and the wait keeps a task that fails everywhere from being started again at once.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -319,11 +319,15 @@
 		class := classOf(t.step, j)
 		class.lost = j.BeyondShare && placement.Lost(waited, t.ranBefore())
 		if !equal.includes(t) || equal.lost != class.lost {
-			equal = c.equalTasks(t, p, j, class.lost)
+			equal = c.equalTasks(t, p, j, class.lost, t.avoided(p))
 		}
 		i := -1
-		if !p.full(t.step, class) && (!j.BeyondShare || equal.mayExceedShare(waited, t.ranBefore())) {
-			i = equal.best()
+		if !p.full(t.step, class) {
+			i = equal.find(j, waited, t.ranBefore())
+			if i < 0 && len(t.avoid) > 0 && c.takesAny(t) {
+				equal = c.equalTasks(t, p, j, class.lost, nil)
+				i = equal.find(j, waited, t.ranBefore())
+			}
 		}
 		if i < 0 {
 			p.noRoom(t, class)
@@ -356,12 +360,12 @@
 	ranking  *placement.Ranking // nil before it is needed
 }
 
-func (c *Controller) equalTasks(t *task, p *pool, j placement.WaitingJob, lost bool) *equalTasks {
+func (c *Controller) equalTasks(t *task, p *pool, j placement.WaitingJob, lost bool, avoid map[string]bool) *equalTasks {
 	e := &equalTasks{first: t, pool: p, lost: lost, rooms: p.rooms}
 	if lost {
 		e.rooms = p.allRooms
 	}
-	e.request, e.onWorker = c.poolTask(t, p)
+	e.request, e.onWorker = c.poolTask(t, p, avoid)
 	if !j.BeyondShare {
 		e.request.Excluded = p.withinShare(t, e.request.Excluded)
 	}
@@ -384,8 +388,12 @@
 	return placement.BeyondShare(waitedMillis, ranBefore, e.pool.idle, places)
 }
 
-// best returns the index of the best room, or -1.
-func (e *equalTasks) best() int {
+// find returns the index of the best room that the next of the tasks may have in
+// the turn of its job, or -1.
+func (e *equalTasks) find(j placement.WaitingJob, waitedMillis int64, ranBefore bool) int {
+	if j.BeyondShare && !e.mayExceedShare(waitedMillis, ranBefore) {
+		return -1
+	}
 	if e.ranking == nil {
 		e.ranking = placement.Rank(e.rooms, e.request)
 	}
@@ -400,11 +408,26 @@
 	e.ranking.Update()
 }
 
-// poolTask returns what a task asks for, and how many tasks of its step each
-// worker has if that is bounded.
-func (c *Controller) poolTask(t *task, p *pool) (placement.PoolTask, map[*session]int) {
+// avoided returns the workers that the task avoids, or nil if it failed on
+// nearly all of the pool: then it is at fault itself.
+func (t *task) avoided(p *pool) map[string]bool {
+	if len(t.avoid)*2 >= len(p.sessions) {
+		return nil
+	}
+	return t.avoid
+}
+
+// takesAny reports whether a task rather runs on a worker that it avoids than
+// nowhere.
+func (c *Controller) takesAny(t *task) bool {
+	return t.step.LongRunning && placement.WaitedTooLong((c.now() - t.readyAt).Milliseconds())
+}
+
+// poolTask returns what a task asks for that avoids workers, and how many tasks
+// of its step each worker has if that is bounded.
+func (c *Controller) poolTask(t *task, p *pool, avoid map[string]bool) (placement.PoolTask, map[*session]int) {
 	limit := t.step.MaxPerWorker
-	if limit == 0 && len(t.avoid) == 0 {
+	if limit == 0 && len(avoid) == 0 {
 		return placement.PoolTask{Step: t.step, Pressure: c.pressure}, nil
 	}
 	onWorker := make(map[*session]int)
@@ -414,10 +437,6 @@
 			onWorker[other.attempt.session]++
 		}
 	}
-	avoid := t.avoid
-	if len(avoid)*2 >= len(p.sessions) {
-		avoid = nil // it failed nearly everywhere: the task itself is at fault
-	}
 	return placement.PoolTask{Step: t.step, Pressure: c.pressure, Excluded: func(i int) bool {
 		s := p.sessions[i]
 		return limit > 0 && onWorker[s] >= limit || avoid[s.worker.ID]
@@ -436,7 +455,7 @@
 		}
 		number = max(number, m.run+1)
 	}
-	request, _ := c.poolTask(t, p)
+	request, _ := c.poolTask(t, p, nil)
 	for _, rack := range gangRacks(t.step, p) {
 		if chosen := chooseGang(request, len(members), p.rooms, rack); chosen != nil {
 			for i, m := range members {
--- /dev/null
+++ b/fleet/waits_test.go
@@ -0,0 +1,50 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/fleet"
+	"apricotrouter/standin/pool"
+)
+
+// servingWait is how long a serving task may be without a run while there is
+// room for it, from the users' rules.
+const servingWait = 6 * time.Second
+
+// fill takes all processors of a new worker with a serving task.
+func (h *harness) fill(id string) *pool.Worker {
+	h.t.Helper()
+	w := h.worker(id, pool.Options{Work: forever})
+	h.submitAs(fmt.Sprintf("e%015x", id[0]), step(1, serving, sized(4000)))
+	h.Eventually(func() int { return running(w) }, patience).Should(Equal(1))
+	return w
+}
+
+// firstFails lets the first run of the first task of workflow jobID fail soon.
+func firstFails(p fleet.TaskPosition, number uint64) bool {
+	return p.Workflow == jobID && p.Index == 0 && number == 1
+}
+
+func untilFailure(p fleet.TaskPosition, number uint64) time.Duration {
+	if firstFails(p, number) {
+		return 300 * time.Millisecond
+	}
+	return 0
+}
+
+// Guards against a serving task that waits for ever beside the only worker
+// with room, since a run of it failed there once.
+func TestServingTaskReturnsToTheOnlyWorkerWithRoom(t *testing.T) {
+	h := newHarness(t)
+	h.fill("b")
+	h.fill("c")
+	a := h.worker("a", pool.Options{Work: untilFailure, Fails: firstFails})
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.Done))
+	h.Eventually(a.Records, patience).Should(HaveLen(1))
+	h.Eventually(func() int { return len(a.Records()) }, servingWait).Should(Equal(2))
+	h.Expect(running(a)).To(Equal(1))
+}
--- a/placement/order.go
+++ b/placement/order.go
@@ -28,9 +28,12 @@
 // notice a missing task within seconds.
 const maxServingWait = 800
 
+// WaitedTooLong reports whether a serving task has waited too long.
+func WaitedTooLong(waitedMillis int64) bool { return waitedMillis >= maxServingWait }
+
 // Pressing reports whether a serving job has waited too long.
 func (j *WaitingJob) Pressing() bool {
-	return j.Serving && !j.BeyondShare && j.WaitedMillis >= maxServingWait
+	return j.Serving && !j.BeyondShare && WaitedTooLong(j.WaitedMillis)
 }
 
 // chance is what a job can still reach.
