fleet: a task that avoids workers does not keep its siblings out

What callers see: tasks that wait for ever beside a worker with room.

Cause: when a task of a step finds no room, placeFlow takes the step as full for the round. That also held if the task found none because it avoids the only worker with room, on which a run of it failed; the other tasks of the step, which may go there, were not looked at in any round.

Why it works: a refusal counts for tasks that are barred from at least the same workers. A task that is barred from none still closes the step for all; until one of these was refused, tasks that are barred from different workers cost one look at the rooms each. A task that is barred from some keeps no room for itself: it is not one that has waited too long.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -296,15 +296,23 @@
 	return headroom
 }
 
-// placeFlow places the ready tasks of a workflow. Tasks of a step are equal:
-// when one finds no room, neither do the others. A pressing serving task that
-// finds none keeps the worker with the most room for itself, until enough of
-// it is free.
+// placeFlow places the ready tasks of a workflow. Tasks of a step are equal but
+// for the workers that they avoid: when one finds no room, neither do others
+// that avoid the same ones. A pressing serving task that finds none keeps the
+// worker with the most room for itself, until enough of it is free.
 func (c *Controller) placeFlow(f *flow, p *pool, j placement.WaitingJob) {
-	fullStep, fullOccurrence := -1, -1
+	full := fullStep{step: -1}
 	var equal *equalTasks
 	for _, t := range f.tasks {
-		if t.phase != taskReady || t.pos.Step == fullStep && t.pos.Occurrence == fullOccurrence {
+		if t.phase != taskReady {
+			continue
+		}
+		avoid := t.avoided(p)
+		barred := avoid
+		if c.takesAny(t) {
+			barred = nil
+		}
+		if full.includes(t, barred) {
 			continue
 		}
 		waited := (c.now() - t.readyAt).Milliseconds()
@@ -319,23 +327,23 @@
 		class := classOf(t.step, j)
 		class.lost = j.BeyondShare && placement.Lost(waited, t.ranBefore())
 		if !equal.includes(t) || equal.lost != class.lost {
-			equal = c.equalTasks(t, p, j, class.lost, t.avoided(p))
+			equal = c.equalTasks(t, p, j, class.lost, avoid)
 		}
 		i := -1
 		if !p.full(t.step, class) {
 			i = equal.find(j, waited, t.ranBefore())
-			if i < 0 && len(t.avoid) > 0 && c.takesAny(t) {
+			if i < 0 && len(avoid) > 0 && len(barred) == 0 {
 				equal = c.equalTasks(t, p, j, class.lost, nil)
 				i = equal.find(j, waited, t.ranBefore())
 			}
 		}
 		if i < 0 {
 			p.noRoom(t, class)
-			if j.Pressing() && t.step.LongRunning {
+			if j.Pressing() && t.step.LongRunning && len(barred) == 0 {
 				p.hold(equal.request)
 			}
 			if !j.BeyondShare { // where siblings may have waited for longer
-				fullStep, fullOccurrence = t.pos.Step, t.pos.Occurrence
+				full = fullStep{t.pos.Step, t.pos.Occurrence, barred}
 			}
 			continue
 		}
@@ -348,6 +356,25 @@
 	}
 }
 
+// fullStep is a step of which a task found no room in this round. Tasks of it
+// that are barred from the same workers at least find none either.
+type fullStep struct {
+	step, occurrence int
+	barred           map[string]bool
+}
+
+func (f *fullStep) includes(t *task, barred map[string]bool) bool {
+	if t.pos.Step != f.step || t.pos.Occurrence != f.occurrence {
+		return false
+	}
+	for worker := range f.barred {
+		if !barred[worker] {
+			return false
+		}
+	}
+	return true
+}
+
 // equalTasks is the tasks of a step that look for room in one round.
 type equalTasks struct {
 	first   *task
--- a/fleet/waits_test.go
+++ b/fleet/waits_test.go
@@ -9,6 +9,7 @@
 
 	"apricotrouter/fleet"
 	"apricotrouter/standin/pool"
+	"apricotrouter/state"
 )
 
 // servingWait is how long a serving task may be without a run while there is
@@ -48,3 +49,21 @@
 	h.Eventually(func() int { return len(a.Records()) }, servingWait).Should(Equal(2))
 	h.Expect(running(a)).To(Equal(1))
 }
+
+// Guards against tasks that wait for ever beside a worker with room, since
+// another task of their step failed there and must not go there again.
+func TestFailedTaskDoesNotKeepItsSiblingsOut(t *testing.T) {
+	h := newHarness(t)
+	h.fill("c")
+	h.fill("d")
+	a := h.worker("a", pool.Options{Work: untilFailure, Fails: firstFails})
+	b := h.worker("b", pool.Options{Work: forever})
+	apart := func(s *state.WorkflowStep) { s.MaxPerWorker = 1 }
+	h.Expect(h.submit(step(2, apart))).To(Equal(fleet.Done))
+	h.Eventually(func() int { return running(b) }, patience).Should(Equal(1))
+	h.Expect(b.Records()[0].Position.Index).To(Equal(1))
+	h.Eventually(func() int { return running(a) }, patience).Should(BeZero(), "task 0 has failed there")
+	b.SetDown(true)
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
+	h.Expect(a.Records()[1].Position.Index).To(Equal(1))
+}
