fleet: rooms held for urgent work are there for overdue serving tasks

What callers see: a serving task that waits for as long as a larger one of more urgent work does, beside a worker with room for it.

Cause: a pressing serving task without room holds a worker that would have room for it once the batch tasks there end. Once any other task had its turn (applyHolds) the held rooms were gone for the rest of the round, so also for pressing serving tasks of later priorities, and anew in each round. Only tasks that ran before got them back, after 6 s and where they have room for two; one that never ran waited for as long as the batch tasks didn't end, or the room that became free went elsewhere.

Evidence: TestRoomHeldForUrgentWorkKeepsNoServingTaskOut failed before: with 3000 of 4000 free, a task of 1000 had no run within 6 s.

Why it works: a pressing serving task that is overdue looks at all rooms, like one that is lost, but within its share, which is asked about all rooms now. Until then the more urgent task keeps its precedence, and others are kept off as before. A refusal without the held rooms doesn't close the step for tasks that see them.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -312,10 +312,12 @@
 		if c.takesAny(t) {
 			barred = nil
 		}
-		if full.includes(t, barred) {
+		waited := (c.now() - t.readyAt).Milliseconds()
+		lost := j.BeyondShare && placement.Lost(waited, t.ranBefore()) ||
+			j.Pressing() && t.step.LongRunning && placement.Overdue(waited)
+		if full.includes(t, lost, barred) {
 			continue
 		}
-		waited := (c.now() - t.readyAt).Milliseconds()
 		if j.BeyondShare && (!t.step.LongRunning || !placement.Overdue(waited)) {
 			continue
 		}
@@ -325,15 +327,15 @@
 			continue
 		}
 		class := classOf(t.step, j)
-		class.lost = j.BeyondShare && placement.Lost(waited, t.ranBefore())
-		if !equal.includes(t) || equal.lost != class.lost {
-			equal = c.equalTasks(t, p, j, class.lost, avoid)
+		class.lost = lost
+		if !equal.includes(t) || equal.lost != lost {
+			equal = c.equalTasks(t, p, j, lost, avoid)
 		}
 		i := -1
 		if !p.full(t.step, class) {
 			i = equal.find(j, waited, t.ranBefore())
 			if i < 0 && len(avoid) > 0 && len(barred) == 0 {
-				equal = c.equalTasks(t, p, j, class.lost, nil)
+				equal = c.equalTasks(t, p, j, lost, nil)
 				i = equal.find(j, waited, t.ranBefore())
 			}
 		}
@@ -343,7 +345,7 @@
 				p.hold(equal.request)
 			}
 			if !j.BeyondShare { // where siblings may have waited for longer
-				full = fullStep{t.pos.Step, t.pos.Occurrence, barred}
+				full = fullStep{t.pos.Step, t.pos.Occurrence, lost, barred}
 			}
 			continue
 		}
@@ -360,11 +362,12 @@
 // that are barred from the same workers at least find none either.
 type fullStep struct {
 	step, occurrence int
+	lost             bool // held rooms were there for it
 	barred           map[string]bool
 }
 
-func (f *fullStep) includes(t *task, barred map[string]bool) bool {
-	if t.pos.Step != f.step || t.pos.Occurrence != f.occurrence {
+func (f *fullStep) includes(t *task, lost bool, barred map[string]bool) bool {
+	if t.pos.Step != f.step || t.pos.Occurrence != f.occurrence || lost && !f.lost {
 		return false
 	}
 	for worker := range f.barred {
@@ -379,7 +382,7 @@
 type equalTasks struct {
 	first   *task
 	pool    *pool
-	lost    bool // they have waited too long for any room to be withheld
+	lost    bool // they have waited too long for rooms to be held for others
 	rooms   []*placement.PoolRoom
 	request placement.PoolTask
 	// onWorker is how many tasks of the step a worker has, where that is bounded.
--- a/fleet/share.go
+++ b/fleet/share.go
@@ -71,7 +71,7 @@
 		return excluded
 	}
 	return func(i int) bool {
-		return !share.Admits(p.rooms[i], t.step.Size.MilliCPU) || excluded != nil && excluded(i)
+		return !share.Admits(p.allRooms[i], t.step.Size.MilliCPU) || excluded != nil && excluded(i)
 	}
 }
 
--- a/fleet/waits_test.go
+++ b/fleet/waits_test.go
@@ -67,3 +67,36 @@
 	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
 	h.Expect(a.Records()[1].Position.Index).To(Equal(1))
 }
+
+// submitLater submits a workflow to a queue of the second priority.
+func (h *harness) submitLater(id string, s state.WorkflowStep) {
+	h.t.Helper()
+	h.Expect(h.call(&fleet.Request{
+		Op: fleet.OpSubmit, Host: host, Path: "/later/" + id, Workflow: &state.WorkflowSpec{Steps: []state.WorkflowStep{s}},
+	}).Outcome).To(Equal(fleet.Done))
+}
+
+// Guards against a small serving task that waits beside a worker which is kept
+// for a large one of more urgent work, whose room does not come.
+func TestRoomHeldForUrgentWorkKeepsNoServingTaskOut(t *testing.T) {
+	h := newHarness(t)
+	queue := func(name, prefix string, priority int) state.WorkflowQueue {
+		return state.WorkflowQueue{
+			Name: name, Host: host, PathPrefix: prefix, Pool: "pool", Priority: priority, MaxAttempts: 2, Stretch: 2,
+			ObjectiveMillis: 1000, TimeoutMillis: 3000,
+		}
+	}
+	h.Expect(h.call(&fleet.Request{Op: fleet.OpSetQueues, Queues: &state.QueueConfig{
+		Version: 2, Source: []byte("{}"), Pools: []state.Pool{{Name: "pool", Guarded: true}},
+		Queues: []state.WorkflowQueue{queue("queue", "/jobs/", 0), queue("later", "/later/", 1)},
+	}}).Outcome).To(Equal(fleet.Done))
+	a := h.worker("a", pool.Options{Work: briefBatch})
+	h.submitAs("0000000000000001", step(2, sized(500))) // leaves 3000, and does not end
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(2))
+	h.submitAs("0000000000000002", step(1, serving, sized(3200)))
+	memory := func(s *state.WorkflowStep) { s.Size.MemoryMiB = 3950 }
+	h.submitAs("0000000000000004", step(1, sized(500), memory)) // waits for memory
+	time.Sleep(1500 * time.Millisecond)                         // until the large one keeps the worker
+	h.submitLater("0000000000000003", step(1, serving))
+	h.Eventually(func() int { return running(a) }, servingWait).Should(Equal(3))
+}
