fleet: no start is sent to a worker that has become silent

What callers see: a serving task without a run for a whole lease, beside workers with room, after its worker was lost while the start was being committed; and the tasks that the lost worker had wait longer too.

Cause: usable keeps tasks off silent workers when they are placed, but prepareStart sent a recorded start whatever had become of its worker meanwhile, and named a new lease. The outcome of that start is unknown until the lease has ended, and as all runs of a silent worker are given up at the end of its lease, each such start puts that off. A slow commit makes the time for it long.

Why it works: a start that was not sent has no run, so that its task is placed again at once, and the lease of the silent worker ends when its last extension says so.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -105,6 +105,11 @@
 		c.void(a, "stopped before it was sent")
 		return nil
 	}
+	if s.silent {
+		// Its lease is left to end, which a start would extend.
+		c.void(a, "its worker was silent before it was sent")
+		return nil
+	}
 	a.phase, a.startedAt = attemptStarting, c.now()
 	c.touched[s] = true
 	call := StartCall{
--- a/fleet/waits_test.go
+++ b/fleet/waits_test.go
@@ -68,6 +68,23 @@
 	h.Expect(a.Records()[1].Position.Index).To(Equal(1))
 }
 
+// Guards against a task that waits for the lease of a worker that was silent
+// before its start could be sent there, and against a start that extends it.
+func TestNothingIsSentToASilentWorker(t *testing.T) {
+	h := newHarness(t, func(o *fleet.Options) { o.Limits.HoldMax = 20 * time.Second })
+	a := h.worker("a", pool.Options{Work: forever})
+	h.submitAs("0000000000000001", step(1, serving))
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
+	h.gate.Lock()
+	h.submitAs("0000000000000002", step(1, serving)) // its start waits in the gate
+	time.Sleep(50 * time.Millisecond)
+	b := h.worker("b", pool.Options{Work: forever})
+	a.SetDown(true)
+	time.Sleep(1500 * time.Millisecond) // until a look has failed
+	h.gate.Unlock()
+	h.Eventually(func() int { return running(b) }, servingWait).Should(Equal(1))
+}
+
 // submitLater submits a workflow to a queue of the second priority.
 func (h *harness) submitLater(id string, s state.WorkflowStep) {
 	h.t.Helper()
