fleet: failures of runs from before a quarantine don't extend it

What callers see: a serving task that waits for many seconds beside a worker with room that is not used.

Cause: a worker that fails runs of three workflows in a row is left out for 3 s, and "the next run there decides anew". But each failure counted, also of runs that were there before, and began the 3 s again. Serving tasks have no good end that would clear the window, so a worker with many of them, whose runs fail now and then, was left out until it had lost nearly all of them.

Evidence: TestFailuresOfEarlierRunsDoNotExtendAQuarantine failed before: runs of eight workflows fail 2 s apart on the only worker, and a task submitted after the third failure had no run within 6 s.

Why it works: failures of runs that began before the worker was last blamed don't count. As nothing starts during a quarantine, its length is bounded, and the first failure of a run that began after it extends it, as the comment says.

--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -167,6 +167,7 @@
 // failureWindow counts the failed runs of a worker since its last good one.
 type failureWindow struct {
 	workflows map[string]bool
+	blamedAt  time.Duration // when the worker was last quarantined
 }
 
 const (
@@ -185,6 +186,9 @@
 		w.workflows = nil
 		return
 	}
+	if a.startedAt < w.blamedAt {
+		return // the worker was blamed for what went wrong then
+	}
 	if w.workflows == nil {
 		w.workflows = make(map[string]bool)
 	}
@@ -192,7 +196,8 @@
 	if len(w.workflows) < quarantineWorkflows {
 		return
 	}
-	s.pauseUntil = c.now() + quarantineTime
+	w.blamedAt = c.now()
+	s.pauseUntil = w.blamedAt + quarantineTime
 	event.Log(c.opts.Logger, event.WorkerQuarantined, slog.String("worker", s.worker.ID),
 		slog.Int("workflows", len(w.workflows)), slog.Duration("for", quarantineTime))
 }
--- a/fleet/waits_test.go
+++ b/fleet/waits_test.go
@@ -68,6 +68,35 @@
 	h.Expect(a.Records()[1].Position.Index).To(Equal(1))
 }
 
+// Guards against a worker that is left out for many seconds by the failures of
+// runs that it had before it was left out.
+func TestFailuresOfEarlierRunsDoNotExtendAQuarantine(t *testing.T) {
+	h := newHarness(t)
+	const interval = 2 * time.Second
+	work := func(p fleet.TaskPosition, _ uint64) time.Duration {
+		if i := p.Workflow[len(p.Workflow)-1] - '0'; i < 8 {
+			return time.Duration(i+1) * interval
+		}
+		return 0
+	}
+	a := h.worker("a", pool.Options{Work: work, Fails: func(fleet.TaskPosition, uint64) bool { return true }})
+	for i := range 8 {
+		h.submitAs(fmt.Sprintf("%016d", i), step(1, serving, sized(100)))
+	}
+	h.Eventually(func() int { return len(a.Records()) }, patience).Should(Equal(8))
+	time.Sleep(3*interval + 100*time.Millisecond) // until three have failed
+	h.submitAs("0000000000000009", step(1, serving, sized(100)))
+	runs := func() bool {
+		for _, r := range a.Records() {
+			if r.Position.Workflow == "0000000000000009" {
+				return true
+			}
+		}
+		return false
+	}
+	h.Eventually(runs, servingWait).Should(BeTrue())
+}
+
 // Guards against a task that waits for the lease of a worker that was silent
 // before its start could be sent there, and against a start that extends it.
 func TestNothingIsSentToASilentWorker(t *testing.T) {
