fleet: runs that stand still leave their worker out once

What callers see: a serving task that waits for many seconds beside a worker with room, on which batch tasks hang that would hang anywhere.

Cause: a worker on which two batch runs stand still is left out for 3 s. A task that was moved twice is not moved again, since it is at fault itself, and gangs are never moved; such runs stay, and each look at the worker after the 3 s found them and left it out anew, without a bound. Where batch tasks hang on something that all of them use, that holds for the whole pool.

Evidence: TestBatchTasksThatHangKeepNoServingTaskOut failed before: four such runs on the only worker with room, and a serving task had no run within 6 s. The stand-in for workers reports a progress for it.

Why it works: a run for which its worker was left out doesn't count again until its progress changes. New runs that stand still do, so a worker that lets tasks hang is left out again by the next ones.

--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -44,6 +44,7 @@
 	begin    int           // progress at the first report
 	beganAt  time.Duration // of the first report
 	movedAt  time.Duration // when progress was last seen to change
+	blamed   bool          // its worker was left out since progress does not change
 	value    int64         // tail in milliseconds, or processors in thousandths
 	pace     int           // percent last asked for
 	// paceUnknown is set while an earlier leader may have asked for another pace.
--- a/fleet/straggler.go
+++ b/fleet/straggler.go
@@ -29,7 +29,7 @@
 		m.seen, m.begin, m.beganAt, m.movedAt = true, progress, now, now
 	}
 	if progress != m.progress {
-		m.movedAt = now
+		m.movedAt, m.blamed = now, false
 	}
 	m.progress = progress
 }
@@ -41,7 +41,7 @@
 		return
 	}
 	now := c.now()
-	stalled := 0
+	var stalled []*attempt
 	for _, a := range s.attempts {
 		if a.phase != attemptRunning || a.stopping || !a.measures.seen {
 			continue
@@ -54,8 +54,8 @@
 			continue
 		}
 		p := c.progressOf(a, now)
-		if placement.Stalled(p) {
-			stalled++
+		if placement.Stalled(p) && !a.measures.blamed {
+			stalled = append(stalled, a)
 		}
 		if a.task.moves < maxMoves && !a.task.step.Gang && placement.Straggles(p) {
 			a.task.moves++
@@ -63,10 +63,14 @@
 			c.stop(a, "it is slower than elsewhere")
 		}
 	}
-	if stalled >= stalledRuns && now >= s.pauseUntil {
+	if len(stalled) >= stalledRuns && now >= s.pauseUntil {
 		s.pauseUntil = now + stalledPause
+		// Runs that stand still ever after, as they would anywhere, say no more.
+		for _, a := range stalled {
+			a.measures.blamed = true
+		}
 		event.Log(c.opts.Logger, event.WorkerQuarantined, slog.String("worker", s.worker.ID),
-			slog.Int("stalled", stalled), slog.Duration("for", stalledPause))
+			slog.Int("stalled", len(stalled)), slog.Duration("for", stalledPause))
 	}
 }
 
--- a/fleet/waits_test.go
+++ b/fleet/waits_test.go
@@ -68,6 +68,28 @@
 	h.Expect(a.Records()[1].Position.Index).To(Equal(1))
 }
 
+// Guards against a worker that is left out for as long as batch tasks stand
+// still there, although other tasks of its have no fault.
+func TestBatchTasksThatHangKeepNoServingTaskOut(t *testing.T) {
+	h := newHarness(t)
+	hangs := func(p fleet.TaskPosition, _ uint64, _ time.Duration) int {
+		if p.Workflow[0] == 'a' {
+			return 5
+		}
+		return 100
+	}
+	h.fill("b")
+	a := h.worker("a", pool.Options{Work: forever, Progress: hangs})
+	h.submitAs("a000000000000001", step(4, sized(200), lasting(5*time.Second)))
+	h.Eventually(a.Records, 2*patience).Should(HaveLen(12), "each task is moved twice")
+	time.Sleep(2500 * time.Millisecond) // until they stand still once more
+	for i := range 4 {
+		h.submitAs(fmt.Sprintf("%016x", 16+i), step(1, serving, sized(500)))
+		h.Eventually(func() int { return running(a) }, servingWait, "5ms").Should(Equal(5 + i))
+		time.Sleep(time.Second)
+	}
+}
+
 // Guards against a worker that is left out for many seconds by the failures of
 // runs that it had before it was left out.
 func TestFailuresOfEarlierRunsDoNotExtendAQuarantine(t *testing.T) {
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -30,6 +30,9 @@
 	// Measure returns what the worker reports of a run as its tail or its use
 	// of processors; nil for nothing. It must not call the worker.
 	Measure func(p fleet.TaskPosition) int64
+	// Progress returns what the worker reports of a run that began so long ago;
+	// nil for runs that are at work. It must not call the worker.
+	Progress func(p fleet.TaskPosition, number uint64, ran time.Duration) int
 }
 
 // Record is one run on a worker.
@@ -344,6 +347,9 @@
 		if w.opts.Measure != nil {
 			status.Measure = w.opts.Measure(k.TaskPosition)
 		}
+		if w.opts.Progress != nil {
+			status.Progress = w.opts.Progress(k.TaskPosition, k.number, time.Since(running.record.Started))
+		}
 		r.Running = append(r.Running, status)
 	}
 	return r
