fleet: a serving task that starts slowly gets to work

What callers see: a serving task that is started again every 4 s, for ever.

Cause: a serving task whose startup makes no progress for 4 s is stopped and started elsewhere. maxMoves bounds that for batch tasks, but not for serving ones, so a task whose startup takes longer than that wherever it runs never ends it.

Evidence: TestServingTaskThatStartsSlowlyGetsToWork failed before: with a startup of 6 s on both workers, no run lasted 7 s within 20 s.

Why it works: the time allowed doubles with each run that was given up, until one is at work. A worker on which startups hang is still left after 4 s by a task that was at work before, and in the end by any.

--- a/fleet/straggler.go
+++ b/fleet/straggler.go
@@ -19,7 +19,8 @@
 	stalledPause = 3 * time.Second
 	// stalledRuns is how many runs must stand still to blame the worker.
 	stalledRuns = 2
-	// startupTime is how long a serving task may take to be at work.
+	// startupTime is how long a serving task may take to be at work. It doubles
+	// with each run that was given up for it: the task itself may be slow.
 	startupTime = 4 * time.Second
 )
 
@@ -47,7 +48,11 @@
 			continue
 		}
 		if a.task.step.LongRunning {
-			if a.measures.progress < fullProgress && now-a.startedAt > startupTime && now-a.measures.movedAt > startupTime {
+			allowed := startupTime << a.task.moves
+			if a.measures.progress >= fullProgress {
+				a.task.moves = 0
+			} else if now-a.startedAt > allowed && now-a.measures.movedAt > allowed {
+				a.task.moves++
 				c.avoid(a)
 				c.stop(a, "it is not at work")
 			}
--- a/fleet/waits_test.go
+++ b/fleet/waits_test.go
@@ -68,6 +68,29 @@
 	h.Expect(a.Records()[1].Position.Index).To(Equal(1))
 }
 
+// Guards against a serving task that never gets to work, since each of its runs
+// is given up before its startup is over.
+func TestServingTaskThatStartsSlowlyGetsToWork(t *testing.T) {
+	h := newHarness(t)
+	const startup = 6 * time.Second
+	slow := pool.Options{Work: forever, Progress: func(_ fleet.TaskPosition, _ uint64, ran time.Duration) int {
+		if ran < startup {
+			return 0
+		}
+		return 100
+	}}
+	a, b := h.worker("a", slow), h.worker("b", slow)
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.Done))
+	h.Eventually(func() bool {
+		for _, r := range append(a.Records(), b.Records()...) {
+			if r.Ended.IsZero() && time.Since(r.Started) > startup+time.Second {
+				return true
+			}
+		}
+		return false
+	}, 20*time.Second).Should(BeTrue())
+}
+
 // Guards against a worker that is left out for as long as batch tasks stand
 // still there, although other tasks of its have no fault.
 func TestBatchTasksThatHangKeepNoServingTaskOut(t *testing.T) {
