fleet, state: a serving task waits since its last run, not since its last start or leader

What callers see: a serving task without a run for many seconds, beside workers with room, although each bound on its wait is shorter.

Cause: all bounds (goes first, takes any worker, goes beyond its share) count from readyAt, which was set whenever the task became ready again. A start that its worker refused made that so: where one worker refuses starts and is the best room, the task went there once it was overdue, was refused and waited anew, for as long as the worker was taken again by then. And a new leader, or the same one after a commit with an unknown outcome or a fault of its loop, began all waits anew; with one of these every few seconds no task is ever overdue.

Evidence: TestRefusedStartDoesNotBeginTheWaitAnew and TestNewLeaderKnowsHowLongAServingTaskHasWaited failed before, both with no run within 6 s.

Why it works: the replicated state keeps when the last run of a long-running task ended, and leaves that alone for runs that are not known to have begun (TaskEnd.Void). Every leader counts from there, or from the submission of a task that never had a run and waits for no step. The fields are left out where they are zero, nothing else in the state depends on them, and an instance that doesn't know them drops them, so that its successor counts from its own start as before. The times are of the leaders' clocks, like the deadlines of workflows. TestLastEndOfALongRunningTaskIsKept.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -45,6 +45,7 @@
 	nextStop  time.Duration
 	startedAt time.Duration
 	adopted   bool // an earlier leader started it
+	began     bool // it may have been at work, as far as is known
 	ticket    string
 	measures  measures
 }
@@ -79,7 +80,7 @@
 func (c *Controller) adopt(t *task, worker string) {
 	// An earlier leader may have slowed it, which reports don't tell.
 	a := &attempt{
-		task: t, phase: attemptUnknown, since: c.now(), startedAt: c.now(), adopted: true,
+		task: t, phase: attemptUnknown, since: c.now(), startedAt: c.now(), adopted: true, began: true,
 		run:      Run{Workflow: t.flow.spec.ID, Task: t.number, Number: t.run},
 		measures: measures{pace: full, paceUnknown: true},
 	}
@@ -138,7 +139,7 @@
 	if err == nil {
 		c.starts.observe(now - begin)
 		s.answered(now)
-		a.since = now
+		a.since, a.began = now, true
 		a.phase = attemptRunning
 		if a.stopping {
 			a.phase = attemptStopping
@@ -213,6 +214,7 @@
 	}
 	c.journal.ends = append(c.journal.ends, state.TaskEnd{
 		Workflow: a.run.Workflow, Task: a.run.Task, Run: a.run.Number, Outcome: outcome, Checkpoint: checkpoint,
+		Void: !a.began,
 	})
 }
 
--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -51,8 +51,9 @@
 	attempt    *attempt
 	ending     bool            // its end is being committed; it counts as done
 	avoid      map[string]bool // workers on which a run failed
-	readyAt    time.Duration
-	moves      int // how often it was moved because it was slow
+	readyAt    time.Duration   // since when it waits
+	endedAt    int64           // see state.WorkflowTask
+	moves      int             // how often it was moved because it was slow
 }
 
 // ranBefore reports whether a run of the task was started before.
@@ -92,7 +93,7 @@
 
 // refresh takes over what the replicated state says of a task.
 func (c *Controller) refresh(t *task, r *state.WorkflowTask) {
-	t.run, t.failures, t.checkpoint = r.Run, r.Failures, r.Checkpoint
+	t.run, t.failures, t.checkpoint, t.endedAt = r.Run, r.Failures, r.Checkpoint, r.EndedAt
 	if t.ending {
 		return // an earlier entry than that of its end
 	}
@@ -144,7 +145,7 @@
 		if t.phase != taskBlocked || !t.unblocked() || t.dueAt() > wall {
 			continue
 		}
-		t.phase, t.readyAt = taskReady, c.now()
+		t.phase, t.readyAt = taskReady, t.waitsSince(c.now(), wall)
 		if f.spec.Occurrences > 0 && t.pos.Step == 0 && t.pos.Index == 0 && t.run == 0 {
 			c.noteDemand(f.spec, wall)
 		}
@@ -153,6 +154,25 @@
 	}
 }
 
+// waitsSince returns since when a task waits that becomes ready. A serving task
+// does since its last run, whatever leader it had and starts were refused
+// meanwhile.
+func (t *task) waitsSince(now time.Duration, wall int64) time.Duration {
+	since := t.endedAt
+	switch {
+	case !t.step.LongRunning:
+		return now
+	case since > 0:
+	case t.run > 0 && t.readyAt > 0:
+		return t.readyAt
+	case len(t.step.DependsOn) == 0 && t.flow.spec.Occurrences == 0:
+		since = t.flow.submittedAt
+	default:
+		return now
+	}
+	return now - time.Duration(max(0, wall-since))*time.Millisecond
+}
+
 // unblocked reports whether all steps that the task depends on are done.
 func (t *task) unblocked() bool {
 	for _, s := range t.step.DependsOn {
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -349,6 +349,7 @@
 		if outcome != state.OutcomeLost {
 			s.failures.note(c, s, a, outcome == state.OutcomeFailed)
 		}
+		a.began = true
 		c.end(a, outcome, e.Checkpoint, e.How.String())
 		return
 	}
@@ -381,6 +382,7 @@
 func (c *Controller) takeRunning(s *session, r *RunStatus) {
 	k := runKey{r.Position, r.Number}
 	if a := s.attempts[k]; a != nil {
+		a.began = true
 		if a.phase == attemptUnknown && !a.stopping || a.phase == attemptStarting {
 			a.phase = attemptRunning
 		}
--- a/fleet/waits_test.go
+++ b/fleet/waits_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -68,6 +69,49 @@
 	h.Expect(a.Records()[1].Position.Index).To(Equal(1))
 }
 
+// refusing is a worker that refuses starts of serving tasks.
+type refusing struct{ fleet.Worker }
+
+func (refusing) Start(context.Context, fleet.StartCall) error {
+	return &fleet.RefusedError{Reason: fleet.RefusedUnhealthy}
+}
+
+// Guards against a serving task that never goes to a sound worker beyond its
+// share, since its wait begins anew with each start that another one refuses.
+func TestRefusedStartDoesNotBeginTheWaitAnew(t *testing.T) {
+	h := newHarness(t, func(o *fleet.Options) {
+		dial := o.Dial
+		o.Dial = func(w state.PoolWorker) fleet.Worker {
+			if w.ID == "a" {
+				return refusing{dial(w)}
+			}
+			return dial(w)
+		}
+	})
+	b := h.worker("b", pool.Options{Work: briefBatch})
+	h.submitAs("a000000000000001", step(8, sized(4000), lasting(10*time.Second)))
+	h.Eventually(func() state.WorkflowPhase { return h.phaseOf("a000000000000001") }, patience).Should(Equal(state.WorkflowCompleted))
+	a := h.worker("a", pool.Options{Work: briefBatch})
+	h.submitAs("0000000000000002", step(1, serving))
+	h.Eventually(func() int { return running(a) + running(b) }, servingWait).Should(Equal(1))
+}
+
+// Guards against a serving task that waits anew after a change of leader.
+func TestNewLeaderKnowsHowLongAServingTaskHasWaited(t *testing.T) {
+	h := newHarness(t)
+	a := h.worker("a", pool.Options{Work: untilFailure, Fails: firstFails})
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.Done))
+	h.Eventually(func() int { return running(a) }, patience, "5ms").Should(Equal(1))
+	// These ask for nearly all of the pool and leave most of it unused.
+	h.submitAs("00000000000000b1", step(4, sized(100), lasting(time.Minute)))
+	h.Eventually(func() bool { return len(a.Records()) == 5 && !a.Records()[0].Ended.IsZero() }, patience).Should(BeTrue())
+	failed := time.Now()
+	time.Sleep(2200 * time.Millisecond)
+	h.Expect(running(a)).To(Equal(4), "the serving task would go beyond its share")
+	h.changeLeader(3)
+	h.Eventually(func() int { return running(a) }, servingWait-time.Since(failed)).Should(Equal(5))
+}
+
 // Guards against a serving task that never gets to work, since each of its runs
 // is given up before its startup is over.
 func TestServingTaskThatStartsSlowlyGetsToWork(t *testing.T) {
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -129,7 +129,7 @@
 	}
 	for _, e := range b.Ends {
 		if w := open(e.Workflow); w != nil {
-			w.end(e)
+			w.end(e, tx.now)
 		}
 	}
 	for _, s := range b.Starts {
@@ -173,7 +173,7 @@
 
 // end records how a run ended. A run that completed or failed counts even if
 // it was given up and a later one was started: its work, or its attempt, is done.
-func (w *Workflow) end(e TaskEnd) {
+func (w *Workflow) end(e TaskEnd, now int64) {
 	if e.Task < 0 || e.Task >= len(w.Tasks) {
 		return
 	}
@@ -183,6 +183,9 @@
 	if t.Phase == TaskDone || e.Run > t.Run {
 		return
 	}
+	if current && long && !e.Void {
+		t.EndedAt = now
+	}
 	if e.Outcome == OutcomeDone && (current || !long) {
 		w.complete(e.Task)
 		return
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -205,6 +205,9 @@
 	// FailedRuns are the runs that Failures counts. Those of a gang are kept
 	// with its first task, those of long-running tasks not at all.
 	FailedRuns []uint64 `cbor:"6,keyasint,omitempty"`
+	// EndedAt is when the last run of a long-running task ended that began, Unix
+	// milliseconds; 0 if none has.
+	EndedAt int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Records reports whether the task's current run is the one of a start.
@@ -274,6 +277,7 @@
 	Run        uint64      `cbor:"3,keyasint"`
 	Outcome    TaskOutcome `cbor:"4,keyasint"`
 	Checkpoint string      `cbor:"5,keyasint,omitempty"`
+	Void       bool        `cbor:"6,keyasint,omitempty"` // the run is not known to have begun
 }
 
 // RecordTasks records ends and then starts of runs. Those that no longer
--- a/state/workflow_test.go
+++ b/state/workflow_test.go
@@ -290,3 +290,28 @@
 	report(6, false)
 	w.Expect(known()).NotTo(BeNil())
 }
+
+// Guards against a long-running task that counts as ended anew with each start
+// that a worker refused, or whose last end is forgotten by a later start.
+func TestLastEndOfALongRunningTaskIsKept(t *testing.T) {
+	w := newWorkflows(t)
+	w.submit(state.WorkflowStep{Count: 1, LongRunning: true}, state.WorkflowStep{Count: 1})
+	void := func(run uint64) {
+		w.apply(state.RecordTasks{Ends: []state.TaskEnd{{Workflow: "w", Run: run, Outcome: state.OutcomeLost, Void: true}}})
+	}
+	w.start(0, 1, "a")
+	void(1)
+	w.Expect(w.get().Tasks[0]).To(Equal(state.WorkflowTask{Run: 1}))
+	for run, o := range []state.TaskOutcome{state.OutcomeLost, state.OutcomeFailed, state.OutcomeDone} {
+		w.start(0, uint64(2*run+2), "a")
+		w.end(0, uint64(2*run+2), o, "")
+		ended := w.s.Time
+		w.Expect(w.get().Tasks[0].EndedAt).To(Equal(ended))
+		w.start(0, uint64(2*run+3), "b")
+		void(uint64(2*run + 3))
+		w.Expect(w.get().Tasks[0]).To(Equal(state.WorkflowTask{Run: uint64(2*run + 3), EndedAt: ended}))
+	}
+	w.start(1, 1, "a")
+	w.end(1, 1, state.OutcomeLost, "")
+	w.Expect(w.get().Tasks[1]).To(Equal(state.WorkflowTask{Run: 1}), "only serving tasks are judged by it")
+}
