fleet: a gang without room is tried once in a round

What callers see: while a wide gang waits for room, every other task waits for many seconds, and the leader hardly answers.

Cause: placeFlow tried to place the whole gang once for each of its members. A trial looks at all rooms for each member, so that the time of a round grew with the square of the gang's width, and rounds pause for twice their time.

Evidence: TestGangWithoutRoomHoldsUpNoOtherTask failed before: with 250 workers and a gang of 1001 of which 1000 fit, a serving task had no run within 6 s.

Why it works: after the trial either all members have a worker or none will have one in this round, so the step is full.

--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -323,7 +323,7 @@
 		}
 		if t.step.Gang {
 			c.placeGang(t, p)
-			equal = nil
+			equal, full = nil, fullStep{step: t.pos.Step, occurrence: t.pos.Occurrence, lost: true}
 			continue
 		}
 		class := classOf(t.step, j)
--- a/fleet/waits_test.go
+++ b/fleet/waits_test.go
@@ -235,3 +235,27 @@
 	h.submitLater("0000000000000003", step(1, serving))
 	h.Eventually(func() int { return running(a) }, servingWait).Should(Equal(3))
 }
+
+// Guards against a wide gang without room that holds up all other tasks, since
+// it is tried once for each of its members.
+func TestGangWithoutRoomHoldsUpNoOtherTask(t *testing.T) {
+	h := newHarness(t)
+	const workers, places = 250, 4
+	all := make([]*pool.Worker, workers)
+	for i := range all {
+		all[i] = h.worker(fmt.Sprintf("w%03d", i), pool.Options{Work: forever})
+	}
+	gang := func(s *state.WorkflowStep) { s.Gang = true }
+	h.submitAs("0000000000000001", step(workers*places+1, serving, gang, sized(1000)))
+	time.Sleep(100 * time.Millisecond)
+	begin := time.Now()
+	h.submitAs("0000000000000002", step(1, serving))
+	h.Eventually(func() int {
+		n := 0
+		for _, w := range all {
+			n += running(w)
+		}
+		return n
+	}, servingWait).Should(Equal(1))
+	t.Logf("after %v", time.Since(begin))
+}
