fleet: a task goes elsewhere once a worker can't read its start

What callers see: a task without a run for ever beside workers with room.

Cause: a start that its worker refuses as unreadable, or for its ticket, was placed again at once, and as nothing had changed on the same worker. In a pool of two a task also went back to the worker on which its runs failed, though the other had room, since a task that failed on half of the pool avoided nothing.

Why it works: the task avoids the worker, like one where a run failed. Avoided workers are now looked at last even by tasks that may go there (those that failed on half of the pool, and serving tasks that have waited too long), and not at all by others, as before.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -174,6 +174,8 @@
 		s.fullUntil = now + roomPause
 	case RefusedUnhealthy:
 		s.pauseUntil = now + unhealthyPause
+	case RefusedTicket, RefusedInvalid:
+		c.avoid(a) // the next call would be the same
 	case RefusedOtherLife:
 		c.loseSession(s, "another life has its address")
 		return
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -95,7 +95,7 @@
 	if !placement.NearlyOverdue(waited.Milliseconds()) {
 		return
 	}
-	request, _ := c.poolTask(t, p, t.avoided(p))
+	request, _ := c.poolTask(t, p, c.barred(t, p))
 	share := p.shares[t.flow.spec.Priority]
 	var room, kept int64
 	if share != nil {
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -307,11 +307,7 @@
 		if t.phase != taskReady {
 			continue
 		}
-		avoid := t.avoided(p)
-		barred := avoid
-		if c.takesAny(t) {
-			barred = nil
-		}
+		barred := c.barred(t, p)
 		waited := (c.now() - t.readyAt).Milliseconds()
 		lost := j.BeyondShare && placement.Lost(waited, t.ranBefore()) ||
 			j.Pressing() && t.step.LongRunning && placement.Overdue(waited)
@@ -329,12 +325,12 @@
 		class := classOf(t.step, j)
 		class.lost = lost
 		if !equal.includes(t) || equal.lost != lost {
-			equal = c.equalTasks(t, p, j, lost, avoid)
+			equal = c.equalTasks(t, p, j, lost, t.avoid)
 		}
 		i := -1
 		if !p.full(t.step, class) {
 			i = equal.find(j, waited, t.ranBefore())
-			if i < 0 && len(avoid) > 0 && len(barred) == 0 {
+			if i < 0 && len(t.avoid) > 0 && len(barred) == 0 {
 				equal = c.equalTasks(t, p, j, lost, nil)
 				i = equal.find(j, waited, t.ranBefore())
 			}
@@ -438,21 +434,17 @@
 	e.ranking.Update()
 }
 
-// avoided returns the workers that the task avoids, or nil if it failed on
-// nearly all of the pool: then it is at fault itself.
-func (t *task) avoided(p *pool) map[string]bool {
-	if len(t.avoid)*2 >= len(p.sessions) {
+// barred returns the workers on which the task doesn't run even if no other has
+// room: those that it avoids, or none if it failed on nearly all of the pool,
+// since it is at fault itself then, or if it is a serving task that has waited
+// too long.
+func (c *Controller) barred(t *task, p *pool) map[string]bool {
+	if len(t.avoid)*2 >= len(p.sessions) || t.step.LongRunning && placement.WaitedTooLong((c.now()-t.readyAt).Milliseconds()) {
 		return nil
 	}
 	return t.avoid
 }
 
-// takesAny reports whether a task rather runs on a worker that it avoids than
-// nowhere.
-func (c *Controller) takesAny(t *task) bool {
-	return t.step.LongRunning && placement.WaitedTooLong((c.now() - t.readyAt).Milliseconds())
-}
-
 // poolTask returns what a task asks for that avoids workers, and how many tasks
 // of its step each worker has if that is bounded.
 func (c *Controller) poolTask(t *task, p *pool, avoid map[string]bool) (placement.PoolTask, map[*session]int) {
--- a/fleet/waits_test.go
+++ b/fleet/waits_test.go
@@ -69,25 +69,43 @@
 	h.Expect(a.Records()[1].Position.Index).To(Equal(1))
 }
 
-// refusing is a worker that refuses starts of serving tasks.
-type refusing struct{ fleet.Worker }
+// refusing is a worker that refuses starts.
+type refusing struct {
+	fleet.Worker
+	reason fleet.RefusalReason
+}
 
-func (refusing) Start(context.Context, fleet.StartCall) error {
-	return &fleet.RefusedError{Reason: fleet.RefusedUnhealthy}
+func (r refusing) Start(context.Context, fleet.StartCall) error {
+	return &fleet.RefusedError{Reason: r.reason}
 }
 
-// Guards against a serving task that never goes to a sound worker beyond its
-// share, since its wait begins anew with each start that another one refuses.
-func TestRefusedStartDoesNotBeginTheWaitAnew(t *testing.T) {
-	h := newHarness(t, func(o *fleet.Options) {
+// refuse lets the worker with the id "a" refuse all starts.
+func refuse(reason fleet.RefusalReason) func(*fleet.Options) {
+	return func(o *fleet.Options) {
 		dial := o.Dial
 		o.Dial = func(w state.PoolWorker) fleet.Worker {
 			if w.ID == "a" {
-				return refusing{dial(w)}
+				return refusing{dial(w), reason}
 			}
 			return dial(w)
 		}
-	})
+	}
+}
+
+// Guards against a task that is sent to one worker again and again, which can't
+// read the call, beside others with room.
+func TestTaskGoesElsewhereOnceAWorkerCanNotReadItsStart(t *testing.T) {
+	h := newHarness(t, refuse(fleet.RefusedInvalid))
+	h.worker("a", pool.Options{Work: forever})
+	b := h.worker("b", pool.Options{Work: forever})
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.Done))
+	h.Eventually(func() int { return running(b) }, servingWait).Should(Equal(1))
+}
+
+// Guards against a serving task that never goes to a sound worker beyond its
+// share, since its wait begins anew with each start that another one refuses.
+func TestRefusedStartDoesNotBeginTheWaitAnew(t *testing.T) {
+	h := newHarness(t, refuse(fleet.RefusedUnhealthy))
 	b := h.worker("b", pool.Options{Work: briefBatch})
 	h.submitAs("a000000000000001", step(8, sized(4000), lasting(10*time.Second)))
 	h.Eventually(func() state.WorkflowPhase { return h.phaseOf("a000000000000001") }, patience).Should(Equal(state.WorkflowCompleted))
