fleet: a worker that refused a start is avoided for a while only

What callers see: a batch task without a run for ever beside a worker with room, after one start there was refused for its ticket or as unreadable.

Cause: since such a refusal keeps the task off the worker for as long as the leader lives. Serving tasks return to avoided workers, batch tasks do not until these are half of the pool.

Why it works: a refusal is forgotten after the pause of a worker that takes nothing; failed runs still count for good.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -175,7 +175,7 @@
 	case RefusedUnhealthy:
 		s.pauseUntil = now + unhealthyPause
 	case RefusedTicket, RefusedInvalid:
-		c.avoid(a) // the next call would be the same
+		c.avoidForNow(a) // the next call would be the same
 	case RefusedOtherLife:
 		c.loseSession(s, "another life has its address")
 		return
--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -50,10 +50,12 @@
 	checkpoint string
 	attempt    *attempt
 	ending     bool            // its end is being committed; it counts as done
-	avoid      map[string]bool // workers on which a run failed
-	readyAt    time.Duration   // since when it waits
-	endedAt    int64           // see state.WorkflowTask
-	moves      int             // how often it was moved because it was slow
+	avoid      map[string]bool // workers on which a run failed, or which refused a start
+	// refusals are until when a worker of avoid is avoided which refused a start.
+	refusals map[string]time.Duration
+	readyAt  time.Duration // since when it waits
+	endedAt  int64         // see state.WorkflowTask
+	moves    int           // how often it was moved because it was slow
 }
 
 // ranBefore reports whether a run of the task was started before.
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -307,6 +307,7 @@
 		if t.phase != taskReady {
 			continue
 		}
+		t.forgetRefusals(c.now())
 		barred := c.barred(t, p)
 		waited := (c.now() - t.readyAt).Milliseconds()
 		lost := j.BeyondShare && placement.Lost(waited, t.ranBefore()) ||
