fleet: a worker that refused a start isn't asked again without a pause

What callers see: a leader that sends thousands of starts a second to one worker that can't read them, and a task that doesn't run; other tasks wait behind it.

Cause: gangs avoided no worker, and a serving task that has waited for 0.8 s goes to avoided workers too; the worker refuses at once, and the task is placed again at once.

Change: who refused a start of a task is kept apart from where its runs failed, and is not asked again for 2 s, by nothing that the task may otherwise do; a gang leaves out workers that refused one of its members.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -175,7 +175,7 @@
 	case RefusedUnhealthy:
 		s.pauseUntil = now + unhealthyPause
 	case RefusedTicket, RefusedInvalid:
-		c.avoidForNow(a) // the next call would be the same
+		a.task.refusedBy(s.worker.ID, now) // and would be again at once
 	case RefusedOtherLife:
 		c.loseSession(s, "another life has its address")
 		return
--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"time"
 
 	"apricotrouter/event"
@@ -50,8 +51,8 @@
 	checkpoint string
 	attempt    *attempt
 	ending     bool            // its end is being committed; it counts as done
-	avoid      map[string]bool // workers on which a run failed, or which refused a start
-	// refusals are until when a worker of avoid is avoided which refused a start.
+	avoid      map[string]bool // workers on which a run failed
+	// refusals are until when workers that refused a start are not asked again.
 	refusals map[string]time.Duration
 	readyAt  time.Duration // since when it waits
 	endedAt  int64         // see state.WorkflowTask
@@ -61,6 +62,20 @@
 // ranBefore reports whether a run of the task was started before.
 func (t *task) ranBefore() bool { return t.run > 0 }
 
+// refusedBy keeps the task off a worker that refused its start, for as long as
+// off one that takes nothing.
+func (t *task) refusedBy(worker string, now time.Duration) {
+	if t.refusals == nil {
+		t.refusals = make(map[string]time.Duration)
+	}
+	t.refusals[worker] = now + unhealthyPause
+}
+
+// forgetRefusals lets the task return to workers that refused a start earlier.
+func (t *task) forgetRefusals(now time.Duration) {
+	maps.DeleteFunc(t.refusals, func(_ string, until time.Duration) bool { return now >= until })
+}
+
 // openFlow starts to run a workflow. Its started tasks stay with their workers
 // until these were looked at.
 func (c *Controller) openFlow(w *state.Workflow) {
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -101,7 +101,7 @@
 // says nothing about others.
 func (p *pool) noRoom(t *task, class roomClass) {
 	s := t.step
-	if s.Label != "" || s.DataRack != "" || s.MaxPerWorker > 0 || len(t.avoid) > 0 {
+	if s.Label != "" || s.DataRack != "" || s.MaxPerWorker > 0 || len(t.avoid) > 0 || len(t.refusals) > 0 {
 		return
 	}
 	if least, ok := p.tight[class]; !ok || s.Size.Fits(least) {
@@ -338,10 +338,10 @@
 		}
 		if i < 0 {
 			p.noRoom(t, class)
-			if j.Pressing() && t.step.LongRunning && len(barred) == 0 {
+			if j.Pressing() && t.step.LongRunning && len(barred) == 0 && len(t.refusals) == 0 {
 				p.hold(equal.request)
 			}
-			if !j.BeyondShare { // where siblings may have waited for longer
+			if !j.BeyondShare && len(t.refusals) == 0 { // siblings may have room otherwise
 				full = fullStep{t.pos.Step, t.pos.Occurrence, lost, barred}
 			}
 			continue
@@ -402,7 +402,7 @@
 // includes reports whether a task may go where the first may.
 func (e *equalTasks) includes(t *task) bool {
 	return e != nil && e.first.pos.Step == t.pos.Step && e.first.pos.Occurrence == t.pos.Occurrence &&
-		len(e.first.avoid) == 0 && len(t.avoid) == 0
+		len(e.first.avoid) == 0 && len(t.avoid) == 0 && len(e.first.refusals) == 0 && len(t.refusals) == 0
 }
 
 // mayExceedShare reports whether the next of the tasks may go beyond the share
@@ -450,7 +450,7 @@
 // of its step each worker has if that is bounded.
 func (c *Controller) poolTask(t *task, p *pool, avoid map[string]bool) (placement.PoolTask, map[*session]int) {
 	limit := t.step.MaxPerWorker
-	if limit == 0 && len(avoid) == 0 {
+	if limit == 0 && len(avoid) == 0 && len(t.refusals) == 0 {
 		return placement.PoolTask{Step: t.step, Pressure: c.pressure}, nil
 	}
 	onWorker := make(map[*session]int)
@@ -462,7 +462,8 @@
 	}
 	return placement.PoolTask{Step: t.step, Pressure: c.pressure, Excluded: func(i int) bool {
 		s := p.sessions[i]
-		return limit > 0 && onWorker[s] >= limit || avoid[s.worker.ID]
+		_, refused := t.refusals[s.worker.ID]
+		return limit > 0 && onWorker[s] >= limit || avoid[s.worker.ID] || refused
 	}}, onWorker
 }
 
@@ -476,11 +477,18 @@
 		if m.phase != taskReady {
 			return
 		}
+		m.forgetRefusals(c.now())
 		number = max(number, m.run+1)
 	}
+	rooms := slices.Clone(p.rooms)
+	for i, s := range p.sessions {
+		if slices.ContainsFunc(members, func(m *task) bool { _, refused := m.refusals[s.worker.ID]; return refused }) {
+			rooms[i] = nil
+		}
+	}
 	request, _ := c.poolTask(t, p, nil)
 	for _, rack := range gangRacks(t.step, p) {
-		if chosen := chooseGang(request, len(members), p.rooms, rack); chosen != nil {
+		if chosen := chooseGang(request, len(members), rooms, rack); chosen != nil {
 			for i, m := range members {
 				p.take(chosen[i], request)
 				c.place(m, p.sessions[chosen[i]], number)
--- a/fleet/straggler.go
+++ b/fleet/straggler.go
@@ -104,31 +104,6 @@
 		a.task.avoid = make(map[string]bool)
 	}
 	a.task.avoid[a.session.worker.ID] = true
-	delete(a.task.refusals, a.session.worker.ID)
-}
-
-// avoidForNow keeps the next runs of a task off a worker that refused its start,
-// for as long as off one that takes nothing.
-func (c *Controller) avoidForNow(a *attempt) {
-	t, worker := a.task, a.session.worker.ID
-	if t.avoid[worker] {
-		return
-	}
-	c.avoid(a)
-	if t.refusals == nil {
-		t.refusals = make(map[string]time.Duration)
-	}
-	t.refusals[worker] = c.now() + unhealthyPause
-}
-
-// forgetRefusals lets a task return to workers that refused a start earlier.
-func (t *task) forgetRefusals(now time.Duration) {
-	for worker, until := range t.refusals {
-		if now >= until {
-			delete(t.refusals, worker)
-			delete(t.avoid, worker)
-		}
-	}
 }
 
 // estimate returns how long a task of a step takes: as estimated, or as its
