fleet: a gang is sent whole, also to a worker of which a look has failed

What callers see: a gang whose members wait for one that isn't sent, and end alone, after one call to that member's worker got no answer in time.

Cause: since a start is not sent to a worker that has become silent while the start was being committed; for a gang that voided one member while the others were sent.

TestGangIsSentWhole failed before (no second member on the worker within 1 s): members of a gang are sent as before; single tasks still are not.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -106,7 +106,7 @@
 		c.void(a, "stopped before it was sent")
 		return nil
 	}
-	if s.silent {
+	if s.silent && !a.task.step.Gang { // whose other members would wait for this one
 		// Its lease is left to end, which a start would extend.
 		c.void(a, "its worker was silent before it was sent")
 		return nil
--- a/fleet/waits_test.go
+++ b/fleet/waits_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -221,6 +223,51 @@
 	h.Eventually(func() int { return running(b) }, servingWait).Should(Equal(1))
 }
 
+// unanswered is a worker of which looks fail while other calls succeed.
+type unanswered struct {
+	fleet.Worker
+	looks *atomic.Bool
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (u unanswered) Look(ctx context.Context, c fleet.LookCall) (*fleet.Report, error) {
+	if u.looks.Load() {
+		return nil, errNoAnswer
+	}
+	return u.Worker.Look(ctx, c)
+}
+
+// Guards against a gang of which one member is not sent, since a look at its
+// worker has failed meanwhile, while the others wait for it.
+func TestGangIsSentWhole(t *testing.T) {
+	var failing atomic.Bool
+	h := newHarness(t, func(o *fleet.Options) {
+		o.Limits.HoldMax = 20 * time.Second
+		dial := o.Dial
+		o.Dial = func(w state.PoolWorker) fleet.Worker {
+			if w.ID == "a" {
+				return unanswered{dial(w), &failing}
+			}
+			return dial(w)
+		}
+	})
+	a := h.worker("a", pool.Options{Work: forever})
+	h.submitAs("0000000000000001", step(1, serving)) // so that it is looked at
+	h.Eventually(func() int { return running(a) }, patience).Should(Equal(1))
+	b := h.worker("b", pool.Options{Work: forever})
+	h.gate.Lock()
+	gang := func(s *state.WorkflowStep) { s.Gang, s.MaxPerWorker = true, 1 }
+	h.submitAs("0000000000000002", step(2, gang))
+	time.Sleep(50 * time.Millisecond)
+	failing.Store(true)
+	time.Sleep(1500 * time.Millisecond) // until a look has failed
+	h.gate.Unlock()
+	h.Eventually(b.Records, patience).Should(HaveLen(1))
+	h.Eventually(a.Records, "1s").Should(HaveLen(2))
+	failing.Store(false)
+}
+
 // submitLater submits a workflow to a queue of the second priority.
 func (h *harness) submitLater(id string, s state.WorkflowStep) {
 	h.t.Helper()
