fleet: rooms held for urgent work are there for overdue serving gangs too

What callers see: a gang of serving tasks that waits as long as a larger, more urgent serving task does, beside a worker with room for the gang.

Cause: shows held rooms to overdue serving tasks; gangs were placed from the rooms without them.

TestRoomHeldForUrgentWorkKeepsNoServingGangOut failed before (no run within 6 s). placeGang takes the rooms that its members may see. The flag for that is now called seesHeld, and placement.Lost is called Missing, as a lost run is something else in this code.

--- a/fleet/flow.go
+++ b/fleet/flow.go
@@ -59,7 +59,8 @@
 	moves    int           // how often it was moved because it was slow
 }
 
-// ranBefore reports whether a run of the task was started before.
+// ranBefore reports whether a run of the task was recorded before, though its
+// worker may have refused it.
 func (t *task) ranBefore() bool { return t.run > 0 }
 
 // refusedBy keeps the task off a worker that refused its start, for as long as
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -47,8 +47,8 @@
 	leftover bool
 	image    string // of a task on leftover processors, which decides whom it disturbs
 	// priority and beyondShare of a serving task, which decide about its share.
-	priority          int
-	beyondShare, lost bool
+	priority              int
+	beyondShare, seesHeld bool
 }
 
 func classOf(s *state.WorkflowStep, j placement.WaitingJob) roomClass {
@@ -310,29 +310,29 @@
 		t.forgetRefusals(c.now())
 		barred := c.barred(t, p)
 		waited := (c.now() - t.readyAt).Milliseconds()
-		lost := j.BeyondShare && placement.Lost(waited, t.ranBefore()) ||
+		seesHeld := j.BeyondShare && placement.Missing(waited, t.ranBefore()) ||
 			j.Pressing() && t.step.LongRunning && placement.Overdue(waited)
-		if full.includes(t, lost, barred) {
+		if full.includes(t, seesHeld, barred) {
 			continue
 		}
 		if j.BeyondShare && (!t.step.LongRunning || !placement.Overdue(waited)) {
 			continue
 		}
 		if t.step.Gang {
-			c.placeGang(t, p)
-			equal, full = nil, fullStep{step: t.pos.Step, occurrence: t.pos.Occurrence, lost: true}
+			c.placeGang(t, p, seesHeld)
+			equal, full = nil, fullStep{step: t.pos.Step, occurrence: t.pos.Occurrence, seesHeld: true}
 			continue
 		}
 		class := classOf(t.step, j)
-		class.lost = lost
-		if !equal.includes(t) || equal.lost != lost {
-			equal = c.equalTasks(t, p, j, lost, t.avoid)
+		class.seesHeld = seesHeld
+		if !equal.includes(t) || equal.seesHeld != seesHeld {
+			equal = c.equalTasks(t, p, j, seesHeld, t.avoid)
 		}
 		i := -1
 		if !p.full(t.step, class) {
 			i = equal.find(j, waited, t.ranBefore())
 			if i < 0 && len(t.avoid) > 0 && len(barred) == 0 {
-				equal = c.equalTasks(t, p, j, lost, nil)
+				equal = c.equalTasks(t, p, j, seesHeld, nil)
 				i = equal.find(j, waited, t.ranBefore())
 			}
 		}
@@ -342,7 +342,7 @@
 				p.hold(equal.request)
 			}
 			if !j.BeyondShare && len(t.refusals) == 0 { // siblings may have room otherwise
-				full = fullStep{t.pos.Step, t.pos.Occurrence, lost, barred}
+				full = fullStep{t.pos.Step, t.pos.Occurrence, seesHeld, barred}
 			}
 			continue
 		}
@@ -359,12 +359,12 @@
 // that are barred from the same workers at least find none either.
 type fullStep struct {
 	step, occurrence int
-	lost             bool // held rooms were there for it
+	seesHeld         bool // held rooms were there for it
 	barred           map[string]bool
 }
 
-func (f *fullStep) includes(t *task, lost bool, barred map[string]bool) bool {
-	if t.pos.Step != f.step || t.pos.Occurrence != f.occurrence || lost && !f.lost {
+func (f *fullStep) includes(t *task, seesHeld bool, barred map[string]bool) bool {
+	if t.pos.Step != f.step || t.pos.Occurrence != f.occurrence || seesHeld && !f.seesHeld {
 		return false
 	}
 	for worker := range f.barred {
@@ -377,19 +377,19 @@
 
 // equalTasks is the tasks of a step that look for room in one round.
 type equalTasks struct {
-	first   *task
-	pool    *pool
-	lost    bool // they have waited too long for rooms to be held for others
-	rooms   []*placement.PoolRoom
-	request placement.PoolTask
+	first    *task
+	pool     *pool
+	seesHeld bool // they have waited too long for rooms to be held from them
+	rooms    []*placement.PoolRoom
+	request  placement.PoolTask
 	// onWorker is how many tasks of the step a worker has, where that is bounded.
 	onWorker map[*session]int
 	ranking  *placement.Ranking // nil before it is needed
 }
 
-func (c *Controller) equalTasks(t *task, p *pool, j placement.WaitingJob, lost bool, avoid map[string]bool) *equalTasks {
-	e := &equalTasks{first: t, pool: p, lost: lost, rooms: p.rooms}
-	if lost {
+func (c *Controller) equalTasks(t *task, p *pool, j placement.WaitingJob, seesHeld bool, avoid map[string]bool) *equalTasks {
+	e := &equalTasks{first: t, pool: p, seesHeld: seesHeld, rooms: p.rooms}
+	if seesHeld {
 		e.rooms = p.allRooms
 	}
 	e.request, e.onWorker = c.poolTask(t, p, avoid)
@@ -409,7 +409,7 @@
 // of serving tasks.
 func (e *equalTasks) mayExceedShare(waitedMillis int64, ranBefore bool) bool {
 	places := 0
-	if e.lost {
+	if e.seesHeld {
 		places = placement.Places(e.rooms, e.request)
 	}
 	return placement.BeyondShare(waitedMillis, ranBefore, e.pool.idle, places)
@@ -468,7 +468,7 @@
 }
 
 // placeGang places all tasks of a gang, or none. They share the run number.
-func (c *Controller) placeGang(t *task, p *pool) {
+func (c *Controller) placeGang(t *task, p *pool, seesHeld bool) {
 	f := t.flow
 	first := f.spec.FirstTask(t.pos.Occurrence, t.pos.Step)
 	members := f.tasks[first : first+t.step.Count]
@@ -481,6 +481,9 @@
 		number = max(number, m.run+1)
 	}
 	rooms := slices.Clone(p.rooms)
+	if seesHeld {
+		copy(rooms, p.allRooms)
+	}
 	for i, s := range p.sessions {
 		if slices.ContainsFunc(members, func(m *task) bool { _, refused := m.refusals[s.worker.ID]; return refused }) {
 			rooms[i] = nil
--- a/placement/share.go
+++ b/placement/share.go
@@ -19,10 +19,10 @@
 	// servingOverdue is how long serving tasks beyond their share wait before
 	// they get room that batch tasks leave unused, in milliseconds.
 	servingOverdue = 4000
-	// servingLost is how long those that have run before wait until they get any
+	// servingMissing is how long those that have run before wait until they get any
 	// room that is free for two of them, in milliseconds: from then on the users'
 	// rules count a missing task as lost while there is such room.
-	servingLost = 6000
+	servingMissing = 6000
 	// idleTime is how long batch tasks must have left room unused, in
 	// milliseconds: several of their tasks begin and end meanwhile.
 	idleTime = 2000
@@ -32,10 +32,12 @@
 // beyond the share of serving tasks.
 func Overdue(waitedMillis int64) bool { return waitedMillis >= servingOverdue }
 
-// Lost reports whether a serving task has been missing so long that no share
+// Missing reports whether a serving task has been missing so long that no share
 // keeps it from room that is there. A task that has never run is not missing:
 // it asks for more of the pool than serving tasks had before.
-func Lost(waitedMillis int64, ranBefore bool) bool { return ranBefore && waitedMillis >= servingLost }
+func Missing(waitedMillis int64, ranBefore bool) bool {
+	return ranBefore && waitedMillis >= servingMissing
+}
 
 // BeyondShare reports whether a serving task that has waited may go beyond the
 // share of serving tasks. Idle is how many of them may have what batch tasks
@@ -43,7 +45,7 @@
 // bursts use all room for moments only: they have had their turn, and there is
 // as much room for them as for the serving task.
 func BeyondShare(waitedMillis int64, ranBefore bool, idle, places int) bool {
-	return Overdue(waitedMillis) && idle > 0 || Lost(waitedMillis, ranBefore) && places > 1
+	return Overdue(waitedMillis) && idle > 0 || Missing(waitedMillis, ranBefore) && places > 1
 }
 
 // NearlyOverdue reports whether a serving task will be overdue within the time
