--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -43,6 +43,10 @@
 	milliCPU    int64
 	longestWait time.Duration // longest wait of any of them
 	task        *task         // longest-waiting task; tasks that ran before come first
+	// fitting is the number of these tasks with no more CPU than is free on one
+	// worker. expired is the number of these tasks whose workflow can no longer
+	// end before its result becomes useless.
+	fitting, expired int
 }
 
 // occupancy is the use of the CPU of a pool's usable workers, in thousandths of
@@ -65,9 +69,13 @@
 		return
 	}
 	c.nextReport = now + occupancyLogInterval
-	waiting := c.waitingByPool(now)
+	occupancies := make(map[string]occupancy, len(pools))
 	for name, p := range pools {
-		o := p.occupancy()
+		occupancies[name] = p.occupancy()
+	}
+	waiting := c.waitingByPool(now, occupancies)
+	for name, p := range pools {
+		o := occupancies[name]
 		o.waiting = waiting[name]
 		c.metrics.setOccupancy(name, o)
 		if o.waiting == [taskKinds]waitingDemand{} {
@@ -80,7 +88,8 @@
 		}
 		for k, d := range o.waiting {
 			attrs = append(attrs, slog.Group(taskKindNames[k], slog.Int("waiting", d.tasks),
-				slog.Int64("milli_cpu", d.milliCPU), slog.Int64("longest_ms", d.longestWait.Milliseconds())))
+				slog.Int64("milli_cpu", d.milliCPU), slog.Int64("longest_ms", d.longestWait.Milliseconds()),
+				slog.Int("fitting", d.fitting), slog.Int("expired", d.expired)))
 		}
 		event.Log(c.opts.Logger, event.PoolCapacity, attrs...)
 		c.logServingWait(name, p, o.waiting[kindServing].task)
@@ -99,9 +108,9 @@
 	}
 	request, _ := c.placementRequest(t, p, c.excludedWorkers(t, p))
 	share := p.shares[t.workflow.spec.Priority]
-	var batchFree, batchReserved int64
+	var batchFree, batchReserved, batchUnit int64
 	if share != nil {
-		batchFree, batchReserved = share.Available()
+		batchFree, batchReserved, batchUnit = share.Available()
 	}
 	rejections := placement.CountRejections(p.workers, request, share)
 	event.Log(c.opts.Logger, event.ServingTaskWaiting,
@@ -110,7 +119,7 @@
 		slog.Int("admitted", rejections.Admitted), slog.Int("processors", rejections.Processors), slog.Int("memory", rejections.Memory), slog.Int("accelerators", rejections.Accelerators),
 		slog.Int("label", rejections.Label), slog.Int("excluded", rejections.Excluded), slog.Int("held", rejections.ReservedForOthers), slog.Int("share", rejections.BatchReservation),
 		slog.Int64("largest_admitted_milli_cpu", rejections.LargestAdmitted), slog.Int("unusable", c.unusableWorkers(name, p)),
-		slog.Int("failed_on", len(t.avoid)), slog.Int64("share_room_milli_cpu", batchFree), slog.Int64("share_kept_milli_cpu", batchReserved), slog.Int("idle", p.idleCapacity))
+		slog.Int("failed_on", len(t.avoid)), slog.Int64("share_room_milli_cpu", batchFree), slog.Int64("share_kept_milli_cpu", batchReserved), slog.Int64("share_unit_milli_cpu", batchUnit), slog.Int("idle", p.idleCapacity))
 }
 
 // unusableWorkers counts the workers of a pool that are excluded from the
@@ -144,13 +153,17 @@
 	return o
 }
 
-func (c *Controller) waitingByPool(now time.Duration) map[string][taskKinds]waitingDemand {
+func (c *Controller) waitingByPool(now time.Duration, occupancies map[string]occupancy) map[string][taskKinds]waitingDemand {
 	waiting := make(map[string][taskKinds]waitingDemand)
+	wall := c.opts.Clock.Now().UnixMilli()
 	for _, f := range c.workflows {
 		if f.readyTasks == 0 {
 			continue
 		}
 		kinds := waiting[f.spec.Pool]
+		largestFree := occupancies[f.spec.Pool].largestFree
+		job := waitingJob(f, now)
+		expired := job.Expired(wall)
 		for _, t := range f.tasks {
 			if t.phase != taskReady {
 				continue
@@ -159,6 +172,12 @@
 			d.tasks++
 			d.milliCPU += t.step.Size.MilliCPU
 			d.longestWait = max(d.longestWait, now-t.waitingSince)
+			if t.step.Reservation().MilliCPU <= largestFree {
+				d.fitting++
+			}
+			if expired {
+				d.expired++
+			}
 			if d.task == nil || t.logsBefore(d.task) {
 				d.task = t
 			}
--- a/fleet/occupancy_test.go
+++ b/fleet/occupancy_test.go
@@ -61,6 +61,10 @@
 	occupancy := logs.last(event.PoolCapacity)
 	h.Expect(occupancy).To(HaveKeyWithValue("serving_milli_cpu", 3000.0))
 	h.Expect(occupancy).To(HaveKeyWithValue("largest_free_milli_cpu", 1000.0))
+	h.Expect(occupancy["batch"]).To(HaveKeyWithValue("fitting", 0.0))
+	h.submitAs("00000000000000b2", step(2, withCPU(900), withEstimate(time.Hour)))
+	h.Eventually(func() any { return logs.last(event.PoolCapacity)["batch"] }, waitTimeout).Should(And(
+		HaveKeyWithValue("waiting", 3.0), HaveKeyWithValue("fitting", 0.0), HaveKeyWithValue("expired", BeNumerically(">=", 1.0))), "one task of the second workflow runs")
 }
 
 // Guards against logs that do not distinguish a lack of free capacity from
@@ -78,4 +82,5 @@
 	h.Expect(line).To(HaveKeyWithValue("share", 1.0), "%v", line)
 	h.Expect(line).To(HaveKeyWithValue("largest_admitted_milli_cpu", BeNumerically(">=", 2000.0)))
 	h.Expect(line).To(HaveKeyWithValue("waited_ms", BeNumerically(">=", 2000.0)))
+	h.Expect(line).To(HaveKeyWithValue("share_unit_milli_cpu", 1500.0))
 }
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -161,14 +161,9 @@
 	for _, f := range c.workflows {
 		c.unblockTasks(f)
 		if f.readyTasks > 0 {
-			serving, waited := f.servingWait(now)
-			j := placement.WaitingJob{
-				Serving: serving, WaitedMillis: waited.Milliseconds(),
-				ID: f.spec.ID, Priority: f.spec.Priority, Deadline: f.deadline,
-				LateDeadline: f.submittedAt + lateFactor*(f.deadline-f.submittedAt), RemainingMillis: f.remainingMillis(),
-			}
+			j := waitingJob(f, now)
 			waiting = append(waiting, j)
-			if serving && placement.NearlyOverdue(waited.Milliseconds()) {
+			if j.Serving && placement.NearlyOverdue(j.WaitedMillis) {
 				j.ExceedsShare = true
 				waiting = append(waiting, j)
 			}
@@ -177,6 +172,15 @@
 	return waiting
 }
 
+func waitingJob(f *workflow, now time.Duration) placement.WaitingJob {
+	serving, waited := f.servingWait(now)
+	return placement.WaitingJob{
+		Serving: serving, WaitedMillis: waited.Milliseconds(),
+		ID: f.spec.ID, Priority: f.spec.Priority, Deadline: f.deadline,
+		LateDeadline: f.submittedAt + lateFactor*(f.deadline-f.submittedAt), RemainingMillis: f.remainingMillis(),
+	}
+}
+
 // servingWait reports whether serving tasks of the workflow wait, and the
 // longest wait of them.
 func (f *workflow) servingWait(now time.Duration) (bool, time.Duration) {
--- a/placement/job_order.go
+++ b/placement/job_order.go
@@ -70,6 +70,10 @@
 	})
 }
 
+// Expired reports whether the job can no longer end before LateDeadline. now is
+// in Unix milliseconds.
+func (j *WaitingJob) Expired(now int64) bool { return j.orderClass(now) == orderExpired }
+
 func (j *WaitingJob) orderClass(now int64) orderClass {
 	end := now + int64(float64(j.RemainingMillis)*remainingTimeFactor)
 	switch {
--- a/placement/rejection.go
+++ b/placement/rejection.go
@@ -48,6 +48,9 @@
 	return n
 }
 
-// Available returns the CPU that is available for batch tasks and the part of
-// it that is reserved for them, in thousandths of a processor.
-func (s *BatchReservation) Available() (available, reserved int64) { return s.available, s.reserved }
+// Available returns the CPU that is available for batch tasks, the part of it
+// that is reserved for them, and the smallest piece of free CPU that counts as
+// available, in thousandths of a processor.
+func (s *BatchReservation) Available() (available, reserved, unit int64) {
+	return s.available, s.reserved, s.taskSize
+}
