--- a/fleet/batch_reservation_test.go
+++ b/fleet/batch_reservation_test.go
@@ -33,22 +33,33 @@
 // worker, serving tasks reserve all but fragments of the CPU that are too small
 // for the larger batch tasks, while small ones still run.
 func TestBatchReservationFitsLargerTasks(t *testing.T) {
-	expectLargerJobsServed(t, func(*harness, int) {})
+	expectLargerJobsServed(t, 0, 12, func(*harness, int) {})
 }
 
 // Guards against the same when some submissions fit on no worker.
 func TestJobsThatFitNoWorkerDoNotUndoTheShare(t *testing.T) {
-	expectLargerJobsServed(t, func(h *harness, i int) {
+	expectLargerJobsServed(t, 0, 12, func(h *harness, i int) {
 		if i%10 == 0 {
 			h.submitAs(fmt.Sprintf("c%015x", i), step(1, withCPU(100_000)))
 		}
 	})
 }
 
+// Guards against the same when a few batch tasks are nearly as large as a
+// worker, so that no worker with serving tasks has free capacity for one.
+func TestTasksAsLargeAsAWorkerDoNotUndoTheBatchReservation(t *testing.T) {
+	expectLargerJobsServed(t, 4, 9, func(h *harness, i int) {
+		if i%30 == 0 {
+			h.submitAs(fmt.Sprintf("af%014x", i), step(1, withCPU(3800), withEstimate(100*time.Millisecond)))
+		}
+	})
+}
+
 // expectLargerJobsServed simulates the loss of a worker during a stream of
-// batch workflows, a quarter of them large. submitMore is called before each
-// submission.
-func expectLargerJobsServed(t *testing.T, submitMore func(h *harness, i int)) {
+// batch workflows, a quarter of them large. spread serving tasks run on
+// different workers, and packed ones where they fit. submitMore is called before
+// each submission.
+func expectLargerJobsServed(t *testing.T, spread, packed int, submitMore func(h *harness, i int)) {
 	t.Helper()
 	h := newHarness(t)
 	const smallWork, largeWork = 100 * time.Millisecond, 200 * time.Millisecond
@@ -65,14 +76,22 @@
 	for i := range workers {
 		workers[i] = h.addWorker(fmt.Sprintf("w%d", i), pool.Options{RunTime: work})
 	}
-	h.submitAs("0000000000000001", step(12, untilStopped, withCPU(900)))
-	h.Eventually(func() int {
-		n := 0
-		for _, w := range workers {
-			n += running(w)
-		}
-		return n
-	}, waitTimeout).Should(Equal(12))
+	servingTasks := 0
+	submitServing := func(id string, count int, options ...func(*state.WorkflowStep)) {
+		h.submitAs(id, step(count, append(options, untilStopped, withCPU(900))...))
+		servingTasks += count
+		h.Eventually(func() int {
+			n := 0
+			for _, w := range workers {
+				n += running(w)
+			}
+			return n
+		}, waitTimeout).Should(Equal(servingTasks))
+	}
+	if spread > 0 {
+		submitServing("0000000000000002", spread, func(s *state.WorkflowStep) { s.MaxPerWorker = 1 })
+	}
+	submitServing("0000000000000001", packed)
 	const interval, lossAt, countFrom, jobs = 100 * time.Millisecond, 20, 40, 90
 	id := func(i int) string {
 		if i%4 == 0 {
