placement: reserve capacity for batch tasks by ranges of task sizes

Cause: the batch reservation counted only free capacity in which the largest batch task of the last 10 s fits, 45 to 61 of a worker's 64 processors.

Now each range of task sizes (two per factor of two) has a reservation for the demand of its tasks and all larger ones, which counts free capacity in which the largest task of the range fits. A rare task of nearly a worker's size gets what it asks for and no longer devalues the capacity that all others can use; the total that is reserved is the same as before.

Tests: NewBatchReservation and BatchDemand take sizes; the checks are the same.

--- a/fleet/batch_reservation.go
+++ b/fleet/batch_reservation.go
@@ -27,12 +27,11 @@
 	a := placement.Arrival{At: atMillis, Priority: spec.Priority}
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
-		if kindOf(s) == kindBatch {
-			a.Work += int64(s.Count) * s.Size.MilliCPU * s.EstimateMillis
-			a.Largest = max(a.Largest, s.Size.MilliCPU)
+		if work := int64(s.Count) * s.Size.MilliCPU * s.EstimateMillis; kindOf(s) == kindBatch && work > 0 {
+			a.Tasks = append(a.Tasks, placement.ArrivalTasks{MilliCPU: s.Size.MilliCPU, Work: work})
 		}
 	}
-	if a.Work > 0 {
+	if len(a.Tasks) > 0 {
 		c.demandOf(spec.Pool).batch.Add(a)
 	}
 }
@@ -60,8 +59,12 @@
 	}
 	a := c.demandOf(name)
 	wall := c.opts.Clock.Now().UnixMilli()
-	batch, unit := a.batch.Of(wall, wall-(c.now()-c.activatedAt).Milliseconds(), priority, largest)
-	p.shares[priority] = placement.NewBatchReservation(p.workers, placement.BatchReservationSize(capacity, batch, a.serving), unit)
+	demand := a.batch.Of(wall, wall-(c.now()-c.activatedAt).Milliseconds(), priority, largest)
+	batch := int64(0)
+	if len(demand) > 0 {
+		batch = demand[0].Mean
+	}
+	p.shares[priority] = placement.NewBatchReservation(p.workers, placement.BatchReservationSize(capacity, batch, a.serving), demand)
 }
 
 // excludeOverShare also excludes workers on which a serving task would use CPU
--- a/placement/batch_reservation.go
+++ b/placement/batch_reservation.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 
 	"apricotrouter/state"
@@ -67,28 +68,72 @@
 type Arrival struct {
 	At       int64 // Unix milliseconds
 	Priority int   // 0 is the most urgent
-	Work     int64 // thousandths of a processor times milliseconds
-	Largest  int64 // CPU of the largest task, in thousandths of a processor
+	Tasks    []ArrivalTasks
+}
+
+// ArrivalTasks are the tasks of an arrival that have the same size.
+type ArrivalTasks struct {
+	MilliCPU int64 // CPU of one task
+	Work     int64 // of all of them, in thousandths of a processor times milliseconds
+}
+
+// SizeDemand is the demand of the batch tasks in a range of sizes, and of all
+// larger batch tasks, in thousandths of a processor.
+type SizeDemand struct {
+	Largest int64 // CPU of the largest task in the range
+	Mean    int64 // mean demand
 }
 
 // Add records an arrival.
 func (d *BatchDemand) Add(a Arrival) { d.arrivals = append(d.arrivals, a) }
 
-// Of returns the mean demand and the CPU of the largest task, both in
-// thousandths of a processor. since is the time from which arrivals were
+// Of returns the demand by task size, smallest tasks first, so that the first
+// entry is the demand of all tasks. since is the time from which arrivals were
 // recorded, in Unix milliseconds. Arrivals that are less urgent than priority
 // are ignored, as are arrivals with tasks above limit, the CPU of the largest
 // worker, because these fit on no worker.
-func (d *BatchDemand) Of(now, since int64, priority int, limit int64) (mean, largest int64) {
+func (d *BatchDemand) Of(now, since int64, priority int, limit int64) []SizeDemand {
 	d.arrivals = slices.DeleteFunc(d.arrivals, func(a Arrival) bool { return a.At < now-demandWindow })
-	work := int64(0)
+	var ranges [sizeRanges]struct{ work, largest int64 }
 	for _, a := range d.arrivals {
-		if a.Priority <= priority && a.Largest <= limit {
-			work += a.Work
-			largest = max(largest, a.Largest)
+		if a.Priority > priority || a.exceeds(limit) {
+			continue
+		}
+		for _, t := range a.Tasks {
+			r := &ranges[sizeRange(t.MilliCPU, limit)]
+			r.work += t.Work
+			r.largest = max(r.largest, t.MilliCPU)
 		}
 	}
-	return work / min(demandWindow, max(minDemandWindow, now-since)), largest
+	window := min(demandWindow, max(minDemandWindow, now-since))
+	var demand []SizeDemand
+	work := int64(0)
+	for _, r := range ranges {
+		if work += r.work; r.work > 0 {
+			demand = append(demand, SizeDemand{Largest: r.largest, Mean: work / window})
+		}
+	}
+	slices.Reverse(demand)
+	return demand
+}
+
+func (a *Arrival) exceeds(limit int64) bool {
+	return slices.ContainsFunc(a.Tasks, func(t ArrivalTasks) bool { return t.MilliCPU > limit })
+}
+
+const (
+	// rangesPerDoubling is the number of size ranges per factor of two. In a
+	// range the largest task is at most 1.4 times the smallest.
+	rangesPerDoubling = 2
+	// sizeRanges is the number of size ranges. The last one has all tasks below
+	// a 32nd of the largest worker.
+	sizeRanges = 5*rangesPerDoubling + 1
+)
+
+// sizeRange returns the range of a task size that does not exceed limit. Range
+// 0 has the largest tasks.
+func sizeRange(milliCPU, limit int64) int {
+	return min(sizeRanges-1, int(rangesPerDoubling*math.Log2(float64(limit)/float64(max(1, milliCPU)))))
 }
 
 // BatchReservationSize returns how much of a pool's CPU to reserve for batch
@@ -104,44 +149,68 @@
 	return int64(float64(capacity) * float64(demand) / float64(demand+serving))
 }
 
-// BatchReservation limits the CPU that serving tasks may reserve in a pool.
+// BatchReservation limits the CPU that serving tasks may reserve in a pool. Each
+// range of batch task sizes has its own reservation, and only free CPU in which
+// its largest task fits counts for it. A few tasks that are nearly as large as
+// a worker therefore do not devalue the capacity that all others can use.
 type BatchReservation struct {
-	taskSize  int64 // CPU of the batch tasks for which capacity is reserved, in thousandths of a processor
+	ranges []sizeReservation
+}
+
+// sizeReservation is the reservation for the tasks of one size range and all
+// larger tasks, in thousandths of a processor.
+type sizeReservation struct {
+	taskSize  int64 // CPU of the largest task of the range
 	available int64 // CPU usable by tasks of taskSize and not reserved by serving tasks
 	reserved  int64
 }
 
-// NewBatchReservation reserves CPU on the workers for batch tasks of taskSize.
-// Both values are in thousandths of a processor.
-func NewBatchReservation(workers []*WorkerCapacity, reserved, taskSize int64) *BatchReservation {
-	s := &BatchReservation{taskSize: max(1, taskSize), reserved: reserved}
-	for _, r := range workers {
-		s.available += s.usable(r.Free.MilliCPU + r.Batch.MilliCPU)
+// NewBatchReservation reserves CPU on the workers for batch tasks, in
+// thousandths of a processor. demand has the demand by task size, smallest
+// tasks first, and reserved is divided in proportion to it.
+func NewBatchReservation(workers []*WorkerCapacity, reserved int64, demand []SizeDemand) *BatchReservation {
+	s := &BatchReservation{ranges: make([]sizeReservation, len(demand))}
+	for i, d := range demand {
+		r := &s.ranges[i]
+		*r = sizeReservation{taskSize: max(1, d.Largest), reserved: int64(float64(reserved) * fractionOf(d.Mean, demand[0].Mean))}
+		for _, w := range workers {
+			r.available += r.usable(w.Free.MilliCPU + w.Batch.MilliCPU)
+		}
 	}
 	return s
 }
 
 // usable returns the part of a worker's CPU that tasks of taskSize can use.
-func (s *BatchReservation) usable(milliCPU int64) int64 {
-	return max(0, milliCPU) / s.taskSize * s.taskSize
+func (s *sizeReservation) usable(milliCPU int64) int64 {
+	if milliCPU < s.taskSize {
+		return 0
+	}
+	return milliCPU / s.taskSize * s.taskSize
 }
 
-func (s *BatchReservation) capacityLoss(r *WorkerCapacity, milliCPU int64) int64 {
+func (s *sizeReservation) capacityLoss(r *WorkerCapacity, milliCPU int64) int64 {
 	remaining := r.Free.MilliCPU + r.Batch.MilliCPU
 	return s.usable(remaining) - s.usable(remaining-milliCPU)
 }
 
 // Admits reports whether a serving task can be placed on the worker without
 // reducing the available CPU below the batch reservation.
-func (s *BatchReservation) Admits(r *WorkerCapacity, milliCPU int64) bool {
-	capacityLoss := s.capacityLoss(r, milliCPU)
-	return capacityLoss == 0 || s.available-capacityLoss >= s.reserved
+func (s *BatchReservation) Admits(w *WorkerCapacity, milliCPU int64) bool {
+	for i := range s.ranges {
+		r := &s.ranges[i]
+		if loss := r.capacityLoss(w, milliCPU); loss > 0 && r.available-loss < r.reserved {
+			return false
+		}
+	}
+	return true
 }
 
 // Reserve subtracts a serving task from the available CPU. It must be called
 // before the task is reserved on the worker.
-func (s *BatchReservation) Reserve(r *WorkerCapacity, milliCPU int64) {
-	s.available -= s.capacityLoss(r, milliCPU)
+func (s *BatchReservation) Reserve(w *WorkerCapacity, milliCPU int64) {
+	for i := range s.ranges {
+		s.ranges[i].available -= s.ranges[i].capacityLoss(w, milliCPU)
+	}
 }
 
 // maxFittingTasks bounds the number of tasks counted per worker, for tasks with
--- a/placement/batch_reservation_test.go
+++ b/placement/batch_reservation_test.go
@@ -33,19 +33,39 @@
 	g := NewWithT(t)
 	const limit = 64_000
 	var d placement.BatchDemand
-	d.Add(placement.Arrival{At: 1000, Work: 5_000_000, Largest: 20_000})
-	d.Add(placement.Arrival{At: 9000, Work: 20_000_000, Largest: 7000})
-	demand := func(now, since int64, priority int) []int64 {
-		mean, largest := d.Of(now, since, priority, limit)
-		return []int64{mean, largest}
+	d.Add(arrival(1000, 0, 20_000, 5_000_000))
+	d.Add(arrival(9000, 0, 7000, 20_000_000))
+	demand := func(now, since int64, priority int) []placement.SizeDemand {
+		return d.Of(now, since, priority, limit)
 	}
-	g.Expect(demand(10_000, 0, 0)).To(Equal([]int64{2500, 20_000}))
-	g.Expect(demand(12_000, 0, 0)).To(Equal([]int64{2000, 7000}), "the first arrival is outside the window")
-	g.Expect(demand(12_000, 8000, 0)).To(Equal([]int64{5000, 7000}), "arrivals were recorded for 4 s only")
-	d.Add(placement.Arrival{At: 12_000, Priority: 2, Work: 10_000_000, Largest: 9000})
-	g.Expect(demand(12_000, 0, 0)).To(Equal([]int64{2000, 7000}), "the new arrival is less urgent than the serving tasks")
-	g.Expect(demand(12_000, 0, 2)).To(Equal([]int64{3000, 9000}))
-	g.Expect(demand(30_000, 0, 2)).To(Equal([]int64{0, 0}))
+	type sizes = []placement.SizeDemand
+	g.Expect(demand(10_000, 0, 0)).To(Equal(sizes{{Largest: 7000, Mean: 2500}, {Largest: 20_000, Mean: 500}}))
+	g.Expect(demand(12_000, 0, 0)).To(Equal(sizes{{Largest: 7000, Mean: 2000}}), "the first arrival is outside the window")
+	g.Expect(demand(12_000, 8000, 0)).To(Equal(sizes{{Largest: 7000, Mean: 5000}}), "arrivals were recorded for 4 s only")
+	d.Add(arrival(12_000, 2, 9000, 10_000_000))
+	g.Expect(demand(12_000, 0, 0)).To(Equal(sizes{{Largest: 7000, Mean: 2000}}), "the new arrival is less urgent than the serving tasks")
+	g.Expect(demand(12_000, 0, 2)).To(Equal(sizes{{Largest: 7000, Mean: 3000}, {Largest: 9000, Mean: 1000}}))
+	g.Expect(demand(30_000, 0, 2)).To(BeEmpty())
+}
+
+func arrival(at int64, priority int, milliCPU, work int64) placement.Arrival {
+	return placement.Arrival{At: at, Priority: priority, Tasks: []placement.ArrivalTasks{{MilliCPU: milliCPU, Work: work}}}
+}
+
+// sameSize is the demand of batch tasks that all have the same CPU.
+func sameSize(milliCPU int64) []placement.SizeDemand {
+	return []placement.SizeDemand{{Largest: milliCPU, Mean: 1}}
+}
+
+func TestBatchDemandBySize(t *testing.T) {
+	g := NewWithT(t)
+	var d placement.BatchDemand
+	for _, milliCPU := range []int64{1, 10_000, 11_000, 20_000, 61_000, 64_000} {
+		d.Add(arrival(1000, 0, milliCPU, 10_000_000))
+	}
+	g.Expect(d.Of(1000, -10_000, 0, 64_000)).To(Equal([]placement.SizeDemand{
+		{Largest: 1, Mean: 6000}, {Largest: 11_000, Mean: 5000}, {Largest: 20_000, Mean: 3000}, {Largest: 64_000, Mean: 2000},
+	}), "10,000 and 11,000 are in one range, as are 61,000 and 64,000")
 }
 
 // Guards against tasks that fit on no worker and would still count as demand:
@@ -54,10 +74,9 @@
 func TestTasksThatFitNoWorkerAreNoDemand(t *testing.T) {
 	g := NewWithT(t)
 	var d placement.BatchDemand
-	d.Add(placement.Arrival{At: 1000, Work: 10_000_000, Largest: 8000})
-	d.Add(placement.Arrival{At: 1000, Work: 900_000_000, Largest: 900_000})
-	mean, largest := d.Of(2000, 0, 0, 64_000)
-	g.Expect([]int64{mean, largest}).To(Equal([]int64{5000, 8000}))
+	d.Add(arrival(1000, 0, 8000, 10_000_000))
+	d.Add(arrival(1000, 0, 900_000, 900_000_000))
+	g.Expect(d.Of(2000, 0, 0, 64_000)).To(Equal([]placement.SizeDemand{{Largest: 8000, Mean: 5000}}))
 }
 
 // simulateWorkerLoss reproduces a loss of workers: serving tasks of 10 to 16
@@ -107,9 +126,9 @@
 	for seed := range uint64(50) {
 		for _, bounded := range []bool{false, true} {
 			workers, lost := simulateWorkerLoss(seed)
-			share := placement.NewBatchReservation(workers, 0, large)
+			share := placement.NewBatchReservation(workers, 0, sameSize(large))
 			if bounded {
-				share = placement.NewBatchReservation(workers, reserved, large)
+				share = placement.NewBatchReservation(workers, reserved, sameSize(large))
 			}
 			before := countFitting(workers, processors(large/1000))
 			for _, s := range lost {
@@ -132,13 +151,78 @@
 	}
 }
 
+// Guards against a batch reservation that admits every serving task because no
+// worker has free capacity for the largest of the recent batch tasks.
+func TestLargestBatchTaskDoesNotDevalueTheReservation(t *testing.T) {
+	g := NewWithT(t)
+	const reserved, common = 200_000, 20_000
+	demand := []placement.SizeDemand{{Largest: common, Mean: 130_000}, {Largest: 61_000, Mean: 2000}}
+	for seed := range uint64(50) {
+		for _, bySize := range []bool{false, true} {
+			r := rand.New(rand.NewPCG(seed, 2))
+			workers := make([]*placement.WorkerCapacity, 50)
+			for i := range workers {
+				workers[i] = &placement.WorkerCapacity{Capacity: processors(64), Free: processors(60 * r.Float64())}
+			}
+			share := placement.NewBatchReservation(workers, reserved, sameSize(demand[1].Largest))
+			if bySize {
+				share = placement.NewBatchReservation(workers, reserved, demand)
+			}
+			before := countFitting(workers, processors(common/1000))
+			for range 200 {
+				s := &state.WorkflowStep{Count: 1, LongRunning: true, TailMillis: 100, Size: processors(10 + 6*r.Float64())}
+				task := placement.PoolTask{Step: s, Excluded: func(i int) bool { return !share.Admits(workers[i], s.Size.MilliCPU) }}
+				if i := placement.ChooseWorker(workers, task); i >= 0 {
+					share.Reserve(workers[i], s.Size.MilliCPU)
+					workers[i].Reserve(task)
+				}
+			}
+			after := countFitting(workers, processors(common/1000))
+			if bySize {
+				g.Expect(after).To(BeNumerically(">=", min(before, reserved/common)), "seed %d", seed)
+			} else {
+				g.Expect(after).To(BeNumerically("<", reserved/common/2), "seed %d: the workload does not reproduce the failure", seed)
+			}
+		}
+	}
+}
+
+func TestReservationsOfSizeRanges(t *testing.T) {
+	newWorker := func(free float64) *placement.WorkerCapacity {
+		return &placement.WorkerCapacity{Capacity: processors(64), Free: processors(free)}
+	}
+	demand := []placement.SizeDemand{{Largest: 10_000, Mean: 400}, {Largest: 40_000, Mean: 100}}
+	for name, c := range map[string]struct {
+		free  []float64
+		admit []bool // a serving task of 10 processors, by worker
+	}{
+		"only the large range is short":         {[]float64{64, 35, 35, 35, 35, 35, 35}, []bool{true, true}},
+		"the last piece for large tasks":        {[]float64{49, 35, 35, 35, 35, 35, 35}, []bool{false, true}},
+		"both ranges are short":                 {[]float64{49, 35, 35, 9}, []bool{false, false, false}},
+		"pieces that no range counts are free":  {[]float64{19, 30}, []bool{false, false}},
+		"enough for both ranges":                {[]float64{64, 64, 64}, []bool{true, true, true}},
+		"no capacity that any range could lose": {[]float64{9}, []bool{true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var workers []*placement.WorkerCapacity
+			for _, free := range c.free {
+				workers = append(workers, newWorker(free))
+			}
+			share := placement.NewBatchReservation(workers, 160_000, demand)
+			for i, want := range c.admit {
+				NewWithT(t).Expect(share.Admits(workers[i], 10_000)).To(Equal(want), "worker %d", i)
+			}
+		})
+	}
+}
+
 // Guards against a batch reservation that shrinks while batch tasks use it.
 func TestShareCountsWhatBatchTasksUse(t *testing.T) {
 	g := NewWithT(t)
 	r := &placement.WorkerCapacity{Capacity: processors(64), Free: processors(64), IdleCPU: 64_000}
 	batch := placement.PoolTask{Step: &state.WorkflowStep{Count: 1, Size: processors(20)}}
 	r.Reserve(batch)
-	share := placement.NewBatchReservation([]*placement.WorkerCapacity{r}, 40_000, 20_000)
+	share := placement.NewBatchReservation([]*placement.WorkerCapacity{r}, 40_000, sameSize(20_000))
 	g.Expect(share.Admits(r, 24_000)).To(BeTrue(), "40 of 64 processors remain, 20 of them in use")
 	g.Expect(share.Admits(r, 25_000)).To(BeFalse())
 	share.Reserve(r, 24_000)
@@ -182,7 +266,7 @@
 		workers[i] = &placement.WorkerCapacity{Capacity: processors(64), Free: processors(36 + 13*r.Float64())}
 	}
 	servingTask := placement.PoolTask{Step: &state.WorkflowStep{LongRunning: true, Size: processors(14)}}
-	share := placement.NewBatchReservation(workers, 1_000_000, 18_000)
+	share := placement.NewBatchReservation(workers, 1_000_000, sameSize(18_000))
 	withinShare := servingTask
 	withinShare.Excluded = func(i int) bool { return !share.Admits(workers[i], servingTask.Step.Size.MilliCPU) }
 	var idle placement.IdleCapacity
--- a/placement/rejection.go
+++ b/placement/rejection.go
@@ -1,5 +1,10 @@
 package placement
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Rejections counts the workers of a pool by the first reason why they cannot
 // take a task.
 type Rejections struct {
@@ -50,7 +55,14 @@
 
 // Available returns the CPU that is available for batch tasks, the part of it
 // that is reserved for them, and the smallest piece of free CPU that counts as
-// available, in thousandths of a processor.
+// available, in thousandths of a processor. Of the size ranges it describes the
+// one with the least CPU available beyond the reservation.
 func (s *BatchReservation) Available() (available, reserved, unit int64) {
-	return s.available, s.reserved, s.taskSize
+	if len(s.ranges) == 0 {
+		return 0, 0, 0
+	}
+	r := slices.MinFunc(s.ranges, func(a, b sizeReservation) int {
+		return cmp.Compare(a.available-a.reserved, b.available-b.reserved)
+	})
+	return r.available, r.reserved, r.taskSize
 }
--- a/placement/rejection_test.go
+++ b/placement/rejection_test.go
@@ -25,7 +25,7 @@
 	g.Expect(placement.CountRejections(workers, task, nil)).To(Equal(placement.Rejections{
 		Admitted: 2, ReservedForOthers: 1, Label: 1, Processors: 1, Memory: 1, Accelerators: 1, Excluded: 1, LargestAdmitted: 20_000,
 	}))
-	share := placement.NewBatchReservation(workers[1:], 60_000, 18_000)
+	share := placement.NewBatchReservation(workers[1:], 60_000, sameSize(18_000))
 	g.Expect(placement.CountRejections(workers, task, share)).To(Equal(placement.Rejections{
 		Admitted: 1, ReservedForOthers: 1, Label: 1, Processors: 1, Memory: 1, Accelerators: 1, Excluded: 1, BatchReservation: 1, LargestAdmitted: 20_000,
 	}))
