fleet: place waiting tasks at once when a worker responds again

A task whose only worker with free capacity had not responded waited for the next resync, up to 1 s, after the worker had responded: nothing marked the pool as changed. TestUnresponsiveWorkerWithoutRunsIsPolledAgain failed once for it beside load (no record after 2 s, of which this takes up to 1 s).

A session that becomes responsive now asks for a placement pass, and logs the change in all three places (the responses to starts and stops logged nothing). TestWorkerThatRespondsAgainIsUsedAtOnce failed before (no start 450 ms after the submission, of which the retry of the poll takes 200) and passes, six rounds.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -141,7 +141,7 @@
 	}
 	if err == nil {
 		c.startRoundTrip.observe(now - begin)
-		s.markResponsive(now)
+		s.markResponsive(c)
 		a.startDecidedAt, a.mayHaveStarted = now, true
 		a.phase = attemptRunning
 		if a.stopping {
@@ -280,7 +280,7 @@
 		}
 		return
 	}
-	a.session.markResponsive(now)
+	a.session.markResponsive(c)
 	c.pollDue[a.session] = true
 	a.stopAcked, a.startDecidedAt = true, now
 	if a.phase != attemptEnded {
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -162,8 +162,16 @@
 	return s.clockNow(now) + c.opts.Limits.MaxLease.Milliseconds()
 }
 
-// markResponsive records that the worker responds.
-func (s *session) markResponsive(time.Duration) { s.unresponsive = false }
+// markResponsive records that the worker responds. Waiting tasks may be placed
+// on a worker that responds again.
+func (s *session) markResponsive(c *Controller) {
+	if !s.unresponsive {
+		return
+	}
+	s.unresponsive = false
+	c.dirty = true
+	event.Log(c.opts.Logger, event.WorkerResponsive, slog.String("worker", s.worker.ID))
+}
 
 // recordCallFailure records a call without a response. A call that failed
 // locally does not indicate a fault of the worker.
@@ -289,10 +297,7 @@
 		s.recordCallFailure(c, now, errOtherIncarnation)
 		return
 	}
-	if s.unresponsive {
-		event.Log(c.opts.Logger, event.WorkerResponsive, slog.String("worker", s.worker.ID))
-	}
-	s.markResponsive(now)
+	s.markResponsive(c)
 	s.nextPoll = now + minPollGap
 	s.lastPoll = begin
 	s.clock, s.clockReadAt = r.Clock, now
--- a/fleet/unsent_test.go
+++ b/fleet/unsent_test.go
@@ -96,6 +96,18 @@
 	h.Eventually(a.Records, 2*time.Second, 5*time.Millisecond).Should(HaveLen(1))
 }
 
+// Guards against tasks that wait for the next resync, up to 1 s, after the only
+// worker with free capacity responds again.
+func TestWorkerThatRespondsAgainIsUsedAtOnce(t *testing.T) {
+	for range 6 {
+		h := newHarness(t, failCalls(1, 1, false), func(o *fleet.Options) { o.Limits.MaxLease = time.Minute })
+		a := h.addWorker("a", pool.Options{RunTime: runFor60ms})
+		h.Expect(h.submit(step(1))).To(Equal(fleet.OutcomeDone))
+		// The poll that fails is repeated after 200 ms.
+		h.Eventually(a.Records, 450*time.Millisecond, 5*time.Millisecond).Should(HaveLen(1))
+	}
+}
+
 var errCause = errors.New("cause")
 
 // Guards against a NotSentError that hides its cause in the log.
