placement: keep capacity for bursts when serving tasks exceed their share

Cause: a serving task that has waited 4 s may use capacity that was idle for 2 s, less one task. The next 2 s of average demand find no capacity.

Now the idle capacity must exceed the part of the reservation above the mean demand, which exists for bursts.

--- a/fleet/batch_reservation.go
+++ b/fleet/batch_reservation.go
@@ -97,6 +97,7 @@
 	}
 	p.idleObserved = true
 	var smallest *state.WorkflowStep
+	burstCPU := int64(0)
 	for _, f := range c.workflows {
 		if f.spec.Pool != name || f.readyTasks == 0 {
 			continue
@@ -104,10 +105,13 @@
 		for _, t := range f.tasks {
 			if t.phase == taskReady && t.step.LongRunning && (smallest == nil || t.step.Size.MilliCPU < smallest.Size.MilliCPU) {
 				smallest = t.step
+				if share := p.shares[f.spec.Priority]; share != nil {
+					burstCPU = share.BurstCPU()
+				}
 			}
 		}
 	}
 	if smallest != nil {
-		p.idleCapacity = c.demandOf(name).idleCapacity.Observe(c.opts.Clock.Now().UnixMilli(), p.workers, placement.PoolTask{Step: smallest})
+		p.idleCapacity = c.demandOf(name).idleCapacity.Observe(c.opts.Clock.Now().UnixMilli(), p.workers, placement.PoolTask{Step: smallest}, burstCPU)
 	}
 }
--- a/placement/batch_reservation.go
+++ b/placement/batch_reservation.go
@@ -180,6 +180,16 @@
 	return s
 }
 
+// BurstCPU returns the part of the reservation above the mean demand, in
+// thousandths of a processor. Batch tasks need it in bursts, so that it may be
+// unused for seconds.
+func (s *BatchReservation) BurstCPU() int64 {
+	if len(s.ranges) == 0 {
+		return 0
+	}
+	return int64(float64(s.ranges[0].reserved) * (1 - 1/batchDemandFactor))
+}
+
 // usable returns the part of a worker's CPU that tasks of taskSize can use.
 func (s *sizeReservation) usable(milliCPU int64) int64 {
 	if milliCPU < s.taskSize {
@@ -256,10 +266,11 @@
 
 // Observe records the capacity left after batch tasks in a placement pass, for
 // tasks that are equal to t, and returns how many of them may use it. That is
-// the minimum number of fitting tasks during idleWindow, less one that batch
-// tasks may need at any moment. Batch tasks arrive in bursts, and the capacity
-// is idle between the bursts.
-func (r *IdleCapacity) Observe(now int64, workers []*WorkerCapacity, t PoolTask) int {
+// the minimum number of fitting tasks during idleWindow, less those that fit
+// into burstCPU, but at least one, which batch tasks may need at any moment.
+// Batch tasks arrive in bursts, and the capacity is idle between the bursts.
+// burstCPU is in thousandths of a processor.
+func (r *IdleCapacity) Observe(now int64, workers []*WorkerCapacity, t PoolTask, burstCPU int64) int {
 	if now-r.last > idleWindow {
 		r.since, r.samples = now, nil
 	}
@@ -278,5 +289,9 @@
 	for _, s := range r.samples {
 		least = min(least, s.fitting)
 	}
-	return max(0, least-1)
+	burst := 1
+	if size := t.Step.Reservation().MilliCPU; size > 0 {
+		burst = max(1, int(burstCPU/size))
+	}
+	return max(0, least-burst)
 }
--- a/placement/batch_reservation_test.go
+++ b/placement/batch_reservation_test.go
@@ -240,7 +240,7 @@
 	}
 	var idle placement.IdleCapacity
 	observe := func(now int64, workers ...*placement.WorkerCapacity) int {
-		return idle.Observe(now, workers, placement.PoolTask{Step: &state.WorkflowStep{LongRunning: true, Size: processors(13)}})
+		return idle.Observe(now, workers, placement.PoolTask{Step: &state.WorkflowStep{LongRunning: true, Size: processors(13)}}, 0)
 	}
 	g.Expect(observe(10_000, newWorker(60), newWorker(60))).To(BeZero(), "not observed for long enough")
 	g.Expect(observe(11_000, newWorker(20), nil, newWorker(26))).To(BeZero())
@@ -252,6 +252,63 @@
 		g.Expect(observe(at, newWorker(60))).To(BeZero())
 	}
 	g.Expect(observe(18_100, newWorker(60))).To(Equal(3))
+	burst := func(burstCPU int64) int {
+		return idle.Observe(18_100, []*placement.WorkerCapacity{newWorker(60)}, placement.PoolTask{Step: &state.WorkflowStep{LongRunning: true, Size: processors(13)}}, burstCPU)
+	}
+	g.Expect(burst(12_000)).To(Equal(3), "one task is kept free for a burst of less")
+	g.Expect(burst(30_000)).To(Equal(2))
+	g.Expect(burst(60_000)).To(BeZero())
+}
+
+// replayJobs simulates one minute of a pool in which jobs of 9 tasks of 20
+// processors and 640 ms arrive at random, 20 per second, while more serving
+// tasks wait than fit. It returns the fraction of jobs that find too little free
+// CPU for all of their tasks.
+func replayJobs(seed uint64, burstCPU int64) (delayed float64) {
+	const interval, duration, jobCPU, gap = 50, 640, 180_000, 50.0
+	r := rand.New(rand.NewPCG(seed, 3))
+	servingTask := placement.PoolTask{Step: &state.WorkflowStep{LongRunning: true, Size: processors(13)}}
+	var idle placement.IdleCapacity
+	var ends []int64
+	unreserved, inUse := int64(6_000_000), int64(0)
+	late, jobs, next := 0, 0, 0.0
+	for now := int64(0); now < 60_000; now += interval {
+		for len(ends) > 0 && ends[0] <= now {
+			ends, inUse = ends[1:], inUse-jobCPU
+		}
+		for ; next <= float64(now); next += gap * r.ExpFloat64() {
+			jobs++
+			if inUse+jobCPU > unreserved {
+				late++
+			} else {
+				ends, inUse = append(ends, now+duration), inUse+jobCPU
+			}
+		}
+		var workers []*placement.WorkerCapacity
+		for free := unreserved - inUse; free > 0; free -= 26_000 {
+			workers = append(workers, &placement.WorkerCapacity{Capacity: processors(64), Free: processors(float64(min(free, 26_000)) / 1000)})
+		}
+		unreserved -= int64(idle.Observe(now, workers, servingTask, burstCPU)) * servingTask.Step.Size.MilliCPU
+	}
+	return float64(late) / float64(jobs)
+}
+
+// Guards against serving tasks that exceed their share by all of the capacity
+// that was idle for 2 s, because jobs arrived slower than on average.
+func TestIdleCapacityLeavesTheBurstsOfJobs(t *testing.T) {
+	g := NewWithT(t)
+	const mean = 20 * 9 * 20_000 * 640 / 1000 // CPU, in thousandths of a processor
+	reserved := placement.BatchReservationSize(1<<40, mean, 0)
+	share := placement.NewBatchReservation(nil, reserved, []placement.SizeDemand{{Largest: 20_000, Mean: mean}})
+	g.Expect(share.BurstCPU()).To(BeNumerically("~", reserved-mean, 1))
+	var before, after float64
+	const seeds = 50
+	for seed := range uint64(seeds) {
+		before += replayJobs(seed, 0) / seeds
+		after += replayJobs(seed, share.BurstCPU()) / seeds
+	}
+	g.Expect(before).To(BeNumerically(">", 0.2), "the workload does not reproduce the failure")
+	g.Expect(after).To(BeNumerically("<", 0.1))
 }
 
 // replayBursts simulates one minute of a pool. Batch tasks need their whole
@@ -283,7 +340,7 @@
 		if now < burstEnds {
 			usable = nil // batch tasks were placed first and left no capacity
 		}
-		n := idle.Observe(now, usable, servingTask)
+		n := idle.Observe(now, usable, servingTask, 0)
 		stillWaiting := waitingSince[:0]
 		for _, at := range waitingSince {
 			waited := now - at
