fleet: a workflow that fits on no worker reserves nothing, with or without estimates

Found by reading: it left tasks without an estimate out of the demand, so that a workflow whose only task above every worker has no estimate counted in full. The rest of it never runs to its end, and serving tasks waited for capacity that was reserved for it. All batch tasks of a workflow are recorded again, as before; one without work changes no mean.

TestJobThatFitsNoWorkerReservesNothing failed before (the serving task doesn't run within 10 s) and passes. Doc comments of the new types get their units.

--- a/fleet/batch_reservation.go
+++ b/fleet/batch_reservation.go
@@ -25,13 +25,16 @@
 // occurrence of it, that begins at atMillis (Unix milliseconds).
 func (c *Controller) addBatchDemand(spec *state.WorkflowSpec, atMillis int64) {
 	a := placement.Arrival{At: atMillis, Priority: spec.Priority}
+	work := int64(0)
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
-		if work := int64(s.Count) * s.Size.MilliCPU * s.EstimateMillis; kindOf(s) == kindBatch && work > 0 {
-			a.Tasks = append(a.Tasks, placement.ArrivalTasks{MilliCPU: s.Size.MilliCPU, Work: work})
+		if kindOf(s) == kindBatch {
+			t := placement.ArrivalTasks{MilliCPU: s.Size.MilliCPU, Work: int64(s.Count) * s.Size.MilliCPU * s.EstimateMillis}
+			a.Tasks = append(a.Tasks, t)
+			work += t.Work
 		}
 	}
-	if len(a.Tasks) > 0 {
+	if work > 0 {
 		c.demandOf(spec.Pool).batch.Add(a)
 	}
 }
--- a/fleet/batch_reservation_test.go
+++ b/fleet/batch_reservation_test.go
@@ -45,6 +45,16 @@
 	})
 }
 
+// Guards against capacity that is reserved for a workflow of which one task has
+// no estimate and fits on no worker, so that it never ends.
+func TestJobThatFitsNoWorkerReservesNothing(t *testing.T) {
+	h := newHarness(t)
+	a := h.addWorker("a", pool.Options{RunTime: runForever})
+	h.submitAs("c000000000000001", step(1, withCPU(100_000), withEstimate(0)), step(1, withCPU(500), withEstimate(time.Hour)))
+	h.submitAs("0000000000000002", step(1, untilStopped, withCPU(3500)))
+	h.Eventually(func() int { return running(a) }, waitTimeout).Should(Equal(2))
+}
+
 // Guards against the same when a few batch tasks are nearly as large as a
 // worker, so that no worker with serving tasks has free capacity for one.
 func TestTasksAsLargeAsAWorkerDoNotUndoTheBatchReservation(t *testing.T) {
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -172,6 +172,8 @@
 	return waiting
 }
 
+// waitingJob returns what decides about the order of a workflow with ready
+// tasks.
 func waitingJob(f *workflow, now time.Duration) placement.WaitingJob {
 	serving, waited := f.servingWait(now)
 	return placement.WaitingJob{
--- a/placement/batch_reservation.go
+++ b/placement/batch_reservation.go
@@ -73,7 +73,7 @@
 
 // ArrivalTasks are the tasks of an arrival that have the same size.
 type ArrivalTasks struct {
-	MilliCPU int64 // CPU of one task
+	MilliCPU int64 // CPU of one task, in thousandths of a processor
 	Work     int64 // of all of them, in thousandths of a processor times milliseconds
 }
 
@@ -266,10 +266,9 @@
 
 // Observe records the capacity left after batch tasks in a placement pass, for
 // tasks that are equal to t, and returns how many of them may use it. That is
-// the minimum number of fitting tasks during idleWindow, less those that fit
-// into burstCPU, but at least one, which batch tasks may need at any moment.
-// Batch tasks arrive in bursts, and the capacity is idle between the bursts.
-// burstCPU is in thousandths of a processor.
+// the minimum number of fitting tasks during idleWindow, less as many as fit
+// into burstCPU, at least one. Batch tasks arrive in bursts and may need that
+// capacity at any moment. burstCPU is in thousandths of a processor.
 func (r *IdleCapacity) Observe(now int64, workers []*WorkerCapacity, t PoolTask, burstCPU int64) int {
 	if now-r.last > idleWindow {
 		r.since, r.samples = now, nil
