--- a/event/fleet.go
+++ b/event/fleet.go
@@ -31,7 +31,7 @@
 	TaskStartUnknown = define(823, "task-start-unknown", slog.LevelWarn,
 		"outcome of a start is unknown", "The run is stopped before the task is started again. If it repeats, check the worker and the network to it.")
 	TaskEnded = define(824, "task-ended", slog.LevelInfo,
-		"run of a task ended", "The result of a run on its worker. A lost run is started again.")
+		"run of a task ended", "The result of a run on its worker. A lost run is started again. `ran_ms` counts from its start, `seen_ms` up to the last report that listed it; `silent_ms` is how long the worker has not responded. `beside` is the number of other runs on the worker when it was lost, `younger` how many of them started later.")
 	TaskStopping = define(825, "task-stopping", slog.LevelInfo,
 		"stopping a run", "The reason is given: cancelled, preempted, unknown run, draining worker or unknown outcome.")
 	TaskRateChanged = define(826, "task-paced", slog.LevelInfo,
@@ -45,7 +45,7 @@
 	WorkerRegistered = define(831, "worker-known", slog.LevelInfo,
 		"worker registered", "A new incarnation of a worker, or a change of the properties that it reported. Nothing to do.")
 	WorkerRemoved = define(832, "worker-gone", slog.LevelInfo,
-		"incarnation of a worker ended", "The worker shut down, was replaced by another incarnation, or its lease expired. Its runs are lost and start again.")
+		"incarnation of a worker ended", "The worker shut down, was replaced by another incarnation, or its lease expired. Its `runs` are lost and start again. `lost_together` is the number of other workers of the pool that were lost at the same moment.")
 	WorkerUnresponsive = define(833, "worker-silent", slog.LevelWarn,
 		"worker is unresponsive", "No task is placed there. Its runs are lost once its lease has expired.")
 	WorkerResponsive = define(834, "worker-answers", slog.LevelInfo,
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -45,10 +45,14 @@
 	stopPending    bool // stop call is in flight
 	nextStop       time.Duration
 	startedAt      time.Duration
-	adopted        bool // started by an earlier leader
-	mayHaveStarted bool // the run may have started
-	ticket         string
-	runStats       runStats
+	seenAt         time.Duration // last report that lists the run
+	// beside and younger are the numbers of other runs on the worker, and of
+	// those that started later, when the worker was lost.
+	beside, younger int
+	adopted         bool // started by an earlier leader
+	mayHaveStarted  bool // the run may have started
+	ticket          string
+	runStats        runStats
 }
 
 func (a *attempt) reservation() state.Resources { return a.task.step.Reservation() }
@@ -204,7 +208,9 @@
 	event.Log(c.opts.Logger, event.TaskEnded, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
 		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.String("reason", reason),
 		slog.Int("outcome", int(outcome)), slog.Int64("ran_ms", (c.now()-a.startedAt).Milliseconds()),
-		slog.Int64("estimate_ms", a.task.step.EstimateMillis), slog.Int("pace", a.runStats.rate))
+		slog.Int64("estimate_ms", a.task.step.EstimateMillis), slog.Int("pace", a.runStats.rate),
+		slog.Int64("seen_ms", max(0, a.seenAt-a.startedAt).Milliseconds()), slog.Int64("silent_ms", a.session.sinceLoss(c.now()).Milliseconds()),
+		slog.Int("beside", a.beside), slog.Int("younger", a.younger))
 	switch outcome {
 	case state.OutcomeFailed:
 		c.avoid(a)
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -84,6 +84,7 @@
 	workflows      map[string]*workflow
 	sessions       map[string]*session // by worker id
 	sorted         []*session          // by worker id; nil after a change of sessions
+	losses         []*workerLoss       // within lossRetention
 	pollDue        map[*session]bool   // sessions to poll after this step, if necessary
 	journal        journal
 	interference   *placement.InterferenceModel
@@ -259,7 +260,7 @@
 	c.fence = l.Term<<fenceShift | c.generation&(1<<fenceShift-1)
 	c.activatedAt = c.now()
 	c.workflows = make(map[string]*workflow)
-	c.sessions, c.sorted = make(map[string]*session), nil
+	c.sessions, c.sorted, c.losses = make(map[string]*session), nil, nil
 	c.pollDue = make(map[*session]bool)
 	c.journal = journal{}
 	c.poolDemand = make(map[string]*poolDemand)
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -74,6 +74,7 @@
 	nextPoll     time.Duration
 	lastPoll     time.Duration // when the last poll with a response began
 	unresponsive bool
+	loss         *workerLoss   // set while the worker is unresponsive
 	leaseEnd     time.Duration // when its lease has expired unless it is extended
 
 	clock       int64         // last reading of the worker's clock, in milliseconds
@@ -169,6 +170,7 @@
 		return
 	}
 	s.unresponsive = false
+	c.forgetLoss(s)
 	c.dirty = true
 	event.Log(c.opts.Logger, event.WorkerResponsive, slog.String("worker", s.worker.ID))
 }
@@ -186,6 +188,7 @@
 		return
 	}
 	s.unresponsive = true
+	c.recordLoss(s, now)
 	event.Log(c.opts.Logger, event.WorkerUnresponsive, slog.String("worker", s.worker.ID),
 		slog.Int("runs", len(s.attempts)), slog.Int64("lease_left_ms", (s.leaseEnd-now).Milliseconds()), slog.Any("error", err))
 }
@@ -400,7 +403,7 @@
 func (c *Controller) applyRunning(s *session, r *RunStatus) {
 	k := runKey{r.Position, r.Number}
 	if a := s.attempts[k]; a != nil {
-		a.mayHaveStarted = true
+		a.mayHaveStarted, a.seenAt = true, c.now()
 		if a.phase == attemptUnknown && !a.stopping || a.phase == attemptStarting {
 			a.phase = attemptRunning
 		}
@@ -510,6 +513,10 @@
 		return
 	}
 	s.closed = true
+	now, runs := c.now(), s.startedRuns()
+	if s.loss == nil {
+		c.recordLoss(s, now)
+	}
 	c.endAllAttempts(s, reason)
 	s.api.Close()
 	if c.sessions[s.worker.ID] == s {
@@ -518,7 +525,8 @@
 	}
 	c.dirty = true
 	event.Log(c.opts.Logger, event.WorkerRemoved, slog.String("worker", s.worker.ID), slog.Int64("born", s.worker.StartedAt),
-		slog.String("reason", reason))
+		slog.String("reason", reason), slog.Int("runs", runs), slog.Int64("silent_ms", s.sinceLoss(now).Milliseconds()),
+		slog.Int("lost_together", c.lostTogether(s.loss)))
 	c.proposeChange(state.SetPoolWorkers{Removed: []state.PoolWorker{s.worker}}, func(err error) {
 		if err != nil {
 			// A later leader finds the worker in the state and detects that it
--- /dev/null
+++ b/fleet/worker_loss.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// lossWindow is the interval within which workers are lost at the same
+	// moment. The connections of a crashed worker end within 50 ms.
+	lossWindow = 100 * time.Millisecond
+	// lossRetention is how long a loss is remembered. It is longer than a
+	// lease, after which the runs of a lost worker are given up.
+	lossRetention = 30 * time.Second
+)
+
+// workerLoss is the moment at which a worker stopped responding.
+type workerLoss struct {
+	session *session
+	at      time.Duration
+	runs    int // runs on the worker that may have started
+}
+
+// recordLoss records that a worker has stopped responding.
+func (c *Controller) recordLoss(s *session, now time.Duration) {
+	c.losses = slices.DeleteFunc(c.losses, func(l *workerLoss) bool { return now-l.at > lossRetention })
+	s.loss = &workerLoss{session: s, at: now, runs: s.startedRuns()}
+	for _, a := range s.attempts {
+		a.beside, a.younger = max(0, s.loss.runs-1), s.youngerRuns(a)
+	}
+	c.losses = append(c.losses, s.loss)
+}
+
+// forgetLoss discards the loss of a worker that responds again.
+func (c *Controller) forgetLoss(s *session) {
+	c.losses = slices.DeleteFunc(c.losses, func(l *workerLoss) bool { return l == s.loss })
+	s.loss = nil
+}
+
+// startedRuns returns the number of runs on the worker that may have started.
+func (s *session) startedRuns() int {
+	n := 0
+	for _, a := range s.attempts {
+		if a.phase != attemptRecording {
+			n++
+		}
+	}
+	return n
+}
+
+// lostTogether returns the number of other workers of the pool that were lost
+// at the same moment.
+func (c *Controller) lostTogether(l *workerLoss) int {
+	n := 0
+	for _, other := range c.losses {
+		if other != l && other.session.worker.Pool == l.session.worker.Pool && (other.at-l.at).Abs() <= lossWindow {
+			n++
+		}
+	}
+	return n
+}
+
+// sinceLoss returns how long the worker has not responded.
+func (s *session) sinceLoss(now time.Duration) time.Duration {
+	if s.loss == nil {
+		return 0
+	}
+	return now - s.loss.at
+}
+
+// youngerRuns returns the number of other runs on the worker that were sent
+// after the run.
+func (s *session) youngerRuns(a *attempt) int {
+	n := 0
+	for _, other := range s.attempts {
+		if other != a && other.phase != attemptRecording && other.startedAt > a.startedAt {
+			n++
+		}
+	}
+	return n
+}
