--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -36,6 +36,11 @@
 	// Progress returns the progress in the report of a run that started the time
 	// ran ago, in percent. nil reports 100. It must not call the worker.
 	Progress func(p fleet.TaskPosition, number uint64, ran time.Duration) int
+	// CrashesAfter returns how long after its start a run crashes the worker; 0
+	// means that it does not. nil means that none does.
+	CrashesAfter func(p fleet.TaskPosition, number uint64) time.Duration
+	// OnCrash is called once, when the worker has crashed. It may be nil.
+	OnCrash func()
 }
 
 // Record describes one run on a worker.
@@ -46,6 +51,8 @@
 	Started  time.Time
 	Ended    time.Time // zero while running
 	Kind     fleet.EndKind
+	// Crashed is set if the worker crashed during the run.
+	Crashed bool
 	// LeaseExpired is set if the lease expired before the end of the run was
 	// acknowledged. The scheduler may have treated the run as lost.
 	LeaseExpired bool
@@ -78,6 +85,7 @@
 	records         []*Record
 	changed         chan struct{}
 
+	crashed              bool
 	unreachable          bool // calls fail without effect
 	startsToLoseResponse int  // number of next starts that run, but whose response is lost
 	delayedStarts        []func()
@@ -109,6 +117,26 @@
 	w.unreachable = unreachable
 }
 
+// Crash ends the worker and all its runs. It never responds again.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire()
+	if w.crashed {
+		return
+	}
+	w.crashed, w.unreachable = true, true
+	for k, r := range w.running {
+		delete(w.running, k)
+		r.record.Ended, r.record.Crashed = time.Now(), true
+	}
+	close(w.changed)
+	w.changed = make(chan struct{})
+	if w.opts.OnCrash != nil {
+		go w.opts.OnCrash()
+	}
+}
+
 // DropStartResponses carries out the next n starts but loses their responses.
 func (w *Worker) DropStartResponses(n int) {
 	w.mu.Lock()
@@ -208,6 +236,18 @@
 	rec := &Record{Worker: w.opts.ID, Position: c.Position, Number: c.Run.Number, Started: time.Now()}
 	w.records = append(w.records, rec)
 	w.running[k] = &run{record: rec, checkpoint: c.Checkpoint, rate: 100}
+	if w.opts.CrashesAfter != nil {
+		if d := w.opts.CrashesAfter(c.Position, c.Run.Number); d > 0 {
+			time.AfterFunc(d, func() {
+				w.mu.Lock()
+				runs := w.running[k] != nil
+				w.mu.Unlock()
+				if runs {
+					w.Crash()
+				}
+			})
+		}
+	}
 	if d := w.opts.RunTime(c.Position, c.Run.Number); d > 0 {
 		time.AfterFunc(d, func() {
 			w.mu.Lock()
@@ -328,6 +368,9 @@
 	if len(w.ended) == 0 && c.WaitMillis > 0 {
 		w.waitForChange(ctx, time.Duration(c.WaitMillis)*time.Millisecond)
 	}
+	if w.crashed {
+		return nil, ErrNoResponse
+	}
 	return w.report(), nil
 }
 
