fleet, placement, state: give up tasks that crash their workers, and no others

Cause: the end of a run with its worker was recorded as lost, like a stopped run, so nothing counted crashes and nothing bounded the starts. Besides, the tasks of one crash were placed together again, which makes the one at fault and those beside it look alike.

Now a worker that is replaced by another incarnation without having announced its shutdown has crashed; an expired lease counts only once that is known, also if the runs were given up before. Tasks of one crash restart apart. After two unexplained crashes, or three in all, a task runs alone: on a worker that has just restarted, on another empty one, or after 1 s where the fewest runs are, on at most a quarter of the pool, and nothing starts beside it for 2 s. After two crashes under it alone, or five in all, its workflow fails with a reason that the status call returns. The loss of a tenth of the pool within 100 ms, or a suspect on the same worker, explains the crash for runs that had worked 250 ms.

Why it works: what separates the task at fault from those beside it is that its workers crash while nothing else runs there. Two more starts after the third crash are allowed; five crashes in all is that bound.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -36,6 +36,8 @@
 		"stopping a run", "The reason is given: cancelled, preempted, unknown run, draining worker or unknown outcome.")
 	TaskRateChanged = define(826, "task-paced", slog.LevelInfo,
 		"changed the execution rate of a run", "A best-effort task, which uses idle CPU, is rate-limited to protect a serving task on the same worker, or returns to full speed.")
+	TaskCrashedWorker = define(830, "task-lost-in-crash", slog.LevelInfo,
+		"worker crashed with a run of a task", "What the crash means for the task. If many workers were lost at the same moment (`lost_together` of `pool`), that explains the crash, and it does not count at all if the run had been at work (`worked_ms`), as beside another task that has to run alone (`beside_suspect`). After two unexplained crashes, or three in all, the task runs alone on a worker (`beside` is 0); after two crashes under it alone, or five in all, it is given up and its workflow fails. If tasks of one image are given up, check the image.")
 	InterferenceNotSaved = define(827, "pressures-not-saved", slog.LevelWarn,
 		"learned interference coefficients were not saved", "The next leader starts from older estimates. They are saved again within seconds; check the control group if it repeats.")
 	PoolCapacity = define(828, "pool-room", slog.LevelInfo,
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -49,10 +49,17 @@
 	// beside and younger are the numbers of other runs on the worker, and of
 	// those that started later, when the worker was lost.
 	beside, younger int
-	adopted         bool // started by an earlier leader
-	mayHaveStarted  bool // the run may have started
-	ticket          string
-	runStats        runStats
+	loss            *workerLoss // of the worker, with this run on it
+	incarnation     int64       // of the worker, see state.PoolWorker.StartedAt
+	crashed         bool        // the worker has crashed
+	suspect         bool        // has to run alone
+	besideSuspect   bool        // another run on the worker had to run alone when it was lost
+	// separatedFrom is the loss whose other tasks avoid the worker.
+	separatedFrom  *workerLoss
+	adopted        bool // started by an earlier leader
+	mayHaveStarted bool // the run may have started
+	ticket         string
+	runStats       runStats
 }
 
 func (a *attempt) reservation() state.Resources { return a.task.step.Reservation() }
@@ -67,8 +74,8 @@
 func (c *Controller) place(t *task, s *session, number uint64) *attempt {
 	a := &attempt{
 		task: t, session: s, phase: attemptRecording,
-		run:      Run{Workflow: t.workflow.spec.ID, Task: t.number, Number: number},
-		runStats: runStats{rate: fullRate},
+		run:         Run{Workflow: t.workflow.spec.ID, Task: t.number, Number: number},
+		incarnation: s.worker.StartedAt, runStats: runStats{rate: fullRate},
 	}
 	if t.phase == taskReady {
 		t.workflow.readyTasks--
@@ -76,19 +83,19 @@
 	t.phase, t.attempt = taskOnWorker, a
 	s.add(a)
 	c.journal.starts = append(c.journal.starts, startRecord{a, state.TaskStart{
-		Workflow: a.run.Workflow, Task: t.number, Run: number, Worker: s.worker.ID,
+		Workflow: a.run.Workflow, Task: t.number, Run: number, Worker: s.worker.ID, WorkerStartedAt: s.worker.StartedAt,
 	}})
 	return a
 }
 
 // adopt takes over a running task whose start an earlier leader recorded.
-func (c *Controller) adopt(t *task, worker string) {
+func (c *Controller) adopt(t *task, worker string, incarnation int64) {
 	// Reports do not include the execution rate, which an earlier leader may
 	// have lowered.
 	a := &attempt{
 		task: t, phase: attemptUnknown, startDecidedAt: c.now(), startedAt: c.now(), adopted: true, mayHaveStarted: true,
-		run:      Run{Workflow: t.workflow.spec.ID, Task: t.number, Number: t.run},
-		runStats: runStats{rate: fullRate, rateUnknown: true},
+		run:         Run{Workflow: t.workflow.spec.ID, Task: t.number, Number: t.run},
+		incarnation: incarnation, runStats: runStats{rate: fullRate, rateUnknown: true},
 	}
 	t.phase, t.attempt = taskOnWorker, a
 	s := c.sessions[worker]
@@ -184,7 +191,7 @@
 	case RefusedTicket, RefusedInvalid:
 		a.task.recordRefusal(s.worker.ID, now) // an immediate retry would be refused again
 	case RefusedOtherIncarnation:
-		c.closeSession(s, "another life has its address")
+		c.crashed(s, "another life has its address")
 		return
 	}
 	c.endAsLost(a, reason.String())
@@ -223,10 +230,14 @@
 			c.markDone(a.task)
 		}
 	}
-	c.journal.ends = append(c.journal.ends, state.TaskEnd{
+	end := state.TaskEnd{
 		Workflow: a.run.Workflow, Task: a.run.Task, Run: a.run.Number, Outcome: outcome, Checkpoint: checkpoint,
 		NotStarted: !a.mayHaveStarted,
-	})
+	}
+	if a.crashed && outcome == state.OutcomeLost && a.task.attempt == a && a.task.phase != taskDone {
+		c.judgeCrash(a, &end)
+	}
+	c.journal.ends = append(c.journal.ends, end)
 }
 
 // dropAttempt discards an attempt that is not in the replicated state.
@@ -282,7 +293,7 @@
 	if err != nil {
 		a.nextStop = now + stopRetry
 		if refusal(err) == RefusedOtherIncarnation {
-			c.closeSession(a.session, "another life has its address")
+			c.crashed(a.session, "another life has its address")
 		}
 		return
 	}
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -85,6 +85,8 @@
 	sessions       map[string]*session // by worker id
 	sorted         []*session          // by worker id; nil after a change of sessions
 	losses         []*workerLoss       // within lossRetention
+	suspects       map[*task]bool      // open tasks that have to run alone
+	held           []*session          // kept for tasks that have to run alone
 	pollDue        map[*session]bool   // sessions to poll after this step, if necessary
 	journal        journal
 	interference   *placement.InterferenceModel
@@ -261,6 +263,7 @@
 	c.activatedAt = c.now()
 	c.workflows = make(map[string]*workflow)
 	c.sessions, c.sorted, c.losses = make(map[string]*session), nil, nil
+	c.suspects, c.held = make(map[*task]bool), nil
 	c.pollDue = make(map[*session]bool)
 	c.journal = journal{}
 	c.poolDemand = make(map[string]*poolDemand)
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -30,6 +30,7 @@
 	*harness
 	opts         pool.Options
 	downtime     time.Duration
+	gang         string // workflow whose runs end when a worker crashes; may be empty
 	mu           sync.Mutex
 	current      map[string]*pool.Worker // by worker id
 	incarnations []*pool.Worker
@@ -76,6 +77,9 @@
 	if r.stopped {
 		return
 	}
+	for _, w := range r.current {
+		w.EndRuns(r.gang, fleet.EndGangBroken)
+	}
 	r.restarts.Go(func() {
 		time.Sleep(r.downtime)
 		r.start(id)
@@ -182,3 +186,131 @@
 	h.Eventually(func() state.WorkflowPhase { return h.phaseOf(crashingID) }, waitTimeout, "20ms").Should(Equal(state.WorkflowFailed))
 	h.Expect(r.runsOf(crashingID)).To(BeNumerically("<=", maxStartsOfCrashingTask))
 }
+
+// Guards against giving up tasks that can be done because workers crash again
+// and again for other reasons, some of them together.
+func TestTasksOnWorkersThatCrashAreNotGivenUp(t *testing.T) {
+	h := newHarness(t)
+	runTime := func(fleet.TaskPosition, uint64) time.Duration { return 700 * time.Millisecond }
+	r := h.addRestartingWorkers(12, pool.Options{RunTime: runTime})
+	const others = 70
+	for i := range others {
+		h.submitAs(otherID(i), small(4))
+	}
+	lost := func() int {
+		n := 0
+		for _, rec := range r.records() {
+			if rec.Crashed {
+				n++
+			}
+		}
+		return n
+	}
+	for i := range 12 {
+		time.Sleep(250 * time.Millisecond)
+		r.crashSome(i*5, 1+i%4)
+	}
+	h.Expect(lost()).To(BeNumerically(">=", others), "the crashes hit runs")
+	for i := range others {
+		h.Eventually(func() state.WorkflowPhase { return h.phaseOf(otherID(i)) }, 2*waitTimeout, "20ms").Should(Equal(state.WorkflowCompleted))
+	}
+	h.expectNoDuplicateRuns(r.incarnations...)
+}
+
+// Guards against a partition that counts as crashes: a worker that stops
+// responding until its lease has expired and then responds again has not
+// crashed.
+func TestExpiredLeaseIsNoCrash(t *testing.T) {
+	h := newHarness(t)
+	forever := pool.Options{RunTime: runForever}
+	a, b := h.addWorker("a", forever), h.addWorker("b", forever)
+	workers := []*pool.Worker{a, b}
+	h.Expect(h.submit(step(1))).To(Equal(fleet.OutcomeDone))
+	total := func() int { return len(a.Records()) + len(b.Records()) }
+	for n := 1; n <= maxStartsOfCrashingTask+1; n++ {
+		h.Eventually(total, waitTimeout, "5ms").Should(Equal(n))
+		i := slices.IndexFunc(workers, func(w *pool.Worker) bool { return running(w) > 0 })
+		h.Expect(i).To(BeNumerically(">=", 0))
+		workers[i].SetUnreachable(true)
+		h.Eventually(func() int { return running(workers[i]) }, waitTimeout, "5ms").Should(BeZero())
+		h.Eventually(total, waitTimeout, "5ms").Should(BeNumerically(">", n), "the task is started on the other worker")
+		workers[i].SetUnreachable(false)
+	}
+	h.Expect(h.phase()).To(Equal(state.WorkflowActive))
+}
+
+// Guards against a task that is started for ever because its workers come back
+// after their leases have expired, when its runs have been given up.
+func TestCrashesKnownAfterTheLeaseAreCounted(t *testing.T) {
+	h := newHarness(t)
+	r := h.addRestartingWorkers(0, pool.Options{RunTime: runForever, CrashesAfter: crashesAtOnce})
+	r.downtime = 1500 * time.Millisecond // longer than the time after which a lease is known to have expired
+	for i := range 4 {
+		r.start(fmt.Sprintf("worker-%d", i))
+	}
+	h.submitAs(crashingID, small(1))
+	h.Eventually(func() state.WorkflowPhase { return h.phaseOf(crashingID) }, 3*waitTimeout, "20ms").Should(Equal(state.WorkflowFailed))
+	h.Expect(r.runsOf(crashingID)).To(BeNumerically("<=", maxStartsOfCrashingTask))
+}
+
+// Guards against a long-running task without a bound, and against a caller that
+// can't learn why its workflow failed.
+func TestLongRunningTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	h := newHarness(t)
+	r := h.addRestartingWorkers(3, pool.Options{RunTime: runForever, CrashesAfter: crashesAtOnce})
+	h.submitAs(crashingID, small(1, untilStopped))
+	h.submitAs(otherID(0), small(4, untilStopped))
+	h.Eventually(func() state.WorkflowPhase { return h.phaseOf(crashingID) }, waitTimeout, "20ms").Should(Equal(state.WorkflowFailed))
+	h.Expect(r.runsOf(crashingID)).To(BeNumerically("<=", maxStartsOfCrashingTask))
+	h.Expect(h.phaseOf(otherID(0))).To(Equal(state.WorkflowActive))
+	reason := h.call(&fleet.Request{Op: fleet.OpStatus, Host: host, Path: "/jobs/" + crashingID}).Reason
+	h.Expect(reason).To(ContainSubstring("workers crashed while they ran task 0.0.0"))
+}
+
+// Guards against a gang with a member that crashes its workers for ever.
+func TestGangThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	h := newHarness(t)
+	crashes := func(p fleet.TaskPosition, number uint64) time.Duration {
+		if p.Index == 1 {
+			return crashesAtOnce(p, number)
+		}
+		return 0
+	}
+	r := h.addRestartingWorkers(4, pool.Options{RunTime: runForever, CrashesAfter: crashes})
+	r.gang = crashingID
+	h.submitAs(crashingID, step(3, func(s *state.WorkflowStep) { s.Gang, s.MaxPerWorker = true, 1 }))
+	h.Eventually(func() state.WorkflowPhase { return h.phaseOf(crashingID) }, 2*waitTimeout, "20ms").Should(Equal(state.WorkflowFailed))
+	starts := 0
+	for _, rec := range r.records() {
+		if rec.Position.Workflow == crashingID && rec.Position.Index == 1 {
+			starts++
+		}
+	}
+	h.Expect(starts).To(BeNumerically("<=", maxStartsOfCrashingTask))
+}
+
+// Guards against tasks that start beside one that has crashed two workers.
+func TestTaskThatCrashedTwoWorkersRunsAlone(t *testing.T) {
+	h := newHarness(t)
+	runTime := func(fleet.TaskPosition, uint64) time.Duration { return 100 * time.Millisecond }
+	r := h.addRestartingWorkers(6, pool.Options{RunTime: runTime, CrashesAfter: crashesAtOnce})
+	h.submitAs(crashingID, small(1))
+	for i := 0; h.phaseOf(crashingID) != state.WorkflowFailed; i++ {
+		h.submitAs(otherID(i), small(4))
+		time.Sleep(20 * time.Millisecond)
+	}
+	crashes := 0
+	for _, bad := range r.records() {
+		if bad.Position.Workflow != crashingID {
+			continue
+		}
+		if crashes++; crashes <= 2 {
+			continue
+		}
+		for _, rec := range r.records() {
+			beside := rec.Crashed && rec.Worker == bad.Worker && rec.Ended.Sub(bad.Ended).Abs() < 5*time.Millisecond && rec.Position != bad.Position
+			h.Expect(beside).To(BeFalse(), "%+v was lost with run %d", rec, bad.Number)
+		}
+	}
+	h.Expect(crashes).To(BeNumerically(">", 2))
+}
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -61,7 +61,7 @@
 		if old.worker.ID == b.Worker.ID {
 			recent = append(recent, c.takeRecentAttempts(old, b.Worker.StartedAt)...)
 		}
-		c.closeSession(old, "a later life has reported")
+		c.crashed(old, "a later life has reported")
 	}
 	w, ok := c.opts.Log.State().PoolWorkers.Get(b.Worker.ID)
 	if !ok || w.StartedAt != b.Worker.StartedAt {
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -12,6 +12,8 @@
 	unsent     prometheus.Counter
 	inFlight   prometheus.Gauge
 	panics     prometheus.Counter
+	crashes    prometheus.Counter
+	givenUp    prometheus.Counter
 	start      prometheus.Histogram
 	commit     prometheus.Histogram
 	refusals   *prometheus.CounterVec
@@ -36,6 +38,12 @@
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "apricotrouter_fleet_loop_failures_total", Help: "Faults of the controller's loop after which it started anew.",
 		}),
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_worker_crashes_total", Help: "Workers that were replaced by another incarnation without having announced their shutdown.",
+		}),
+		givenUp: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_tasks_given_up_total", Help: "Tasks that were given up because workers crashed while they ran them.",
+		}),
 		start: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "apricotrouter_fleet_start_seconds", Help: "Time until a worker answered a start.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
@@ -65,7 +73,7 @@
 		}, []string{"pool", "kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.start, m.commit, m.refusals, m.duration, m.calls, m.late, m.processors, m.waiting)
+		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.start, m.commit, m.refusals, m.duration, m.calls, m.late, m.processors, m.waiting)
 	}
 	return m
 }
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -121,6 +122,7 @@
 	if len(waiting) == 0 && now < c.nextReport {
 		return
 	}
+	c.placeSuspects(now)
 	pools := c.pools(now)
 	defer c.reportOccupancy(pools)
 	if len(waiting) == 0 {
@@ -316,11 +318,11 @@
 	unplaceable := unplaceableStep{step: -1}
 	var group *taskGroup
 	for _, t := range f.tasks {
-		if t.phase != taskReady {
+		if t.phase != taskReady || t.waitsAlone() {
 			continue
 		}
 		t.expireRefusals(c.now())
-		excludedWorkers := c.excludedWorkers(t, p)
+		excludedWorkers, avoided := c.excludedWorkers(t, p), t.avoidedWorkers()
 		waited := (c.now() - t.waitingSince).Milliseconds()
 		usesReserved := j.ExceedsShare && placement.RestartOverdue(waited, t.ranBefore()) ||
 			j.Starved() && t.step.LongRunning && placement.Overdue(waited)
@@ -338,13 +340,13 @@
 		class := classOf(t.step, j)
 		class.usesReserved = usesReserved
 		if !group.includes(t) || group.usesReserved != usesReserved {
-			group = c.taskGroup(t, p, j, usesReserved, t.avoid)
+			group = c.taskGroup(t, p, j, usesReserved, avoided)
 		}
 		i := -1
 		if !p.unplaceable(t.step, class) {
 			i = group.bestWorker(j, waited, t.ranBefore())
-			if i < 0 && len(t.avoid) > 0 && len(excludedWorkers) == 0 {
-				group = c.taskGroup(t, p, j, usesReserved, nil)
+			if i < 0 && len(avoided) > len(excludedWorkers) {
+				group = c.taskGroup(t, p, j, usesReserved, excludedWorkers)
 				i = group.bestWorker(j, waited, t.ranBefore())
 			}
 		}
@@ -417,7 +419,7 @@
 // includes reports whether a task may run on the same workers as the first.
 func (e *taskGroup) includes(t *task) bool {
 	return e != nil && e.first.pos.Step == t.pos.Step && e.first.pos.Occurrence == t.pos.Occurrence &&
-		len(e.first.avoid) == 0 && len(t.avoid) == 0 && len(e.first.refusedUntil) == 0 && len(t.refusedUntil) == 0
+		len(e.first.avoid) == 0 && len(t.avoid) == 0 && e.first.lostWith == nil && t.lostWith == nil && len(e.first.refusedUntil) == 0 && len(t.refusedUntil) == 0
 }
 
 // mayExceedShare reports whether the next task of the group may exceed the
@@ -462,6 +464,26 @@
 	return t.avoid
 }
 
+// avoidedWorkers returns the workers on which the task runs only if no other
+// worker has free capacity: those that it avoids, and those with other tasks
+// that were lost in the same crash. Apart from each other, the one at fault is
+// the only one of them that is lost again.
+func (t *task) avoidedWorkers() map[string]bool {
+	if t.lostWith == nil {
+		return t.avoid
+	}
+	avoided := maps.Clone(t.avoid)
+	for worker, runs := range t.lostWith.restarted {
+		if runs > 0 {
+			if avoided == nil {
+				avoided = make(map[string]bool)
+			}
+			avoided[worker] = true
+		}
+	}
+	return avoided
+}
+
 // placementRequest returns the placement request of a task that avoids workers,
 // and the number of tasks of its step on each worker if that is limited.
 func (c *Controller) placementRequest(t *task, p *pool, avoid map[string]bool) (placement.PoolTask, map[*session]int) {
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -130,13 +130,13 @@
 	}
 	w, ok := st.Workflows.Get(id)
 	if ok {
-		return &Response{Outcome: OutcomeDone, Phase: w.Phase}
+		return &Response{Outcome: OutcomeDone, Phase: w.Phase, Reason: w.Reason}
 	}
 	if err := s.group.ReadBarrier(ctx); err != nil {
 		return &Response{Outcome: OutcomeUnavailable, Reason: err.Error()}
 	}
 	if w, ok = s.group.State().Workflows.Get(id); ok {
-		return &Response{Outcome: OutcomeDone, Phase: w.Phase}
+		return &Response{Outcome: OutcomeDone, Phase: w.Phase, Reason: w.Reason}
 	}
 	return &Response{Outcome: OutcomeGone}
 }
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -75,6 +75,10 @@
 	lastPoll     time.Duration // when the last poll with a response began
 	unresponsive bool
 	loss         *workerLoss   // set while the worker is unresponsive
+	expired      []*attempt    // runs that were given up when the lease expired
+	openedAt     time.Duration // when the session was opened
+	suspects     int           // runs of tasks that have to run alone
+	held         bool          // kept for a task that has to run alone
 	leaseEnd     time.Duration // when its lease has expired unless it is extended
 
 	clock       int64         // last reading of the worker's clock, in milliseconds
@@ -107,7 +111,7 @@
 func (c *Controller) openSession(w state.PoolWorker, fresh bool) *session {
 	s := newSession(w, c.opts.Dial(w))
 	now := c.now()
-	s.polled, s.lastHeartbeat = fresh, now
+	s.polled, s.lastHeartbeat, s.openedAt = fresh, now, now
 	s.leaseEnd = now + c.leaseBound()
 	c.sessions[w.ID], c.sorted = s, nil
 	c.dirty = true
@@ -137,6 +141,11 @@
 	s.attempts[s.key(a)] = a
 	s.reserved = s.reserved.Add(a.reservation())
 	s.resourcesValid = false
+	s.markSuspect(a, a.task.evidence.NeedsIsolation())
+	if l := a.task.lostWith; l != nil {
+		a.separatedFrom = l
+		l.restarted[s.worker.ID]++
+	}
 }
 
 func (s *session) remove(a *attempt) {
@@ -144,6 +153,11 @@
 		delete(s.attempts, s.key(a))
 		s.reserved = s.reserved.Sub(a.reservation())
 		s.resourcesValid = false
+		s.markSuspect(a, false)
+		if l := a.separatedFrom; l != nil {
+			a.separatedFrom = nil
+			l.restarted[s.worker.ID]--
+		}
 	}
 }
 
@@ -188,7 +202,7 @@
 		return
 	}
 	s.unresponsive = true
-	c.recordLoss(s, now)
+	c.recordLoss(s, now, err)
 	event.Log(c.opts.Logger, event.WorkerUnresponsive, slog.String("worker", s.worker.ID),
 		slog.Int("runs", len(s.attempts)), slog.Int64("lease_left_ms", (s.leaseEnd-now).Milliseconds()), slog.Any("error", err))
 }
@@ -208,8 +222,13 @@
 	c.unsentCalls, c.nextUnsentLog = 0, now+unsentLogInterval
 }
 
-// usable reports whether tasks may be placed on the worker.
+// usable reports whether any task may be placed on the worker.
 func (s *session) usable(c *Controller, now time.Duration) bool {
+	return s.suspects == 0 && !s.held && s.accepts(c, now)
+}
+
+// accepts reports whether the worker is in a condition to run further tasks.
+func (s *session) accepts(c *Controller, now time.Duration) bool {
 	late := now-s.lastHeartbeat > maxMissedHeartbeats*c.opts.Limits.Heartbeat
 	return s.polled && !s.closed && !s.unresponsive && !s.worker.Draining && s.removeAt == 0 && !late &&
 		now >= s.pausedUntil && now >= s.fullUntil && len(s.unknownRuns) == 0
@@ -286,7 +305,7 @@
 	if err != nil {
 		switch refusal(err) {
 		case RefusedOtherIncarnation:
-			c.closeSession(s, "another life has its address")
+			c.crashed(s, "another life has its address")
 		case RefusedFence:
 			c.deactivate("a worker has seen a higher fence")
 		default:
@@ -348,6 +367,8 @@
 	for k, a := range s.attempts {
 		startDecided := a.phase == attemptRunning || a.phase == attemptUnknown && !a.stopping || a.stopAcked
 		if !seen[k] && startDecided && a.startDecidedAt < begin {
+			// The run was on an earlier incarnation, which has crashed.
+			a.crashed = a.crashed || a.incarnation != 0 && s.worker.StartedAt > a.incarnation
 			c.endAsLost(a, "not on the worker")
 		}
 	}
@@ -403,7 +424,11 @@
 func (c *Controller) applyRunning(s *session, r *RunStatus) {
 	k := runKey{r.Position, r.Number}
 	if a := s.attempts[k]; a != nil {
-		a.mayHaveStarted, a.seenAt = true, c.now()
+		a.mayHaveStarted, a.seenAt, a.incarnation = true, c.now(), s.worker.StartedAt
+		if a.suspect && placement.Settled(a.workedFor().Milliseconds()) {
+			s.markSuspect(a, false)
+			c.dirty = true
+		}
 		if a.phase == attemptUnknown && !a.stopping || a.phase == attemptStarting {
 			a.phase = attemptRunning
 		}
@@ -469,6 +494,11 @@
 // leaseExpired gives up the runs of a worker that was unresponsive until its
 // lease expired.
 func (c *Controller) leaseExpired(s *session, now time.Duration) {
+	for _, a := range s.attempts {
+		if a.mayHaveStarted && a.phase != attemptRecording {
+			s.expired = append(s.expired, a)
+		}
+	}
 	c.endAllAttempts(s, "the worker's lease ended")
 	s.polled = false
 	if now-s.lastHeartbeat > removeAfterHeartbeats*c.opts.Limits.Heartbeat {
@@ -515,7 +545,7 @@
 	s.closed = true
 	now, runs := c.now(), s.startedRuns()
 	if s.loss == nil {
-		c.recordLoss(s, now)
+		c.recordLoss(s, now, nil)
 	}
 	c.endAllAttempts(s, reason)
 	s.api.Close()
--- a/fleet/worker_loss.go
+++ b/fleet/worker_loss.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"errors"
+	"io"
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -19,14 +22,32 @@
 	session *session
 	at      time.Duration
 	runs    int // runs on the worker that may have started
+	// closed is set if the worker closed a connection, so that at is when it
+	// ended, rather than when a call timed out.
+	closed bool
+	// isolated is set if a task that has to run alone was on the worker.
+	isolated bool
+	// poolWorkers is the number of workers of the pool, including this one.
+	poolWorkers int
+	// restarted is the number of runs, by worker id, of tasks that were lost
+	// with the worker.
+	restarted map[string]int
 }
 
-// recordLoss records that a worker has stopped responding.
-func (c *Controller) recordLoss(s *session, now time.Duration) {
+// recordLoss records that a worker has stopped responding. cause is the error
+// of the first call without a response, if there is one.
+func (c *Controller) recordLoss(s *session, now time.Duration, cause error) {
 	c.losses = slices.DeleteFunc(c.losses, func(l *workerLoss) bool { return now-l.at > lossRetention })
-	s.loss = &workerLoss{session: s, at: now, runs: s.startedRuns()}
+	closed := errors.Is(cause, io.EOF) || errors.Is(cause, syscall.ECONNRESET)
+	s.loss = &workerLoss{session: s, at: now, closed: closed, runs: s.startedRuns(), isolated: s.suspects > 0, restarted: make(map[string]int)}
+	for _, other := range c.sessions {
+		if other.worker.Pool == s.worker.Pool {
+			s.loss.poolWorkers++
+		}
+	}
 	for _, a := range s.attempts {
-		a.beside, a.younger = max(0, s.loss.runs-1), s.youngerRuns(a)
+		a.loss, a.beside, a.younger = s.loss, max(0, s.loss.runs-1), s.youngerRuns(a)
+		a.besideSuspect = s.suspects > 1 || s.suspects == 1 && !a.suspect
 	}
 	c.losses = append(c.losses, s.loss)
 }
@@ -34,7 +55,12 @@
 // forgetLoss discards the loss of a worker that responds again.
 func (c *Controller) forgetLoss(s *session) {
 	c.losses = slices.DeleteFunc(c.losses, func(l *workerLoss) bool { return l == s.loss })
-	s.loss = nil
+	for _, a := range s.attempts {
+		if a.loss == s.loss {
+			a.loss = nil
+		}
+	}
+	s.loss, s.expired = nil, nil
 }
 
 // startedRuns returns the number of runs on the worker that may have started.
@@ -49,11 +75,12 @@
 }
 
 // lostTogether returns the number of other workers of the pool that were lost
-// at the same moment.
+// at the same moment. Workers of isolated tasks do not count, because these
+// tasks may have crashed them.
 func (c *Controller) lostTogether(l *workerLoss) int {
 	n := 0
 	for _, other := range c.losses {
-		if other != l && other.session.worker.Pool == l.session.worker.Pool && (other.at-l.at).Abs() <= lossWindow {
+		if other != l && !other.isolated && other.session.worker.Pool == l.session.worker.Pool && (other.at-l.at).Abs() <= lossWindow {
 			n++
 		}
 	}
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -59,6 +59,8 @@
 	waitingSince time.Duration // start of the current wait for a worker
 	endedAt      int64         // see state.WorkflowTask
 	moves        int           // number of times that the task was moved because it was slow
+	evidence     placement.CrashEvidence
+	lostWith     *workerLoss // last loss that counts in evidence; nil if an earlier leader recorded it
 }
 
 // ranBefore reports whether a run of the task was recorded. Its worker may have
@@ -115,6 +117,9 @@
 // syncTask updates a task from the replicated state.
 func (c *Controller) syncTask(t *task, r *state.WorkflowTask) {
 	t.run, t.failures, t.checkpoint, t.endedAt = r.Run, r.Failures, r.Checkpoint, r.EndedAt
+	t.setEvidence(c, placement.CrashEvidence{
+		Crashes: len(r.CrashedRuns), Unexplained: r.UnexplainedCrashes, Isolated: r.IsolatedCrashes,
+	})
 	if t.endPending {
 		return // this state precedes the entry that records the end
 	}
@@ -125,7 +130,7 @@
 		if t.attempt != nil && t.attempt.run.Number == r.Run {
 			return
 		}
-		c.adopt(t, r.Worker)
+		c.adopt(t, r.Worker, r.WorkerStartedAt)
 	case state.TaskWaiting:
 		if t.phase == taskOnWorker && (t.attempt == nil || t.attempt.run.Number <= r.Run) {
 			c.dropAttempt(t.attempt)
@@ -231,7 +236,7 @@
 	c.metrics.observeEnd(w.Phase, took, f.deadline-f.submittedAt)
 	event.Log(c.opts.Logger, event.WorkflowEnded, slog.String("workflow", f.spec.ID), slog.String("queue", f.queue),
 		slog.String("phase", string(w.Phase)), slog.Int64("took_ms", took),
-		slog.Int64("objective_ms", f.deadline-f.submittedAt))
+		slog.Int64("objective_ms", f.deadline-f.submittedAt), slog.String("reason", w.Reason))
 }
 
 // objectiveMillis returns the objective of a workflow in milliseconds: its
--- /dev/null
+++ b/placement/crash.go
@@ -0,0 +1,147 @@
+package placement
+
+import "apricotrouter/state"
+
+// Load pattern: a task crashes each worker that starts it. The other tasks on
+// the worker are lost too, and with many tasks per worker most lost runs are of
+// tasks without fault. Workers also crash for other reasons, often many at the
+// same moment. Counting lost runs would give up tasks that can be done, so a
+// task that was there repeatedly runs alone until it ends or the evidence
+// against it suffices.
+
+const (
+	// isolateAfterUnexplained and isolateAfterCrashes are the numbers of crashed
+	// workers after which a task runs alone on a worker. After one crash all
+	// tasks of the worker are equally suspect, and there is not a worker for
+	// each. Where many workers crash at the same moment, a task is seldom lost
+	// three times.
+	isolateAfterUnexplained = 2
+	isolateAfterCrashes     = 3
+	// maxIsolatedCrashes is the number of workers that may crash while the task
+	// runs alone on them before it is given up. A worker that crashes for
+	// another reason while a suspect is alone on it is rare, two are not
+	// expected.
+	maxIsolatedCrashes = 2
+	// maxCrashes is the number of crashed workers after which a task is given
+	// up in any case. Platforms allow two more starts after the third crash.
+	maxCrashes = 5
+	// minMassLoss and massLossPercent define a loss of many workers: at least
+	// this number of workers and percentage of the pool at the same moment.
+	minMassLoss     = 3
+	massLossPercent = 10
+	// minWorkedMillis is how long a run must have been at work for a loss of
+	// many workers, or a suspect on the worker, to explain its end. The tasks that crash their workers at
+	// once do so within 60 ms, and seldom later than 250 ms.
+	minWorkedMillis = 250
+	// settledMillis is how long an isolated run must have been at work before
+	// other tasks may start beside it. A task may crash its worker only after a
+	// second of work.
+	settledMillis = 2_000
+	// provenMillis is how long a run of a long-running task must have been at
+	// work to discard the evidence of its earlier runs.
+	provenMillis = 10_000
+)
+
+// CrashEvidence is the evidence that a task crashes its workers.
+type CrashEvidence struct {
+	Crashes     int // workers that crashed while they ran the task
+	Unexplained int // of these, without a loss of many workers at the same moment
+	Isolated    int // of these, workers that ran nothing else
+}
+
+// WorkerCrash describes the crash of a worker with a run of a task.
+type WorkerCrash struct {
+	PoolWorkers  int  // workers of the pool before the crash
+	LostTogether int  // other workers of the pool that were lost at the same moment
+	Isolated     bool // no other run was on the worker
+	// BesideSuspect means that another task, which has to run alone, was on the
+	// worker. Nothing starts after it there.
+	BesideSuspect bool
+	WorkedMillis  int64 // how long the run is known to have been at work
+	LongRunning   bool  // the task is restarted whenever it ends
+}
+
+// CrashVerdict is what a crash means for a task that ran on the worker.
+type CrashVerdict struct {
+	Kind     state.CrashKind
+	Evidence CrashEvidence // with this crash
+	Cleared  bool          // earlier evidence is discarded
+	GiveUp   bool          // the task must not be started again
+}
+
+// JudgeCrash decides what the crash of a worker means for a task that ran on
+// it.
+func JudgeCrash(e CrashEvidence, crash WorkerCrash) CrashVerdict {
+	v := CrashVerdict{Evidence: e}
+	if crash.LongRunning && crash.WorkedMillis >= provenMillis {
+		v.Evidence, v.Cleared = CrashEvidence{}, true
+	}
+	lost := crash.LostTogether + 1
+	massLoss := lost >= minMassLoss && lost*100 >= crash.PoolWorkers*massLossPercent
+	if (massLoss || crash.BesideSuspect) && crash.WorkedMillis >= minWorkedMillis {
+		return v
+	}
+	v.Kind = state.CrashMassLoss
+	v.Evidence.Crashes++
+	if !massLoss {
+		v.Kind = state.CrashUnexplained
+		v.Evidence.Unexplained++
+		if crash.Isolated && crash.LostTogether == 0 && e.NeedsIsolation() {
+			v.Kind = state.CrashIsolated
+			v.Evidence.Isolated++
+		}
+	}
+	v.GiveUp = v.Evidence.Isolated >= maxIsolatedCrashes || v.Evidence.Crashes >= maxCrashes
+	return v
+}
+
+// NeedsIsolation reports whether the task may only run alone on a worker.
+func (e CrashEvidence) NeedsIsolation() bool {
+	return e.Unexplained >= isolateAfterUnexplained || e.Crashes >= isolateAfterCrashes
+}
+
+// Settled reports whether an isolated run has been at work so long that other
+// tasks may start beside it.
+func Settled(workedMillis int64) bool { return workedMillis >= settledMillis }
+
+const (
+	// maxIsolatedShare is the reciprocal of the share of a pool's workers that
+	// isolated tasks may use at a time, so that the others keep running.
+	maxIsolatedShare = 4
+	// isolationPatienceMillis is how long an isolated task waits for an empty
+	// worker before it may start beside others.
+	isolationPatienceMillis = 1000
+)
+
+// MaxIsolated returns how many workers of a pool may be used by isolated tasks.
+func MaxIsolated(poolWorkers int) int { return max(1, poolWorkers/maxIsolatedShare) }
+
+// IsolationWorker is a worker that may take an isolated task.
+type IsolationWorker struct {
+	Capacity *WorkerCapacity
+	Runs     int // runs that would be lost if the worker crashed
+}
+
+// ChooseIsolated returns the index of the worker for an isolated task, or -1: a
+// worker without runs, or, once the task has waited long enough, the one with
+// the fewest.
+func ChooseIsolated(workers []IsolationWorker, t PoolTask, waitedMillis int64) int {
+	candidates := make([]*WorkerCapacity, len(workers))
+	coefficients := t.interferenceCoefficients()
+	all := make([]*WorkerCapacity, len(workers))
+	fewest := -1
+	for i, w := range workers {
+		all[i] = w.Capacity
+		if w.Runs == 0 {
+			candidates[i] = w.Capacity
+		} else if w.Capacity != nil && waitedMillis >= isolationPatienceMillis && (fewest < 0 || w.Runs < workers[fewest].Runs) {
+			if _, ok := t.scoreOn(all, i, coefficients); ok {
+				fewest = i
+			}
+		}
+	}
+	if best := ChooseWorker(candidates, t); best >= 0 {
+		return best
+	}
+	return fewest
+}
--- /dev/null
+++ b/placement/crash_test.go
@@ -0,0 +1,151 @@
+package placement_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/placement"
+	"apricotrouter/state"
+)
+
+func TestJudgeCrash(t *testing.T) {
+	suspect := placement.CrashEvidence{Crashes: 2, Unexplained: 2}
+	for name, tc := range map[string]struct {
+		evidence placement.CrashEvidence
+		crash    placement.WorkerCrash
+		want     placement.CrashVerdict
+		isolate  bool
+	}{
+		"first crash": {
+			crash: placement.WorkerCrash{PoolWorkers: 60},
+			want:  placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1}},
+		},
+		"second crash isolates": {
+			evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1}, crash: placement.WorkerCrash{PoolWorkers: 60},
+			want:    placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: suspect},
+			isolate: true,
+		},
+		"alone by chance before it was suspect": {
+			evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1}, crash: placement.WorkerCrash{PoolWorkers: 60, Isolated: true},
+			want:    placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: suspect},
+			isolate: true,
+		},
+		"isolated": {
+			evidence: suspect, crash: placement.WorkerCrash{PoolWorkers: 60, Isolated: true},
+			want:    placement.CrashVerdict{Kind: state.CrashIsolated, Evidence: placement.CrashEvidence{Crashes: 3, Unexplained: 3, Isolated: 1}},
+			isolate: true,
+		},
+		"isolated twice": {
+			evidence: placement.CrashEvidence{Crashes: 3, Unexplained: 3, Isolated: 1}, crash: placement.WorkerCrash{PoolWorkers: 60, Isolated: true},
+			want: placement.CrashVerdict{
+				Kind: state.CrashIsolated, Evidence: placement.CrashEvidence{Crashes: 4, Unexplained: 4, Isolated: 2}, GiveUp: true,
+			},
+			isolate: true,
+		},
+		"isolated, but another worker was lost too": {
+			evidence: suspect, crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 1, Isolated: true},
+			want:    placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 3, Unexplained: 3}},
+			isolate: true,
+		},
+		"fifth crash": {
+			evidence: placement.CrashEvidence{Crashes: 4, Unexplained: 1}, crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 20},
+			want:    placement.CrashVerdict{Kind: state.CrashMassLoss, Evidence: placement.CrashEvidence{Crashes: 5, Unexplained: 1}, GiveUp: true},
+			isolate: true,
+		},
+		"many workers lost, young run": {
+			crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 5, WorkedMillis: 100},
+			want:  placement.CrashVerdict{Kind: state.CrashMassLoss, Evidence: placement.CrashEvidence{Crashes: 1}},
+		},
+		"many workers lost, run at work": {
+			evidence: suspect, crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 5, WorkedMillis: 250},
+			want:    placement.CrashVerdict{Evidence: suspect},
+			isolate: true,
+		},
+		"young run beside a suspect": {
+			crash: placement.WorkerCrash{PoolWorkers: 60, BesideSuspect: true, WorkedMillis: 100},
+			want:  placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1}},
+		},
+		"run at work beside a suspect": {
+			evidence: suspect, crash: placement.WorkerCrash{PoolWorkers: 60, BesideSuspect: true, WorkedMillis: 250},
+			want:    placement.CrashVerdict{Evidence: suspect},
+			isolate: true,
+		},
+		"a few of many workers lost": {
+			crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 4, WorkedMillis: 250},
+			want:  placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1}},
+		},
+		"two of few workers lost": {
+			crash: placement.WorkerCrash{PoolWorkers: 4, LostTogether: 1, WorkedMillis: 250},
+			want:  placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1}},
+		},
+		"long-running task that had been at work": {
+			evidence: placement.CrashEvidence{Crashes: 4, Unexplained: 4}, crash: placement.WorkerCrash{PoolWorkers: 60, WorkedMillis: 10_000, LongRunning: true},
+			want: placement.CrashVerdict{
+				Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1}, Cleared: true,
+			},
+		},
+		"batch task that had been at work": {
+			evidence: placement.CrashEvidence{Crashes: 4, Unexplained: 4}, crash: placement.WorkerCrash{PoolWorkers: 60, WorkedMillis: 10_000},
+			want:    placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 5, Unexplained: 5}, GiveUp: true},
+			isolate: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(placement.JudgeCrash(tc.evidence, tc.crash)).To(Equal(tc.want))
+			g.Expect(tc.want.Evidence.NeedsIsolation()).To(Equal(tc.isolate))
+		})
+	}
+}
+
+// Load pattern: a task crashes each worker that starts it, whatever else
+// happens to the pool. It is started at most twice after the third crash.
+func TestStartsOfCrashingTaskAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	for _, crash := range []placement.WorkerCrash{
+		{PoolWorkers: 60}, {PoolWorkers: 60, Isolated: true}, {PoolWorkers: 60, LostTogether: 30}, {PoolWorkers: 60, LostTogether: 1, WorkedMillis: 1000},
+	} {
+		e, starts := placement.CrashEvidence{}, 0
+		for {
+			starts++
+			v := placement.JudgeCrash(e, crash)
+			if e = v.Evidence; v.GiveUp {
+				break
+			}
+		}
+		g.Expect(starts).To(BeNumerically("<=", 5), "%+v", crash)
+	}
+}
+
+func TestChooseIsolated(t *testing.T) {
+	resources := state.Resources{MilliCPU: 4000, MemoryMiB: 4000}
+	worker := func(runs int, free int64) placement.IsolationWorker {
+		return placement.IsolationWorker{
+			Capacity: &placement.WorkerCapacity{Capacity: resources, Free: state.Resources{MilliCPU: free, MemoryMiB: 4000}, IdleCPU: free}, Runs: runs,
+		}
+	}
+	task := placement.PoolTask{Step: &state.WorkflowStep{Size: state.Resources{MilliCPU: 1000, MemoryMiB: 100}}}
+	notFirst := task
+	notFirst.Excluded = func(i int) bool { return i == 0 }
+	for name, tc := range map[string]struct {
+		workers []placement.IsolationWorker
+		task    placement.PoolTask
+		waited  int64
+		want    int
+	}{
+		"empty worker":                     {[]placement.IsolationWorker{worker(1, 3000), worker(0, 4000)}, task, 0, 1},
+		"waits for an empty worker":        {[]placement.IsolationWorker{worker(1, 3000)}, task, 999, -1},
+		"fewest runs after the wait":       {[]placement.IsolationWorker{worker(3, 3000), worker(2, 2000), worker(4, 3000)}, task, 1000, 1},
+		"does not fit on the fewest":       {[]placement.IsolationWorker{worker(3, 3000), worker(2, 500)}, task, 1000, 0},
+		"empty worker after the wait":      {[]placement.IsolationWorker{worker(1, 3000), worker(0, 4000)}, task, 1000, 1},
+		"excluded worker":                  {[]placement.IsolationWorker{worker(0, 4000), worker(2, 4000)}, notFirst, 1000, 1},
+		"taken worker":                     {[]placement.IsolationWorker{{}, {Runs: 1}}, task, 1000, -1},
+		"none":                             {nil, task, 1000, -1},
+		"excluded worker without patience": {[]placement.IsolationWorker{worker(0, 4000)}, notFirst, 0, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(placement.ChooseIsolated(tc.workers, tc.task, tc.waited)).To(Equal(tc.want))
+		})
+	}
+}
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -137,6 +137,17 @@
 	}
 }
 
+// EndRuns ends all runs of a workflow.
+func (w *Worker) EndRuns(workflow string, kind fleet.EndKind) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for k := range w.running {
+		if k.Workflow == workflow {
+			w.end(k, kind)
+		}
+	}
+}
+
 // DropStartResponses carries out the next n starts but loses their responses.
 func (w *Worker) DropStartResponses(n int) {
 	w.mu.Lock()
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -171,7 +171,7 @@
 	if t.Phase != TaskWaiting || s.Run <= t.Run {
 		return
 	}
-	t.Phase, t.Run, t.Worker = TaskStarted, s.Run, s.Worker
+	t.Phase, t.Run, t.Worker, t.WorkerStartedAt = TaskStarted, s.Run, s.Worker, s.WorkerStartedAt
 	w.Phase = WorkflowActive
 }
 
@@ -198,10 +198,13 @@
 	if e.Outcome == OutcomeFailed && !restarted {
 		w.recordFailure(e.Task, e.Run)
 	}
+	if e.Outcome == OutcomeLost {
+		w.recordCrash(e)
+	}
 	if !current {
 		return
 	}
-	t.Phase, t.Worker = TaskWaiting, ""
+	t.Phase, t.Worker, t.WorkerStartedAt = TaskWaiting, "", 0
 	if e.Checkpoint != "" {
 		w.storeCheckpoint(e.Task, e.Checkpoint)
 	}
@@ -224,7 +227,7 @@
 	restarted := w.Spec.Steps[w.Spec.Position(task).Step].LongRunning
 	tasks := w.gang(task)
 	for i := range tasks {
-		tasks[i].Worker = ""
+		tasks[i].Worker, tasks[i].WorkerStartedAt = "", 0
 		tasks[i].Phase = TaskDone
 		if restarted {
 			tasks[i].Phase = TaskWaiting
@@ -243,6 +246,27 @@
 	t.Failures++
 }
 
+// recordCrash records the evidence of a run whose worker crashed. A run counts
+// once.
+func (w *Workflow) recordCrash(e TaskEnd) {
+	t := &w.Tasks[e.Task]
+	if e.Cleared {
+		t.CrashedRuns, t.UnexplainedCrashes, t.IsolatedCrashes = nil, 0, 0
+	}
+	if e.Crash != CrashNone && !slices.Contains(t.CrashedRuns, e.Run) {
+		t.CrashedRuns = append(slices.Clip(t.CrashedRuns), e.Run)
+		if e.Crash >= CrashUnexplained {
+			t.UnexplainedCrashes++
+		}
+		if e.Crash == CrashIsolated {
+			t.IsolatedCrashes++
+		}
+	}
+	if e.GiveUp != "" {
+		w.Reason = e.GiveUp
+	}
+}
+
 func (w *Workflow) storeCheckpoint(task int, checkpoint string) {
 	tasks := w.gang(task)
 	for i := range tasks {
@@ -252,6 +276,9 @@
 
 // outcome returns the workflow's phase according to the state of its tasks.
 func (w *Workflow) outcome() WorkflowPhase {
+	if w.Reason != "" {
+		return WorkflowFailed
+	}
 	done := 0
 	for i := range w.Tasks {
 		t := &w.Tasks[i]
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -219,6 +219,16 @@
 	// EndedAt is the time at which the last run of a long-running task ended, in
 	// Unix milliseconds, without runs that never began; 0 if no run has ended.
 	EndedAt int64 `cbor:"7,keyasint,omitempty"`
+	// CrashedRuns are the numbers of the runs whose worker crashed and that count
+	// as evidence against the task. UnexplainedCrashes is the number of those
+	// that the loss of many workers does not explain, IsolatedCrashes the number
+	// of these that were alone on their worker.
+	CrashedRuns        []uint64 `cbor:"8,keyasint,omitempty"`
+	UnexplainedCrashes int      `cbor:"9,keyasint,omitempty"`
+	IsolatedCrashes    int      `cbor:"10,keyasint,omitempty"`
+	// WorkerStartedAt identifies the incarnation of the worker of the latest
+	// start, in Unix milliseconds; 0 if unknown.
+	WorkerStartedAt int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // IsRun reports whether s is the start of the task's current run.
@@ -233,6 +243,8 @@
 	SubmittedAt int64          `cbor:"3,keyasint"` // Unix milliseconds
 	EndedAt     int64          `cbor:"4,keyasint,omitempty"`
 	Tasks       []WorkflowTask `cbor:"5,keyasint,omitempty"`
+	// Reason is why the workflow was given up; empty if it was not.
+	Reason string `cbor:"6,keyasint,omitempty"`
 }
 
 // PoolWorker is one incarnation of a worker that runs tasks of workflows. It is
@@ -271,6 +283,9 @@
 	Task     int    `cbor:"2,keyasint"`
 	Run      uint64 `cbor:"3,keyasint"`
 	Worker   string `cbor:"4,keyasint"`
+	// WorkerStartedAt identifies the incarnation of the worker, in Unix
+	// milliseconds; 0 if unknown.
+	WorkerStartedAt int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // TaskOutcome is the outcome of a run.
@@ -284,6 +299,23 @@
 	OutcomeLost
 )
 
+// CrashKind is how much the crash of a worker says against a task that ran on
+// it.
+type CrashKind uint8
+
+// Kinds of crashes.
+const (
+	CrashNone        CrashKind = iota // none, or one that says nothing against the task
+	CrashMassLoss                     // many workers were lost at the same moment
+	CrashUnexplained                  // nothing else explains the crash than the runs on the worker
+	CrashIsolated                     // unexplained, and the run was alone on the worker
+)
+
+var crashKindNames = [...]string{"none", "mass-loss", "unexplained", "isolated"}
+
+// String returns the kind as in logs.
+func (k CrashKind) String() string { return crashKindNames[k] }
+
 // TaskEnd records the end of a run.
 type TaskEnd struct {
 	Workflow   string      `cbor:"1,keyasint"`
@@ -292,6 +324,12 @@
 	Outcome    TaskOutcome `cbor:"4,keyasint"`
 	Checkpoint string      `cbor:"5,keyasint,omitempty"`
 	NotStarted bool        `cbor:"6,keyasint,omitempty"` // the run did not start, as far as is known
+	// Crash is the evidence against the task if the worker crashed.
+	Crash CrashKind `cbor:"7,keyasint,omitempty"`
+	// Cleared discards the evidence of earlier runs.
+	Cleared bool `cbor:"8,keyasint,omitempty"`
+	// GiveUp is why the workflow must not continue; empty if it may.
+	GiveUp string `cbor:"9,keyasint,omitempty"`
 }
 
 // RecordTasks records the ends and then the starts of runs. Entries that no
