--- a/fleet/service.go
+++ b/fleet/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"regexp"
 	"strings"
@@ -237,9 +238,36 @@
 	return &Response{Outcome: OutcomeDone}
 }
 
+// checkNewWorker returns an error if a worker that is not registered has no
+// capacity, or belongs to a pool that neither the configuration nor an open
+// workflow names.
+func checkNewWorker(st *state.State, w *state.PoolWorker) error {
+	if _, ok := st.PoolWorkers.Get(w.ID); ok {
+		return nil
+	}
+	if w.Capacity == (state.Resources{}) {
+		return fmt.Errorf("a new worker has no capacity")
+	}
+	if st.Queues == nil || st.Queues.Pool(w.Pool) != nil {
+		return nil
+	}
+	for id := range st.OpenWorkflows() {
+		if f, ok := st.Workflows.Get(id); ok && f.Spec.Pool == w.Pool {
+			return nil
+		}
+	}
+	return fmt.Errorf("no pool is called %.64q", w.Pool)
+}
+
 func (s *Service) heartbeat(ctx context.Context, b *Heartbeat) *Response {
-	if b == nil || b.Worker.ID == "" || b.Worker.Address == "" {
-		return &Response{Outcome: OutcomeInvalid, Reason: "a heartbeat names id and address of its worker"}
+	if b == nil {
+		return &Response{Outcome: OutcomeInvalid, Reason: "no heartbeat"}
+	}
+	if err := CheckHeartbeat(b, s.controller.opts.Clock.Now().UnixMilli()); err != nil {
+		return &Response{Outcome: OutcomeInvalid, Reason: err.Error()}
+	}
+	if err := checkNewWorker(s.group.State(), &b.Worker); err != nil {
+		return &Response{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
 	outcome := make(chan Outcome, 1)
 	s.controller.post(func() {
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"apricotrouter/state"
 )
@@ -17,8 +18,41 @@
 	// the resource. It is far above the capacity of any worker, and low enough
 	// that sums over all tasks of a workflow do not overflow.
 	maxAmount = 1 << 30
+	// maxNameBytes bounds each text of a heartbeat, and maxLabels the number of
+	// its labels.
+	maxNameBytes = 256
+	maxLabels    = 64
+	// maxClockSkewMillis is how far the wall clocks of two machines may differ.
+	// Jumps of seconds are common.
+	maxClockSkewMillis = 60_000
+	// maxSequence bounds the sequence number of heartbeats. A larger one would
+	// make all later heartbeats of the worker look delayed.
+	maxSequence = 1 << 48
 )
 
+// CheckHeartbeat returns an error that says why the heartbeat names no worker,
+// or nil. now is the time in Unix milliseconds.
+func CheckHeartbeat(b *Heartbeat, now int64) error {
+	w := &b.Worker
+	switch {
+	case w.ID == "" || w.Address == "":
+		return fmt.Errorf("a heartbeat names id and address of its worker")
+	case max(len(w.ID), len(w.Address), len(w.Pool), len(w.Zone), len(w.Machine)) > maxNameBytes:
+		return fmt.Errorf("a name is longer than %d bytes", maxNameBytes)
+	case len(w.Labels) > maxLabels || slices.ContainsFunc(w.Labels, func(l string) bool { return len(l) > maxNameBytes }):
+		return fmt.Errorf("more than %d labels, or one longer than %d bytes", maxLabels, maxNameBytes)
+	case !w.Capacity.Valid() || !w.Capacity.FitsIn(state.Resources{MilliCPU: maxAmount, MemoryMiB: maxAmount, Accelerators: maxAmount}):
+		return fmt.Errorf("capacity %s is out of range", w.Capacity)
+	case w.StartedAt < 0 || w.StartedAt > now+maxClockSkewMillis:
+		return fmt.Errorf("start time %d is negative or in the future", w.StartedAt)
+	case b.Sequence > maxSequence:
+		return fmt.Errorf("sequence %d is out of range", b.Sequence)
+	case b.Clock < 0 || b.Clock > maxTimeMillis || b.RemainingMillis < 0 || b.RemainingMillis > maxDelayMillis:
+		return fmt.Errorf("clock or remaining time is out of range")
+	}
+	return nil
+}
+
 // CheckWorkflow returns an error that says why the workflow is invalid, or nil.
 func CheckWorkflow(w *state.WorkflowSpec) error {
 	switch {
