fleet: a worker whose capacity shrinks gets no start beyond it

Less capacity now takes effect at once, more once it is committed, and a start is checked against it when it is sent. Members of a gang are sent all the same, because the others would wait for them.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -125,6 +125,10 @@
 		c.endAsLost(a, "its worker was silent before it was sent")
 		return nil
 	}
+	if s.overcommittedBy(a) && !a.task.step.Gang {
+		c.endAsLost(a, "the capacity of its worker shrank before it was sent")
+		return nil
+	}
 	a.phase, a.startedAt = attemptStarting, c.now()
 	c.pollDue[s] = true
 	call := StartCall{
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -152,11 +152,15 @@
 func address(id string, startedAt int64) string { return fmt.Sprintf("%s:%d", id, startedAt) }
 
 func (h *harness) heartbeat(id string, startedAt int64, w *pool.Worker, draining bool) fleet.Outcome {
+	return h.heartbeatWith(id, startedAt, w, draining, state.Resources{MilliCPU: 4000, MemoryMiB: 4000})
+}
+
+func (h *harness) heartbeatWith(id string, startedAt int64, w *pool.Worker, draining bool, capacity state.Resources) fleet.Outcome {
 	h.lastSequence++
 	return h.call(&fleet.Request{Op: fleet.OpHeartbeat, WorkerHeartbeat: &fleet.Heartbeat{
 		Worker: state.PoolWorker{
 			ID: id, StartedAt: startedAt, Pool: "pool", Address: address(id, startedAt), Zone: "zone-a", Draining: draining,
-			Capacity: state.Resources{MilliCPU: 4000, MemoryMiB: 4000},
+			Capacity: capacity,
 		},
 		Sequence: h.lastSequence, Clock: w.Clock(), RemainingMillis: 300,
 	}}).Outcome
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -126,22 +126,31 @@
 	if b.Worker.Draining {
 		s.drainDeadline = now + time.Duration(b.RemainingMillis)*time.Millisecond
 	}
-	if sameRegistration(&s.worker, &b.Worker) {
+	if sameRegistration(&s.worker, &b.Worker) && !s.unsaved {
 		reply(OutcomeDone)
 		return
 	}
 	drained := s.worker.Draining
 	s.worker.Draining = drained || b.Worker.Draining
+	// Less capacity takes effect at once, more once it is committed.
+	s.worker.Capacity, s.resourcesValid = s.worker.Capacity.Min(b.Worker.Capacity), false
 	c.dirty = true
 	c.proposeChange(state.SetPoolWorkers{Updated: []state.PoolWorker{b.Worker}}, func(err error) {
 		if err != nil {
-			s.worker.Draining = drained // the next heartbeat retries the commit
+			s.worker.Draining, s.unsaved = drained, true // the next heartbeat retries the commit
 			reply(OutcomeUnknown)
 			return
 		}
-		s.worker, s.resourcesValid = b.Worker, false
+		capacity := b.Worker.Capacity
+		if b.Sequence < s.heartbeatSequence {
+			capacity = capacity.Min(s.worker.Capacity) // a later heartbeat may have less
+		}
+		s.worker, s.resourcesValid, s.unsaved = b.Worker, false, false
+		s.worker.Capacity = capacity
 		event.Log(c.opts.Logger, event.WorkerRegistered, slog.String("worker", s.worker.ID),
-			slog.Int64("born", s.worker.StartedAt), slog.Uint64("sequence", b.Sequence), slog.Bool("draining", s.worker.Draining))
+			slog.Int64("born", s.worker.StartedAt), slog.Uint64("sequence", b.Sequence), slog.Bool("draining", s.worker.Draining),
+			slog.String("capacity", s.worker.Capacity.String()))
+		c.dirty = true
 		reply(OutcomeDone)
 	})
 }
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -137,7 +137,7 @@
 func (p *pool) occupancy() occupancy {
 	o := occupancy{workers: len(p.sessions), reservedWorkers: len(p.reservedInPass)}
 	for i, s := range p.sessions {
-		free := s.free().MilliCPU
+		free := max(0, s.free().MilliCPU) // negative after the capacity shrank
 		o.capacity += s.worker.Capacity.MilliCPU
 		o.free += free
 		o.largestFree = max(o.largestFree, free)
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -79,6 +79,7 @@
 	openedAt     time.Duration // when the session was opened
 	suspects     int           // runs of tasks that have to run alone
 	held         bool          // kept for a task that has to run alone
+	unsaved      bool          // the last change of the worker's registration was not committed
 	leaseEnd     time.Duration // when its lease has expired unless it is extended
 
 	clock       int64         // last reading of the worker's clock, in milliseconds
@@ -164,6 +165,14 @@
 // free returns the unreserved resources.
 func (s *session) free() state.Resources { return s.worker.Capacity.Sub(s.reserved) }
 
+// overcommittedBy reports whether more than the worker's capacity is reserved
+// of a resource that the run uses.
+func (s *session) overcommittedBy(a *attempt) bool {
+	free, size := s.free(), a.reservation()
+	return free.MilliCPU < 0 && size.MilliCPU > 0 || free.MemoryMiB < 0 && size.MemoryMiB > 0 ||
+		free.Accelerators < 0 && size.Accelerators > 0
+}
+
 // clockNow returns an estimate of the current reading of the worker's clock.
 func (s *session) clockNow(now time.Duration) int64 {
 	return s.clock + (now - s.clockReadAt).Milliseconds()
--- a/placement/batch_reservation.go
+++ b/placement/batch_reservation.go
@@ -133,7 +133,7 @@
 // sizeRange returns the range of a task size that does not exceed limit. Range
 // 0 has the largest tasks.
 func sizeRange(milliCPU, limit int64) int {
-	return min(sizeRanges-1, int(rangesPerDoubling*math.Log2(float64(limit)/float64(max(1, milliCPU)))))
+	return min(sizeRanges-1, int(rangesPerDoubling*math.Log2(float64(max(1, limit))/float64(max(1, milliCPU)))))
 }
 
 // BatchReservationSize returns how much of a pool's CPU to reserve for batch
--- a/state/resources.go
+++ b/state/resources.go
@@ -40,6 +40,11 @@
 	return Resources{max(0, r.MilliCPU), max(0, r.MemoryMiB), max(0, r.Accelerators)}
 }
 
+// Min returns the smaller amount of r and o in each dimension.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.MilliCPU, o.MilliCPU), min(r.MemoryMiB, o.MemoryMiB), min(r.Accelerators, o.Accelerators)}
+}
+
 // Max returns the larger amount of r and o in each dimension.
 func (r Resources) Max(o Resources) Resources {
 	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMiB, o.MemoryMiB), max(r.Accelerators, o.Accelerators)}
