fleet, state, soak: the bound on crashes holds while leases expire

What callers saw: a task that crashes its workers was started six times instead of five where a worker took longer to restart than its lease lasts.

Cause: such a run is given up when the lease expires, and its crash is known only when the worker is back; the task had been started again by then. After a change of leader the crash was never counted.

TestBoundHoldsForWorkersThatRestartAfterTheirLease is the case without processes.

A run that is given up in this way is kept in the state as lost, with its worker and incarnation, until the worker reports as another incarnation (a crash), responds again or is removed. Recorded and unresolved crashes together bound the starts; a new leader resolves what an earlier one left. A task without fault waits only with five of them at once.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -52,6 +52,7 @@
 	loss            *workerLoss // of the worker, with this run on it
 	incarnation     int64       // of the worker, see state.PoolWorker.StartedAt
 	crashed         bool        // the worker has crashed
+	leaseExpired    bool        // the lease of the worker expired
 	suspect         bool        // has to run alone
 	besideSuspect   bool        // another run on the worker had to run alone when it was lost
 	// separatedFrom is the loss whose other tasks avoid the worker.
@@ -236,7 +237,7 @@
 	}
 	end := state.TaskEnd{
 		Workflow: a.run.Workflow, Task: a.run.Task, Run: a.run.Number, Outcome: outcome, Checkpoint: checkpoint,
-		NotStarted: !a.mayHaveStarted,
+		NotStarted: !a.mayHaveStarted, LeaseExpired: a.leaseExpired && outcome == state.OutcomeLost,
 	}
 	if a.crashed && outcome == state.OutcomeLost && a.task.attempt == a && a.task.phase != taskDone {
 		c.judgeCrash(a, &end)
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -36,20 +36,43 @@
 		a.crashed = a.phase != attemptRecording
 	}
 	for _, a := range s.expired {
-		c.recordLateCrash(a)
+		a.crashed = true
 	}
 	c.closeSession(s, reason)
 }
 
-// recordLateCrash records evidence for a run that was given up when the lease
-// of its worker expired. That the worker had crashed is known only now.
-func (c *Controller) recordLateCrash(a *attempt) {
-	if f := c.workflows[a.run.Workflow]; f == nil || f.tasks[a.run.Task] != a.task || a.task.phase == taskDone {
+// resolveExpired records what became of the worker of runs that were given up
+// when its lease expired: it has crashed, responds again or is gone.
+func (c *Controller) resolveExpired(runs []*attempt) {
+	for _, a := range runs {
+		if f := c.workflows[a.run.Workflow]; f == nil || f.tasks[a.run.Task] != a.task || a.task.phase == taskDone {
+			continue
+		}
+		end := state.TaskEnd{Workflow: a.run.Workflow, Task: a.run.Task, Run: a.run.Number, Outcome: state.OutcomeLost, Resolved: true}
+		if a.crashed {
+			c.judgeCrash(a, &end)
+		}
+		c.journal.ends = append(c.journal.ends, end)
+	}
+}
+
+// adoptLostRun takes over a run that an earlier leader gave up when the lease
+// of its worker expired.
+func (c *Controller) adoptLostRun(t *task, l state.LostRun) {
+	s := c.sessions[l.Worker]
+	if s == nil {
+		s = newSession(state.PoolWorker{ID: l.Worker}, unreachableWorker{})
+	}
+	a := &attempt{
+		task: t, run: Run{Workflow: t.workflow.spec.ID, Task: t.number, Number: l.Run}, phase: attemptEnded,
+		session: s, incarnation: l.WorkerStartedAt, leaseExpired: true,
+	}
+	if s.worker.StartedAt == l.WorkerStartedAt {
+		s.expired = append(s.expired, a)
 		return
 	}
-	end := state.TaskEnd{Workflow: a.run.Workflow, Task: a.run.Task, Run: a.run.Number, Outcome: state.OutcomeLost}
-	c.judgeCrash(a, &end)
-	c.journal.ends = append(c.journal.ends, end)
+	a.crashed = l.WorkerStartedAt != 0 && s.worker.StartedAt > l.WorkerStartedAt
+	c.resolveExpired([]*attempt{a})
 }
 
 // judgeCrash adds to the end of a run what the crash of its worker means for
@@ -121,6 +144,9 @@
 		(t.phase == taskReady || t.phase == taskOnWorker && t.attempt != nil && t.attempt.phase == attemptEnded)
 }
 
+// mayStart reports whether the bound on crashed workers permits another run.
+func (t *task) mayStart() bool { return t.evidence.MayStart(t.unresolved) }
+
 // waitingSuspects returns the tasks that wait for a worker on which they run
 // alone, by pool, those that have waited longest first.
 func (c *Controller) waitingSuspects() map[string][]*task {
@@ -177,7 +203,7 @@
 		if free <= 0 || c.journal.full() {
 			return
 		}
-		if t.phase == taskReady {
+		if t.phase == taskReady && t.mayStart() {
 			t.expireRefusals(now)
 			request, _ := c.placementRequest(t, &pool{sessions: sessions}, t.avoid)
 			if i := placement.ChooseIsolated(workers, request, (now - t.waitingSince).Milliseconds()); i >= 0 {
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -253,6 +253,26 @@
 	h.Expect(r.runsOf(crashingID)).To(BeNumerically("<=", maxStartsOfCrashingTask))
 }
 
+// Guards against one start too many where each lease expires before the worker
+// restarts, also if the leader changes in between.
+func TestBoundHoldsForWorkersThatRestartAfterTheirLease(t *testing.T) {
+	h := newHarness(t)
+	r := h.addRestartingWorkers(0, pool.Options{RunTime: runForever, CrashesAfter: crashesAtOnce})
+	r.downtime = 2 * time.Second // longer than the time after which a lease is known to have expired
+	for i := range 8 {
+		r.start(fmt.Sprintf("worker-%d", i))
+	}
+	h.submitAs(crashingID, small(1))
+	for term := uint64(2); term < 30 && h.phaseOf(crashingID) != state.WorkflowFailed; term++ {
+		time.Sleep(1500 * time.Millisecond)
+		h.log.SetLeadership(replica.Leadership{Leader: "other", Term: term - 1})
+		time.Sleep(20 * time.Millisecond)
+		h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: term, Self: true, Epoch: term})
+	}
+	h.Eventually(func() state.WorkflowPhase { return h.phaseOf(crashingID) }, waitTimeout, "20ms").Should(Equal(state.WorkflowFailed))
+	h.Expect(r.runsOf(crashingID)).To(BeNumerically("<=", maxStartsOfCrashingTask))
+}
+
 // Guards against a long-running task without a bound, and against a caller that
 // can't learn why its workflow failed.
 func TestLongRunningTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -318,7 +318,7 @@
 	unplaceable := unplaceableStep{step: -1}
 	var group *taskGroup
 	for _, t := range f.tasks {
-		if t.phase != taskReady || t.waitsAlone() {
+		if t.phase != taskReady || t.waitsAlone() || !t.mayStart() {
 			continue
 		}
 		t.expireRefusals(c.now())
@@ -512,7 +512,7 @@
 	members := f.tasks[first : first+t.step.Count]
 	var number uint64
 	for _, m := range members {
-		if m.phase != taskReady {
+		if m.phase != taskReady || !m.mayStart() {
 			return
 		}
 		m.expireRefusals(c.now())
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -329,6 +329,8 @@
 		return
 	}
 	s.markResponsive(c)
+	c.resolveExpired(s.expired)
+	s.expired = nil
 	s.nextPoll = now + minPollGap
 	s.lastPoll = begin
 	s.clock, s.clockReadAt = r.Clock, now
@@ -505,6 +507,8 @@
 func (c *Controller) leaseExpired(s *session, now time.Duration) {
 	for _, a := range s.attempts {
 		if a.mayHaveStarted && a.phase != attemptRecording {
+			a.leaseExpired = true
+			a.task.unresolved++
 			s.expired = append(s.expired, a)
 		}
 	}
@@ -557,6 +561,8 @@
 		c.recordLoss(s, now, nil)
 	}
 	c.endAllAttempts(s, reason)
+	c.resolveExpired(s.expired)
+	s.expired = nil
 	s.api.Close()
 	if c.sessions[s.worker.ID] == s {
 		delete(c.sessions, s.worker.ID)
--- a/fleet/worker_loss.go
+++ b/fleet/worker_loss.go
@@ -60,7 +60,7 @@
 			a.loss = nil
 		}
 	}
-	s.loss, s.expired = nil, nil
+	s.loss = nil
 }
 
 // startedRuns returns the number of runs on the worker that may have started.
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -60,7 +60,10 @@
 	endedAt      int64         // see state.WorkflowTask
 	moves        int           // number of times that the task was moved because it was slow
 	evidence     placement.CrashEvidence
-	lostWith     *workerLoss // last loss that counts in evidence; nil if an earlier leader recorded it
+	// unresolved is the number of runs on workers that stopped responding and
+	// may have crashed.
+	unresolved int
+	lostWith   *workerLoss // last loss that counts in evidence; nil if an earlier leader recorded it
 }
 
 // ranBefore reports whether a run of the task was recorded. Its worker may have
@@ -109,6 +112,9 @@
 	}
 	for n := range w.Tasks {
 		c.syncTask(f.tasks[n], &w.Tasks[n])
+		for _, l := range w.Tasks[n].LostRuns {
+			c.adoptLostRun(f.tasks[n], l)
+		}
 	}
 	c.unblockTasks(f)
 	c.dirty = true
@@ -120,6 +126,7 @@
 	t.setEvidence(c, placement.CrashEvidence{
 		Crashes: len(r.CrashedRuns), Unexplained: r.UnexplainedCrashes, Isolated: r.IsolatedCrashes,
 	})
+	t.unresolved = len(r.LostRuns)
 	if t.endPending {
 		return // this state precedes the entry that records the end
 	}
--- a/placement/crash.go
+++ b/placement/crash.go
@@ -100,6 +100,10 @@
 	return e.Unexplained >= isolateAfterUnexplained || e.Crashes >= isolateAfterCrashes
 }
 
+// MayStart reports whether the task may be started. unresolved is the number of
+// its runs on workers that stopped responding and may have crashed.
+func (e CrashEvidence) MayStart(unresolved int) bool { return e.Crashes+unresolved < maxCrashes }
+
 // Settled reports whether an isolated run has been at work so long that other
 // tasks may start beside it.
 func Settled(workedMillis int64) bool { return workedMillis >= settledMillis }
--- a/soak/run.go
+++ b/soak/run.go
@@ -36,6 +36,8 @@
 	// always available.
 	outageMu sync.Mutex
 	faults   map[string]int
+	restarts sync.WaitGroup // of crashed workers
+	closed   bool           // no further restarts; protected by environment.mu
 }
 
 // Run runs one seed and returns the violated guarantees in its result. An error
@@ -64,6 +66,7 @@
 		return Result{}, err
 	}
 	r.runWorkload()
+	r.stopRestarts()
 	r.checkGuarantees()
 	return r.result(), nil
 }
@@ -85,7 +88,7 @@
 	}
 	for i := range r.opts.Workers {
 		w := &worker{id: fmt.Sprintf("w%d-%02d", r.opts.Seed, i)} // unique among runs: a later run may use the same port
-		if err := w.start(r.opts.Seed, r.proxies); err != nil {
+		if err := r.startWorker(w); err != nil {
 			return err
 		}
 		r.workers = append(r.workers, w)
@@ -93,14 +96,21 @@
 	return nil
 }
 
+// stopRestarts waits for the restarts of crashed workers and prevents more.
+func (r *run) stopRestarts() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.restarts.Wait()
+}
+
 func (r *run) close() {
 	for _, p := range r.processes {
 		p.stop(syscall.SIGKILL)
 	}
+	r.stopRestarts()
 	for _, w := range r.workers {
-		if l := w.current(); l.endedAt.IsZero() {
-			w.kill()
-		}
+		w.kill()
 	}
 	_ = r.addresses.reservation.Close() // can't be closed already
 }
@@ -224,15 +234,11 @@
 
 func (r *run) restartWorker(rng *rand.Rand, d time.Duration) error {
 	w := r.workers[rng.IntN(len(r.workers))]
-	w.mu.Lock()
-	up := w.incarnations[len(w.incarnations)-1].endedAt.IsZero()
-	w.mu.Unlock()
-	if !up {
+	if !w.kill() {
 		return nil
 	}
-	w.kill()
 	time.Sleep(d / 2)
-	return w.start(r.opts.Seed, r.proxies)
+	return r.startWorker(w)
 }
 
 // toxic adds a toxic to the proxy of one worker for the duration of the fault.
@@ -367,6 +373,8 @@
 	case !j.accepted:
 	case j.phase == "":
 		r.report("job %s has not ended %s after the faults", j.id, settleTimeout)
+	case crashes(fleet.TaskPosition{Workflow: j.id}):
+		r.checkCrashingJob(j, runs[fleet.TaskPosition{Workflow: j.id}])
 	case j.phase == "failed":
 		r.report("job %s failed within its attempts", j.id)
 	case j.cancelled && j.phase != "cancelled" && j.phase != "completed":
@@ -376,6 +384,23 @@
 	}
 }
 
+// checkCrashingJob checks the bound on the workers that the first task of a job
+// crashes.
+func (r *run) checkCrashingJob(j *job, runs []record) {
+	crashed := 0
+	for _, rec := range runs {
+		if rec.Crashed {
+			crashed++
+		}
+	}
+	if crashed > maxCrashes {
+		r.report("a task of job %s crashed %d workers: %+v", j.id, crashed, runs)
+	}
+	if j.phase != "failed" && j.phase != "cancelled" {
+		r.report("job %s, whose first task crashed %d workers, is %s", j.id, crashed, j.phase)
+	}
+}
+
 // checkOrder checks that every task of a completed job was done, and that no
 // task started before all tasks of the previous step were done.
 func (r *run) checkOrder(j *job, runs map[fleet.TaskPosition][]record) {
--- a/soak/world.go
+++ b/soak/world.go
@@ -31,8 +31,22 @@
 	poolName       = "pool"
 	maxRunMillis   = 400 // milliseconds
 	failedPercent  = 3
+	// crashingShare is the reciprocal of the share of jobs whose first task
+	// crashes each worker that starts it.
+	crashingShare = 40
+	// crashDelay is how long such a task runs; a worker restarts within
+	// maxDowntime after it.
+	crashDelay  = 10 * time.Millisecond
+	maxDowntime = 5 * time.Second
+	// maxCrashes is how many workers may crash under one task.
+	maxCrashes = 5
 )
 
+// crashes reports whether the run of a task crashes its worker.
+func crashes(p fleet.TaskPosition) bool {
+	return p.Step == 0 && p.Index == 0 && hashRun(0, fleet.TaskPosition{Workflow: p.Workflow}, 0)%crashingShare == 0
+}
+
 // incarnation is one incarnation of a worker: a simulated worker behind a proxy.
 type incarnation struct {
 	worker    *pool.Worker
@@ -56,18 +70,26 @@
 	return w.incarnations[len(w.incarnations)-1]
 }
 
-// start starts a new incarnation at a new address.
-func (w *worker) start(seed uint64, proxies *toxiproxy.ApiServer) error {
+// startWorker starts a new incarnation at a new address.
+func (r *run) startWorker(w *worker) error {
+	seed := r.opts.Seed
 	startedAt := time.Now().UnixMilli()
 	simulated := pool.New(pool.Options{
-		ID: w.id, StartedAt: startedAt, MaxLease: maxLease,
+		CrashesAfter: func(p fleet.TaskPosition, _ uint64) time.Duration {
+			if crashes(p) {
+				return crashDelay
+			}
+			return 0
+		},
+		OnCrash: func() { r.crashed(w, startedAt) },
+		ID:      w.id, StartedAt: startedAt, MaxLease: maxLease,
 		RunTime: func(p fleet.TaskPosition, n uint64) time.Duration {
 			return time.Duration(20+hashRun(seed, p, n)%maxRunMillis) * time.Millisecond
 		},
 		Fails: func(p fleet.TaskPosition, n uint64) bool { return hashRun(seed+1, p, n)%100 < failedPercent },
 	})
 	srv := httptest.NewServer(platformtest.NewHandler(w.id, simulated))
-	proxy := toxiproxy.NewProxy(proxies, fmt.Sprintf("%s-%d", w.id, startedAt), "127.0.0.1:0", strings.TrimPrefix(srv.URL, "http://"))
+	proxy := toxiproxy.NewProxy(r.proxies, fmt.Sprintf("%s-%d", w.id, startedAt), "127.0.0.1:0", strings.TrimPrefix(srv.URL, "http://"))
 	if err := proxy.Start(); err != nil {
 		srv.Close()
 		return err
@@ -78,16 +100,42 @@
 	return nil
 }
 
-// kill ends the current incarnation, which no longer responds to calls.
-func (w *worker) kill() {
-	l := w.current()
-	l.worker.SetUnreachable(true)
+// kill ends the current incarnation, which no longer responds to calls. It
+// reports false if it has ended before.
+func (w *worker) kill() bool {
 	w.mu.Lock()
-	l.endedAt = time.Now()
+	l := w.incarnations[len(w.incarnations)-1]
+	up := l.endedAt.IsZero()
+	if up {
+		l.endedAt = time.Now()
+	}
 	w.mu.Unlock()
+	if !up {
+		return false
+	}
+	l.worker.SetUnreachable(true)
 	l.proxy.Stop()
 	l.server.CloseClientConnections()
 	go l.server.Close()
+	return true
+}
+
+// crashed restarts a worker whose incarnation was crashed by a run.
+func (r *run) crashed(w *worker, startedAt int64) {
+	if w.current().startedAt != startedAt || !w.kill() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	r.restarts.Go(func() {
+		time.Sleep(time.Duration(hashRun(r.opts.Seed, fleet.TaskPosition{Workflow: w.id}, uint64(startedAt)) % uint64(maxDowntime)))
+		if err := r.startWorker(w); err != nil {
+			r.report("restart %s: %v", w.id, err)
+		}
+	})
 }
 
 // hashRun returns a pseudo-random number that depends only on the seed, the task
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -204,6 +204,9 @@
 	if !current {
 		return
 	}
+	if e.LeaseExpired {
+		t.LostRuns = append(slices.Clip(t.LostRuns), LostRun{Run: e.Run, Worker: t.Worker, WorkerStartedAt: t.WorkerStartedAt})
+	}
 	t.Phase, t.Worker, t.WorkerStartedAt = TaskWaiting, "", 0
 	if e.Checkpoint != "" {
 		w.storeCheckpoint(e.Task, e.Checkpoint)
@@ -253,6 +256,9 @@
 	if e.Cleared {
 		t.CrashedRuns, t.UnexplainedCrashes, t.IsolatedCrashes = nil, 0, 0
 	}
+	if e.Crash != CrashNone || e.Resolved {
+		t.LostRuns = slices.DeleteFunc(slices.Clone(t.LostRuns), func(l LostRun) bool { return l.Run == e.Run })
+	}
 	if e.Crash != CrashNone && !slices.Contains(t.CrashedRuns, e.Run) {
 		t.CrashedRuns = append(slices.Clip(t.CrashedRuns), e.Run)
 		if e.Crash >= CrashUnexplained {
--- a/state/crash_test.go
+++ b/state/crash_test.go
@@ -83,3 +83,22 @@
 	w.crash(1, state.CrashIsolated, func(e *state.TaskEnd) { e.GiveUp = "workers crashed" })
 	w.Expect(w.get().Phase.Ended()).To(BeFalse())
 }
+
+// Guards against forgetting that the worker of a run that was given up may have
+// crashed, and against remembering it for ever.
+func TestLostRunsAreKeptUntilTheyAreResolved(t *testing.T) {
+	for name, resolve := range map[string]func(*state.TaskEnd){
+		"crashed":  func(e *state.TaskEnd) { e.Crash = state.CrashUnexplained },
+		"resolved": func(e *state.TaskEnd) { e.Resolved = true },
+	} {
+		w := newHarness(t)
+		w.submit(state.WorkflowStep{Count: 1})
+		w.apply(state.RecordTasks{Starts: []state.TaskStart{{Workflow: "w", Run: 1, Worker: "a", WorkerStartedAt: 7}}})
+		w.crash(1, state.CrashNone, func(e *state.TaskEnd) { e.LeaseExpired = true })
+		w.start(0, 2, "b")
+		w.Expect(w.get().Tasks[0].LostRuns).To(Equal([]state.LostRun{{Run: 1, Worker: "a", WorkerStartedAt: 7}}), name)
+		w.crash(1, state.CrashNone, resolve)
+		w.Expect(w.get().Tasks[0].LostRuns).To(BeEmpty(), name)
+		w.Expect(w.get().Tasks[0].Phase).To(Equal(state.TaskStarted), name)
+	}
+}
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -229,6 +229,16 @@
 	// WorkerStartedAt identifies the incarnation of the worker of the latest
 	// start, in Unix milliseconds; 0 if unknown.
 	WorkerStartedAt int64 `cbor:"11,keyasint,omitempty"`
+	// LostRuns are the runs that were given up when the lease of their worker
+	// expired, until it is known whether the worker had crashed.
+	LostRuns []LostRun `cbor:"12,keyasint,omitempty"`
+}
+
+// LostRun is a run whose worker stopped responding.
+type LostRun struct {
+	Run             uint64 `cbor:"1,keyasint"`
+	Worker          string `cbor:"2,keyasint"`
+	WorkerStartedAt int64  `cbor:"3,keyasint"` // Unix milliseconds; 0 if unknown
 }
 
 // IsRun reports whether s is the start of the task's current run.
@@ -330,6 +340,11 @@
 	Cleared bool `cbor:"8,keyasint,omitempty"`
 	// GiveUp is why the workflow must not continue; empty if it may.
 	GiveUp string `cbor:"9,keyasint,omitempty"`
+	// LeaseExpired means that the run was given up because its worker did not
+	// respond. It is a lost run until a later record of its end has Crash or
+	// Resolved, which means that the crash, if any, says nothing.
+	LeaseExpired bool `cbor:"10,keyasint,omitempty"`
+	Resolved     bool `cbor:"11,keyasint,omitempty"`
 }
 
 // RecordTasks records the ends and then the starts of runs. Entries that no
