--- a/fleet/capacity_change_test.go
+++ b/fleet/capacity_change_test.go
@@ -29,7 +29,7 @@
 	h.submitAs(otherID(3), step(1, func(s *state.WorkflowStep) { s.Size.MilliCPU = 0 }))
 	h.Consistently(func() int { return running(a) }, 2*holdMax).Should(Equal(2))
 	report(3000)
-	h.Eventually(func() int { return running(a) }, waitTimeout).Should(Equal(3))
+	h.Eventually(func() int { return running(a) }, waitTimeout).Should(Equal(4))
 	h.Expect(a.Records()).NotTo(ContainElement(HaveField("Kind", fleet.EndStopped)))
 }
 
