fleet: a crash counts if the removal of its worker was committed before the leader changed

The heartbeat of the new one commits the removal of the old one; the ends of its runs follow in the next entry. A leader killed in between leaves a started run on a worker that is not registered, and the next leader gave it up when the lease bound had passed, without evidence.

The next leader now counts a crash for such a run, unless the worker had drained, which the state records.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -102,6 +102,10 @@
 	s := c.sessions[worker]
 	if s == nil {
 		s = c.openPlaceholder(worker)
+		// An earlier leader removed the worker before it could record the end of
+		// the run. Unless the worker had drained, it was replaced after a crash.
+		_, drained := c.opts.Log.State().RemovedWorkers.Get(worker)
+		a.crashed = !drained
 	}
 	s.add(a)
 }
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -273,6 +273,27 @@
 	h.Expect(r.runsOf(crashingID)).To(BeNumerically("<=", maxStartsOfCrashingTask))
 }
 
+// Guards against a crash that is not counted because the leader changed after
+// the removal of the worker was committed and before the end of its run was.
+func TestCrashIsCountedIfTheRemovalOfItsWorkerWasCommittedFirst(t *testing.T) {
+	h := newHarness(t)
+	startedAt := time.Now().UnixMilli()
+	h.addWorker("a", pool.Options{RunTime: runForever, StartedAt: startedAt})
+	h.submitAs(crashingID, small(1))
+	task := func() state.WorkflowTask {
+		w, ok := h.log.State().Workflows.Get(crashingID)
+		h.Expect(ok).To(BeTrue())
+		return w.Tasks[0]
+	}
+	h.Eventually(func() state.WorkflowTaskPhase { return task().Phase }, waitTimeout).Should(Equal(state.TaskStarted))
+	h.log.SetLeadership(replica.Leadership{Leader: "other", Term: 1})
+	_, err := h.log.Propose(t.Context(), state.NewCommand(state.SetPoolWorkers{Removed: []state.PoolWorker{{ID: "a", StartedAt: startedAt}}}))
+	h.Expect(err).NotTo(HaveOccurred())
+	h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: 2, Self: true, Epoch: 2})
+	h.Eventually(func() []uint64 { return task().CrashedRuns }, waitTimeout).Should(Equal([]uint64{1}))
+	h.Expect(task().LostRuns).To(BeEmpty())
+}
+
 // Guards against a long-running task without a bound, and against a caller that
 // can't learn why its workflow failed.
 func TestLongRunningTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
