fleet: a crash before the answer to a start counts after the lease, too

What callers saw: a task whose worker crashes before it answers the start, and restarts after its lease has expired, was started for ever.

Cause: the runs that are kept as unresolved when a lease expires were only those known to have started. A start without a response may have been carried out.

--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -240,17 +240,23 @@
 }
 
 // Guards against a task that is started for ever because its workers come back
-// after their leases have expired, when its runs have been given up.
+// after their leases have expired, when its runs have been given up, also if
+// the workers crash before they answer the starts.
 func TestCrashesKnownAfterTheLeaseAreCounted(t *testing.T) {
-	h := newHarness(t)
-	r := h.addRestartingWorkers(0, pool.Options{RunTime: runForever, CrashesAfter: crashesAtOnce})
-	r.downtime = 1500 * time.Millisecond // longer than the time after which a lease is known to have expired
-	for i := range 4 {
-		r.start(fmt.Sprintf("worker-%d", i))
+	for name, delay := range map[string]time.Duration{"after the answer": 10 * time.Millisecond, "before the answer": -1} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			crashes := func(fleet.TaskPosition, uint64) time.Duration { return delay }
+			r := h.addRestartingWorkers(0, pool.Options{RunTime: runForever, CrashesAfter: crashes})
+			r.downtime = 1500 * time.Millisecond // longer than the time after which a lease is known to have expired
+			for i := range 4 {
+				r.start(fmt.Sprintf("worker-%d", i))
+			}
+			h.submitAs(crashingID, small(1))
+			h.Eventually(func() state.WorkflowPhase { return h.phaseOf(crashingID) }, 3*waitTimeout, "20ms").Should(Equal(state.WorkflowFailed))
+			h.Expect(r.runsOf(crashingID)).To(BeNumerically("<=", maxStartsOfCrashingTask))
+		})
 	}
-	h.submitAs(crashingID, small(1))
-	h.Eventually(func() state.WorkflowPhase { return h.phaseOf(crashingID) }, 3*waitTimeout, "20ms").Should(Equal(state.WorkflowFailed))
-	h.Expect(r.runsOf(crashingID)).To(BeNumerically("<=", maxStartsOfCrashingTask))
 }
 
 // Guards against one start too many where each lease expires before the worker
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -506,7 +506,7 @@
 // lease expired.
 func (c *Controller) leaseExpired(s *session, now time.Duration) {
 	for _, a := range s.attempts {
-		if a.mayHaveStarted && a.phase != attemptRecording && !a.crashed {
+		if a.phase != attemptRecording && !a.crashed { // a start without a response may have been carried out
 			a.leaseExpired = true
 			a.task.unresolved++
 			s.expired = append(s.expired, a)
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -37,7 +37,8 @@
 	// ran ago, in percent. nil reports 100. It must not call the worker.
 	Progress func(p fleet.TaskPosition, number uint64, ran time.Duration) int
 	// CrashesAfter returns how long after its start a run crashes the worker; 0
-	// means that it does not. nil means that none does.
+	// means that it does not, less that it does before the start is answered.
+	// nil means that none does.
 	CrashesAfter func(p fleet.TaskPosition, number uint64) time.Duration
 	// OnCrash is called once, when the worker has crashed. It may be nil.
 	OnCrash func()
@@ -208,6 +209,15 @@
 
 // Start implements fleet.Worker.
 func (w *Worker) Start(ctx context.Context, c fleet.StartCall) error {
+	err := w.answerStart(c)
+	if err == nil && w.opts.CrashesAfter != nil && w.opts.CrashesAfter(c.Position, c.Run.Number) < 0 {
+		w.Crash()
+		return ErrNoResponse
+	}
+	return err
+}
+
+func (w *Worker) answerStart(c fleet.StartCall) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
