--- a/state/crash_test.go
+++ b/state/crash_test.go
@@ -64,9 +64,9 @@
 // Guards against a workflow that continues after one of its tasks was given up,
 // and against a client that can't learn why.
 func TestWorkflowOfTaskThatWasGivenUpFails(t *testing.T) {
-	for _, longRunning := range []bool{false, true} {
+	for _, serving := range []bool{false, true} {
 		w := newHarness(t)
-		w.submit(state.WorkflowStep{Count: 2, LongRunning: longRunning})
+		w.submit(state.WorkflowStep{Count: 2, LongRunning: serving})
 		w.start(0, 1, "a")
 		w.crash(1, state.CrashIsolated, func(e *state.TaskEnd) { e.GiveUp = "workers crashed" })
 		w.Expect(w.get().Phase).To(Equal(state.WorkflowFailed))
