Review case 5: waiting submissions are not counted as pending

A submission counts as begun when its first start is recorded. If the runner is cut off, nothing begins for seconds and GET on the queue answers with 0.

--- a/review/cluster/world.go
+++ b/review/cluster/world.go
@@ -78,8 +78,9 @@
 	started time.Time
 	crashed time.Time // zero while it is up
 
-	mu    sync.Mutex
-	holds []hold
+	mu       sync.Mutex
+	holds    []hold
+	cutUntil time.Time
 }
 
 // hold is a call of /hold that has been carried out.
@@ -164,7 +165,7 @@
 		ID: k.id, StartedAt: f.born, MaxLease: maxLease,
 		RunTime: func(fleet.TaskPosition, uint64) time.Duration { return time.Duration(w.runTime.Load()) },
 	})
-	f.server = &http.Server{Handler: f.noteHolds(platformtest.NewHandler(k.id, f.pool))}
+	f.server = &http.Server{Handler: f.dropWhileCut(f.noteHolds(platformtest.NewHandler(k.id, f.pool)))}
 	go func() { _ = f.server.Serve(l) }()
 	k.mu.Lock()
 	k.lives = append(k.lives, f)
@@ -172,12 +173,40 @@
 	go func() {
 		for sleep(ctx, firstCheckIn) && f.up() {
 			firstCheckIn = heartbeat
-			w.checkIn(k, f)
+			if !f.isCut() {
+				w.checkIn(k, f)
+			}
 		}
 	}()
 	return nil
 }
 
+// cut cuts the runner off for a while: it receives nothing and sends nothing.
+func (k *worker) cut(d time.Duration) {
+	f := k.current()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cutUntil = time.Now().Add(d)
+}
+
+func (f *life) isCut() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.cutUntil)
+}
+
+// dropWhileCut leaves calls without an answer and doesn't carry them out while
+// the runner is cut off.
+func (f *life) dropWhileCut(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if f.isCut() {
+			<-r.Context().Done()
+			return
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
 // noteHolds records the calls of /hold.
 func (f *life) noteHolds(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
