Review case 3: tasks that crash together are started without end

Crashes of several runners at the same moment leave no evidence against their tasks if these worked for 250 ms.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
   echo "first run the build of deploy/system.toml and review/build.sh"
   exit 2
 fi
-exec target/review-cluster check-in target/apricotrouterd review/3/record.txt
+exec target/review-cluster deadly target/apricotrouterd review/3/record.txt
--- a/review/cluster/world.go
+++ b/review/cluster/world.go
@@ -59,6 +59,9 @@
 	jobs    []string
 	jobsMu  sync.Mutex
 	runTime atomic.Int64 // of each run, in nanoseconds
+	// crashAfter is the time after which each run crashes its runner, in
+	// nanoseconds; 0 if none does. The runner is back after downtime.
+	crashAfter atomic.Int64
 }
 
 // worker is one runner, with all its lives at one address.
@@ -78,9 +81,8 @@
 	started time.Time
 	crashed time.Time // zero while it is up
 
-	mu       sync.Mutex
-	holds    []hold
-	cutUntil time.Time
+	mu    sync.Mutex
+	holds []hold
 }
 
 // hold is a call of /hold that has been carried out.
@@ -163,9 +165,21 @@
 	f := &life{born: time.Now().UnixMilli(), started: time.Now()}
 	f.pool = pool.New(pool.Options{
 		ID: k.id, StartedAt: f.born, MaxLease: maxLease,
-		RunTime: func(fleet.TaskPosition, uint64) time.Duration { return time.Duration(w.runTime.Load()) },
+		RunTime:      func(fleet.TaskPosition, uint64) time.Duration { return time.Duration(w.runTime.Load()) },
+		CrashesAfter: func(fleet.TaskPosition, uint64) time.Duration { return time.Duration(w.crashAfter.Load()) },
+		OnCrash: func() {
+			if !f.up() {
+				return // the script crashed it
+			}
+			f.end()
+			if sleep(ctx, crashDowntime) {
+				if err := w.startLife(ctx, k, 0); err != nil {
+					w.record.printf("%s can't start again: %v", k.id, err)
+				}
+			}
+		},
 	})
-	f.server = &http.Server{Handler: f.dropWhileCut(f.noteHolds(platformtest.NewHandler(k.id, f.pool)))}
+	f.server = &http.Server{Handler: f.noteHolds(platformtest.NewHandler(k.id, f.pool))}
 	go func() { _ = f.server.Serve(l) }()
 	k.mu.Lock()
 	k.lives = append(k.lives, f)
@@ -173,40 +187,12 @@
 	go func() {
 		for sleep(ctx, firstCheckIn) && f.up() {
 			firstCheckIn = heartbeat
-			if !f.isCut() {
-				w.checkIn(k, f)
-			}
+			w.checkIn(k, f)
 		}
 	}()
 	return nil
 }
 
-// cut cuts the runner off for a while: it receives nothing and sends nothing.
-func (k *worker) cut(d time.Duration) {
-	f := k.current()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cutUntil = time.Now().Add(d)
-}
-
-func (f *life) isCut() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return time.Now().Before(f.cutUntil)
-}
-
-// dropWhileCut leaves calls without an answer and doesn't carry them out while
-// the runner is cut off.
-func (f *life) dropWhileCut(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if f.isCut() {
-			<-r.Context().Done()
-			return
-		}
-		next.ServeHTTP(rw, r)
-	})
-}
-
 // noteHolds records the calls of /hold.
 func (f *life) noteHolds(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
@@ -242,10 +228,15 @@
 // crash ends the current life of a runner with all its channels and runs.
 func (k *worker) crash() {
 	f := k.current()
+	f.end()
+	f.pool.Crash()
+}
+
+// end closes the runner's channels.
+func (f *life) end() {
 	f.mu.Lock()
 	f.crashed = time.Now()
 	f.mu.Unlock()
-	f.pool.Crash()
 	_ = f.server.Close()
 }
 
@@ -287,16 +278,24 @@
 	return string(data)
 }
 
-// submit hands a submission of one step in, with up to four retries.
+// submit hands a submission of one step of equal tasks in.
 func (w *world) submit(tasks int, milliCPU int64) bool {
+	return w.submitStep(map[string]any{
+		"count": tasks, "cpu": milliCPU, "memMb": 1000, "estRuntimeMs": time.Duration(w.runTime.Load()).Milliseconds(),
+	})
+}
+
+// submitStep hands a submission of one step in, with up to four retries.
+func (w *world) submitStep(step map[string]any) bool {
 	id := fmt.Sprintf("%016x", rand.Uint64())
-	estimate := time.Duration(w.runTime.Load()).Milliseconds()
-	c := platformtest.Submit(prefix+id, []state.WorkflowStep{{
-		Count: tasks, Size: state.Resources{MilliCPU: milliCPU, MemoryMiB: 1000}, EstimateMillis: estimate,
-	}})
+	body, err := json.Marshal(map[string]any{"taskSpec": "p", "steps": []any{step}})
+	if err != nil {
+		panic(err) // maps of plain values can always be encoded
+	}
+	c := platformtest.Call{Method: http.MethodPost, Path: prefix + id, Body: string(body)}
 	for range 5 {
 		status, _ := w.call(w.entryAddress(rand.IntN(entries)), c, 3*time.Second)
-		w.record.printf("client hands in %s with %d tasks: %d", id, tasks, status)
+		w.record.printf("client hands in %s with %v tasks: %d", id, step["count"], status)
 		if status == http.StatusOK {
 			w.jobsMu.Lock()
 			w.jobs = append(w.jobs, id)
