replica: use a disk again after a failed write

Cause: after a failed write a replica continues without its disk, under a new id, and never tried the disk again.

The data directory is now opened again each second. Term, vote and entries come from the disk, since only these were acknowledged, so the replica votes once in a term; the applied state replaces older entries, and the log is written anew, because records that can be read after a failed sync may only be cached.

--- a/disk/disk.go
+++ b/disk/disk.go
@@ -3,6 +3,7 @@
 package disk
 
 import (
+	"errors"
 	"io"
 	"os"
 	"path/filepath"
@@ -104,7 +105,8 @@
 		return steperr.Wrap(err, "create file", name)
 	}
 	if err := writeAndSync(f, data); err != nil {
-		return steperr.Wrap(err, "write file", name)
+		// On a full disk the incomplete file would take the space of the next attempt.
+		return steperr.Wrap(errors.Join(err, fs.Remove(name+TempSuffix)), "write file", name)
 	}
 	if err := fs.Rename(name+TempSuffix, name); err != nil {
 		return steperr.Wrap(err, "rename file", name)
--- a/event/replica.go
+++ b/event/replica.go
@@ -13,7 +13,7 @@
 	ReplicaNotFresh = define(204, "replica-not-fresh", slog.LevelWarn,
 		"instance lost its freshness lease", "No confirmed leader responded within the lease. The instance refuses requests until it is fresh again. Check whether the control group has a leader and whether this instance reaches it.")
 	ReplicaStorageFailed = define(205, "replica-storage-failed", slog.LevelError,
-		"storage of the replica failed", "A write or sync failed. The replica has stopped and the instance continues without a disk. Replace the disk and restart with an empty data directory.")
+		"storage of the replica failed", "A write or sync failed. The instance continues without a disk and tries to open the data directory again. If event 215 repeats, make room on the disk, or replace it and restart with an empty data directory.")
 	ReplicaOpened = define(206, "replica-opened", slog.LevelInfo,
 		"opened data directory", "The replica has read its data directory. A new replica id means that the directory was empty. Nothing to do.")
 	ReplicaFormed = define(207, "replica-formed", slog.LevelInfo,
@@ -32,4 +32,6 @@
 		"refused message for another replica or group", "The sender has not learned yet that this data directory is new, or it belongs to another group. If it persists, check the settings of both instances.")
 	ReplicaBootstrapPending = define(214, "replica-bootstrap-waits", slog.LevelInfo,
 		"control group is not formed yet", "An initial voter does not respond yet; the attempt is repeated. If it persists, check that every initial voter runs.")
+	ReplicaStorageUnavailable = define(215, "replica-storage-unavailable", slog.LevelWarn,
+		"data directory can't be used yet", "A replica whose storage failed tried to open its data directory again. The attempt is repeated every second; event 206 ends the series.")
 )
--- a/replica/failure_test.go
+++ b/replica/failure_test.go
@@ -186,6 +186,77 @@
 	}, waitTimeout, "5ms").Should(BeZero())
 }
 
+// breakableDisks makes the disks of chosen instances fail all writes, like full
+// disks.
+type breakableDisks struct{ broken sync.Map }
+
+func (b *breakableDisks) modify(o *replica.Options) {
+	self := "/" + o.Self + "/"
+	instance := o.Self
+	o.RepairAfter = time.Hour
+	o.FS = &disk.Faulty{FS: disk.OS{}, Fail: func(op disk.Op, name string) error {
+		if _, broken := b.broken.Load(instance); broken && strings.Contains(name, self) && (op == disk.OpWrite || op == disk.OpCreate) {
+			return errDisk
+		}
+		return nil
+	}}
+}
+
+func isVoter(n *node) func() bool { return func() bool { return n.Status().Voter } }
+
+// Guards against disks that are full for a moment, one after the other, and cost
+// the group its majority for good.
+func TestVotersReturnAfterTheirDisksWereFull(t *testing.T) {
+	var disks breakableDisks
+	c := newCluster(t, 5, 5, 5, disks.modify)
+	c.form("e1")
+	ids := make(map[string]uint64)
+	for i := range 4 {
+		n := c.nodes[c.voters[i]]
+		in, _ := n.State().Instances.Get(n.id)
+		ids[n.id] = in.ReplicaID
+		disks.broken.Store(n.id, true)
+		c.put(c.nodes["e5"], "while-"+n.id)
+		c.g.Eventually(isVoter(n), waitTimeout, "5ms").Should(BeFalse())
+		c.put(n, "without-"+n.id)
+		disks.broken.Delete(n.id)
+		c.g.Eventually(isVoter(n), waitTimeout, "10ms").Should(BeTrue(), "%s votes again", n.id)
+		c.put(n, "after-"+n.id)
+	}
+	for id, replicaID := range ids {
+		c.g.Eventually(func() uint64 { in, _ := c.leader().State().Instances.Get(id); return in.ReplicaID }, waitTimeout, "10ms").
+			Should(Equal(replicaID), "the replica of %s has its id again", id)
+	}
+	c.stop("e5")
+	c.put(c.nodes["e1"], "without-e5")
+}
+
+// Guards against a group that stays without a majority, or loses an accepted
+// change, after most of its disks were full at the same time. A replica that
+// restarts then must find what it acknowledged.
+func TestGroupReturnsAfterMostDisksWereFull(t *testing.T) {
+	var disks breakableDisks
+	c := newCluster(t, 5, 5, 5, disks.modify)
+	c.form("e1")
+	c.put(c.nodes["e5"], "before")
+	for _, id := range c.voters[:3] {
+		disks.broken.Store(id, true)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := c.nodes["e5"].Propose(ctx, team("during"))
+	c.g.Expect(err).To(HaveOccurred(), "two of five disks work")
+	disks.broken.Clear()
+	c.put(c.nodes["e5"], "after")
+	for _, id := range c.voters[:3] {
+		c.g.Eventually(isVoter(c.nodes[id]), waitTimeout, "10ms").Should(BeTrue())
+		n := c.stop(id)
+		n = c.start(id, n.dir)
+		c.g.Eventually(n.Fresh, waitTimeout, "5ms").Should(BeTrue())
+		c.g.Expect(hasTeam(n, "before") && hasTeam(n, "after")).To(BeTrue())
+	}
+}
+
 // Guards against a successful result for an uncommitted change: the leader is
 // partitioned, the others elect a new leader, and the partition heals.
 func TestPartitionedLeaderReportsUnknownOutcome(t *testing.T) {
--- a/replica/metrics.go
+++ b/replica/metrics.go
@@ -11,6 +11,7 @@
 	sync            prometheus.Histogram
 	refused         prometheus.Counter
 	storageFailures prometheus.Counter
+	disk            prometheus.Gauge
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -34,10 +35,11 @@
 		commit:          histogram("commit_seconds", "Time from a proposal on the leader to its result."),
 		sync:            histogram("sync_seconds", "Time to write and sync one batch of the log."),
 		refused:         counter("refused_messages_total", "Messages for another replica or group."),
-		storageFailures: counter("storage_failures_total", "Failures after which the replica gave up its disk."),
+		storageFailures: counter("storage_failures_total", "Failed writes after which the replica continued without its disk."),
+		disk:            gauge("disk", "1 while the replica stores its log on a disk."),
 	}
 	if reg != nil {
-		reg.MustRegister(m.applied, m.fresh, m.leader, m.commit, m.sync, m.refused, m.storageFailures)
+		reg.MustRegister(m.applied, m.fresh, m.leader, m.commit, m.sync, m.refused, m.storageFailures, m.disk)
 	}
 	return m
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -39,6 +39,7 @@
 	// State of the loop.
 	core                 *raft.Core
 	store                *storage
+	nextStorageRetry     time.Duration // while the storage is detached
 	id                   identity
 	members              instanceTable
 	pendingProposals     map[uint64]*pendingProposal // by log index
@@ -112,14 +113,21 @@
 			return err
 		}
 	}
+	return r.restore(rec)
+}
+
+// restore starts the core from the content of the data directory.
+func (r *Replica) restore(rec recoveredState) error {
 	if r.id.Group == "" && len(rec.base.Members.Voters) > 0 {
 		r.id.Group = r.id.FormingGroup
 	}
 	if err := r.newCore(rec); err != nil {
 		return err
 	}
-	event.Log(r.opts.Logger, event.ReplicaOpened, slog.Uint64("replica", uint64(r.id.Replica)),
-		slog.String("group", r.id.Group), slog.Uint64("applied", r.State().Index))
+	setBool(r.metrics.disk, r.store != nil)
+	event.Log(r.opts.Logger, event.ReplicaOpened, slog.Uint64("replica", uint64(r.id.Replica)), slog.Bool("disk", r.store != nil),
+		slog.String("group", r.id.Group), slog.Uint64("applied", r.State().Index), slog.Uint64("term", rec.hard.Term),
+		slog.Uint64("vote", uint64(rec.hard.Vote)), slog.Uint64("base", rec.base.Index), slog.Int("entries", len(rec.entries)))
 	return nil
 }
 
@@ -179,7 +187,9 @@
 			now = r.now()
 			r.core.Tick()
 			r.inbox.run()
-			r.onTick(now)
+			if err := r.onTick(now); err != nil {
+				return err
+			}
 		case <-r.inbox.wake:
 			now = r.now()
 			r.inbox.run()
@@ -294,7 +304,7 @@
 }
 
 // onTick performs the work that depends only on time.
-func (r *Replica) onTick(now time.Duration) {
+func (r *Replica) onTick(now time.Duration) error {
 	if fresh := r.Fresh(); fresh != r.wasFresh {
 		r.wasFresh = fresh
 		e := event.ReplicaNotFresh
@@ -306,27 +316,7 @@
 		r.notify()
 	}
 	r.repairMembership(now)
-}
-
-// detachStorage continues as a replica without a disk after a failed write or
-// sync. The content of the disk is then unknown, so the old replica id must not
-// respond for it again. The replica gets a new id and starts from its applied
-// state.
-func (r *Replica) detachStorage(cause error) {
-	event.Log(r.opts.Logger, event.ReplicaStorageFailed, slog.Any("error", cause))
-	r.metrics.storageFailures.Inc()
-	_ = r.store.close()
-	r.store = nil
-	position, ok := r.core.Position(r.State().Index)
-	if !ok {
-		position = r.core.Base()
-	}
-	r.id = identity{Replica: newReplicaID(), Group: r.id.Group}
-	r.core = raft.New(raft.Options{
-		Self: r.id.Replica, HeartbeatTicks: r.opts.HeartbeatTicks, ElectionTicks: r.opts.ElectionTicks,
-		Base: position, Applied: r.State().Index,
-	})
-	r.updateRole(r.now())
+	return r.retryStorage(now)
 }
 
 // updateRole records new heartbeat rounds and handles the start or end of this
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"path/filepath"
 	"sync"
@@ -90,8 +91,12 @@
 		return nil, identity{}, recoveredState{}, err
 	}
 	rec, err := st.load()
+	if err == nil {
+		// The directory of the log, or a name of a file, may not be durable yet.
+		err = steperr.Wrap(fs.SyncDir(dir), "sync data folder", dir)
+	}
 	if err != nil {
-		return nil, identity{}, recoveredState{}, err
+		return nil, identity{}, recoveredState{}, errors.Join(err, st.close())
 	}
 	return st, id, rec, nil
 }
@@ -148,10 +153,11 @@
 	if err != nil {
 		return rec, err
 	}
-	st.wal, err = wal.Open(wal.Options{Dir: st.path(walDir), FS: st.fs}, rec.replay)
+	log, err := wal.Open(wal.Options{Dir: st.path(walDir), FS: st.fs}, rec.replay)
 	if err != nil {
 		return rec, err
 	}
+	st.wal = log
 	if snapshot == nil && rec.base.Index > 0 {
 		return rec, fmt.Errorf("log in %s starts at %d, but there is no snapshot", st.dir, rec.base.Index)
 	}
@@ -171,6 +177,33 @@
 	return rec, nil
 }
 
+// rewriteRecovered replaces the log by the recovered one.
+func (st *storage) rewriteRecovered(rec *recoveredState) error {
+	if err := st.fs.SyncDir(st.dir); err != nil { // the log must not start after the snapshot
+		return steperr.Wrap(err, "sync data folder", st.dir)
+	}
+	return st.rewrite(rec.base, rec.hard, rec.commit, rec.entries)
+}
+
+// advance brings the content of the disk up to date with the committed state s
+// at position p, and rewrites the log. After a failed sync, records that can be
+// read may exist only in the cache of the operating system.
+func (st *storage) advance(rec *recoveredState, p raft.Position, s *state.State) error {
+	if s.Index > rec.state.Index {
+		data, err := s.EncodeSnapshot()
+		if err != nil {
+			return err
+		}
+		if err := st.saveSnapshot(&snapshotRecord{Position: p, State: data}); err != nil {
+			return err
+		}
+		rec.state = s
+		rec.alignWithSnapshot(p)
+	}
+	rec.commit = max(rec.commit, rec.state.Index)
+	return st.rewriteRecovered(rec)
+}
+
 func (st *storage) loadSnapshot() (*snapshotRecord, error) {
 	data, err := snap.Load(st.fs, st.path(snapshotFile))
 	if err != nil || data == nil {
@@ -211,16 +244,18 @@
 
 // alignWithSnapshot makes the log consistent with the snapshot. After a crash
 // between saving a received snapshot and rewriting the log, the log ends before
-// the snapshot or conflicts with it; it is then discarded.
-func (rec *recoveredState) alignWithSnapshot(p raft.Position) {
+// the snapshot or conflicts with it; it is then discarded. It reports whether
+// the log was discarded.
+func (rec *recoveredState) alignWithSnapshot(p raft.Position) bool {
 	if p.Index == rec.base.Index {
-		return
+		return false
 	}
 	last := rec.base.Index + uint64(len(rec.entries))
 	if p.Index <= last && rec.entries[p.Index-rec.base.Index-1].Term == p.Term {
-		return
+		return false
 	}
 	rec.base, rec.entries = p, nil
+	return true
 }
 
 // write writes an output without syncing it, and reports whether it must be
@@ -316,7 +351,7 @@
 }
 
 func (st *storage) close() error {
-	if st == nil {
+	if st == nil || st.wal == nil {
 		return nil
 	}
 	return st.wal.Close()
--- a/replica/storage_test.go
+++ b/replica/storage_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
 	"strings"
@@ -60,6 +61,61 @@
 	}
 }
 
+// Guards against a replica that votes twice in a term, or loses entries that it
+// acknowledged, when its disk works again after a failed write.
+func TestReopenedStorageKeepsWhatWasAcknowledged(t *testing.T) {
+	for name, tc := range map[string]struct {
+		applied, term uint64 // position of the state in memory
+		base, last    uint64 // expected
+	}{
+		"state as old as the disk":         {applied: 3, term: 1, base: 0, last: 6},
+		"entries after the state are kept": {applied: 5, term: 1, base: 0, last: 6},
+		"state conflicts with the entries": {applied: 5, term: 2, base: 5, last: 5},
+		"state newer than the entries":     {applied: 9, term: 2, base: 9, last: 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var full bool
+			fs := &disk.Faulty{FS: disk.OS{}, Fail: func(op disk.Op, _ string) error {
+				if full && op == disk.OpSync {
+					return errFullDisk
+				}
+				return nil
+			}}
+			dir := t.TempDir()
+			st, id, _, err := openStorage(fs, dir)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, err = st.write(&raft.HardState{Term: 3, Vote: 7}, entries(1, 1, 6), 3)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(st.sync()).To(Succeed())
+			full = true
+			_, err = st.write(&raft.HardState{Term: 4, Vote: 8}, nil, 3) // its message is never sent
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(st.sync()).NotTo(Succeed())
+			g.Expect(st.close()).To(Succeed())
+			full = false
+
+			s := state.New()
+			s.Index = tc.applied
+			again, sameID, rec, err := openStorage(fs, dir)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(again.advance(&rec, raft.Position{Index: tc.applied, Term: tc.term}, s)).To(Succeed())
+			g.Expect(again.close()).To(Succeed())
+			for range 2 {
+				g.Expect(sameID).To(Equal(id))
+				g.Expect(rec.hard).To(Or(Equal(raft.HardState{Term: 3, Vote: 7}), Equal(raft.HardState{Term: 4, Vote: 8})))
+				g.Expect(rec.base.Index).To(Equal(tc.base))
+				g.Expect(rec.base.Index + uint64(len(rec.entries))).To(Equal(tc.last))
+				g.Expect(rec.state.Index).To(Equal(tc.applied))
+				_, _, rec, err = openStorage(disk.OS{}, dir)
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+		})
+	}
+}
+
+var errFullDisk = errors.New("no space left on device")
+
 // Guards against a replica that votes under a new id with the old log, or
 // starts with only some of its files.
 func TestIncompleteDataFolderIsRefused(t *testing.T) {
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -94,10 +94,18 @@
 	}
 	if len(segments) == 0 {
 		l.firstSegment = 1
-		return l, l.createSegment(1)
+		err = l.createSegment(1)
+	} else {
+		l.firstSegment = segments[0]
+		err = l.openSegment(segments[len(segments)-1])
 	}
-	l.firstSegment = segments[0]
-	return l, l.openSegment(segments[len(segments)-1])
+	if err != nil {
+		if l.file != nil {
+			err = errors.Join(err, l.file.Close())
+		}
+		return nil, err
+	}
+	return l, nil
 }
 
 // segments returns the numbers of the segments in order, and removes temporary
