replica: record on disk that a start discarded the log

Later entries were appended to the old file, where nothing told at which entry they start, so the next start refused the file.

The start now appends a record of the new base, after a sync of the data directory, before any entry follows. The same fault was found on the way that forms a group.

--- a/replica/storage.go
+++ b/replica/storage.go
@@ -92,8 +92,7 @@
 	}
 	rec, err := st.load()
 	if err == nil {
-		// The directory of the log, or a name of a file, may not be durable yet.
-		err = steperr.Wrap(fs.SyncDir(dir), "sync data folder", dir)
+		err = st.syncDir()
 	}
 	if err != nil {
 		return nil, identity{}, recoveredState{}, errors.Join(err, st.close())
@@ -173,16 +172,28 @@
 		return rec, steperr.Wrap(err, "decode snapshot", st.path(snapshotFile))
 	}
 	st.snapshot = snapshot.Position.Index
-	rec.alignWithSnapshot(snapshot.Position)
+	if rec.alignWithSnapshot(snapshot.Position) {
+		return rec, st.restartLog(snapshot.Position)
+	}
 	return rec, nil
 }
 
-// rewriteRecovered replaces the log by the recovered one.
-func (st *storage) rewriteRecovered(rec *recoveredState) error {
-	if err := st.fs.SyncDir(st.dir); err != nil { // the log must not start after the snapshot
-		return steperr.Wrap(err, "sync data folder", st.dir)
+// restartLog records that the entries in the log file are discarded and that
+// the next one follows the position of the snapshot.
+func (st *storage) restartLog(base raft.Position) error {
+	if err := st.syncDir(); err != nil {
+		return err
 	}
-	return st.rewrite(rec.base, rec.hard, rec.commit, rec.entries)
+	if err := st.append(recordBase, base); err != nil {
+		return err
+	}
+	return st.sync()
+}
+
+// syncDir makes the names of the identity, the snapshot and the log directory
+// durable. The log must not start after the snapshot that a power failure leaves.
+func (st *storage) syncDir() error {
+	return steperr.Wrap(st.fs.SyncDir(st.dir), "sync data folder", st.dir)
 }
 
 // advance brings the content of the disk up to date with the committed state s
@@ -201,7 +212,10 @@
 		rec.alignWithSnapshot(p)
 	}
 	rec.commit = max(rec.commit, rec.state.Index)
-	return st.rewriteRecovered(rec)
+	if err := st.syncDir(); err != nil {
+		return err
+	}
+	return st.rewrite(rec.base, rec.hard, rec.commit, rec.entries)
 }
 
 func (st *storage) loadSnapshot() (*snapshotRecord, error) {
--- a/replica/storage_test.go
+++ b/replica/storage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -61,6 +62,122 @@
 	}
 }
 
+// crash stops all operations of a file system after some of them, as if the
+// process had been killed there.
+type crash struct {
+	armed    bool
+	after    int // operations until the crash
+	happened bool
+}
+
+func (c *crash) fs() disk.FS {
+	return &disk.Faulty{FS: disk.OS{}, Fail: func(disk.Op, string) error {
+		if c.armed {
+			c.after--
+		}
+		if c.after >= 0 {
+			return nil
+		}
+		c.happened = true
+		return errFullDisk
+	}}
+}
+
+// reopenTwice opens the data directory, appends the next entry as a running
+// replica does, and opens the directory again.
+func reopenTwice(g *WithT, dir, at string) {
+	var appended raft.Entry
+	for i := range 2 {
+		st, _, rec, err := openStorage(disk.OS{}, dir)
+		g.Expect(err).NotTo(HaveOccurred(), "%s, start %d", at, i+1)
+		last := rec.base.Index + uint64(len(rec.entries))
+		g.Expect(last).To(BeNumerically(">=", acknowledged), at)
+		if rec.hard.Term == promised.Term {
+			g.Expect(rec.hard).To(Equal(promised), at)
+		}
+		g.Expect(rec.hard.Term).To(BeNumerically(">=", promised.Term), at)
+		if i > 0 {
+			g.Expect(rec.entries).To(ContainElement(appended), at)
+		}
+		appended = raft.Entry{Index: last + 1, Term: 9}
+		_, err = st.write(nil, []raft.Entry{appended}, last)
+		g.Expect(err).NotTo(HaveOccurred(), at)
+		g.Expect(st.sync()).To(Succeed(), at)
+		g.Expect(st.close()).To(Succeed(), at)
+	}
+}
+
+// What the replica has acknowledged before the operations of
+// TestCrashAtEachStepOfAnOperation.
+var (
+	promised     = raft.HardState{Term: 1, Vote: 7}
+	acknowledged = uint64(6) // last entry
+)
+
+// Guards against a data directory that a replica can't open, or that has lost
+// what was acknowledged, after a crash between the files of one operation and
+// another crash while the directory is opened.
+func TestCrashAtEachStepOfAnOperation(t *testing.T) {
+	install := func(st *storage, r *snapshotRecord) error {
+		if err := st.saveSnapshot(r); err != nil {
+			return err
+		}
+		return st.rewrite(r.Position, raft.HardState{Term: 2}, r.Position.Index, nil)
+	}
+	for name, operation := range map[string]func(g *WithT, st *storage) error{
+		"received snapshot": func(g *WithT, st *storage) error { return install(st, snapshotAt(g, 10, 2)) },
+		"compaction": func(g *WithT, st *storage) error {
+			if err := st.saveSnapshot(snapshotAt(g, 5, 1)); err != nil {
+				return err
+			}
+			return st.rewrite(raft.Position{Index: 4, Term: 1}, promised, 5, entries(1, 5, 6))
+		},
+		"return of the disk": func(_ *WithT, st *storage) error {
+			s := state.New()
+			s.Index = 10
+			rec := recoveredState{hard: promised, entries: entries(1, 1, 6), state: state.New()}
+			return st.advance(&rec, raft.Position{Index: 10, Term: 2}, s)
+		},
+		"forming the group": func(g *WithT, st *storage) error {
+			id := identity{Replica: 1, FormingGroup: "g"}
+			if err := st.saveIdentity(id); err != nil {
+				return err
+			}
+			if err := install(st, snapshotAt(g, 10, 2)); err != nil {
+				return err
+			}
+			id.Group = "g"
+			return st.saveIdentity(id)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for n, crashed := 0, true; crashed; n++ {
+				for m, crashedAgain := 0, true; crashedAgain; m++ {
+					at := fmt.Sprintf("crash after %d operations, and after %d of the next start", n, m)
+					dir := t.TempDir()
+					var first crash
+					st, _, _, err := openStorage(first.fs(), dir)
+					g.Expect(err).NotTo(HaveOccurred())
+					_, err = st.write(&promised, entries(1, 1, acknowledged), 3)
+					g.Expect(err).NotTo(HaveOccurred())
+					g.Expect(st.sync()).To(Succeed())
+					first.armed, first.after = true, n
+					err = operation(g, st)
+					crashed = first.happened
+					g.Expect(err != nil).To(Equal(crashed), at)
+
+					second := crash{armed: true, after: m}
+					_, _, _, err = openStorage(second.fs(), dir)
+					crashedAgain = second.happened
+					g.Expect(err != nil).To(Equal(crashedAgain), at)
+					reopenTwice(g, dir, at)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a replica that votes twice in a term, or loses entries that it
 // acknowledged, when its disk works again after a failed write.
 func TestReopenedStorageKeepsWhatWasAcknowledged(t *testing.T) {
