fleet: explained crashes count until a task runs alone

Cause: the loss of many workers explained a crash without leaving evidence, each time, and the workers that tasks at fault crash together look like such a loss. Of the same kind: suspects counted as other losses once they had worked for 2 s, and each run of 10 s discarded the evidence against a long-running task.

Explained crashes are now recorded; three make a task run alone, and workers of tasks that have to run alone explain nothing.

--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -85,20 +85,23 @@
 		crash.Isolated, crash.BesideSuspect = a.beside == 0, a.besideSuspect
 	}
 	v := placement.JudgeCrash(t.evidence, crash)
-	end.Crash, end.Cleared = v.Kind, v.Cleared
+	end.Crash, end.Explained, end.Cleared, end.WorkedMillis = v.Kind, v.Explained, v.Cleared, crash.WorkedMillis
 	if v.GiveUp {
 		end.GiveUp = fmt.Sprintf("%d workers crashed while they ran task %d.%d.%d, %d of them ran nothing else",
-			v.Evidence.Crashes, t.pos.Occurrence, t.pos.Step, t.pos.Index, v.Evidence.Isolated)
+			v.Evidence.Crashes+v.Evidence.Explained, t.pos.Occurrence, t.pos.Step, t.pos.Index, v.Evidence.Isolated)
 		c.metrics.givenUp.Inc()
 	}
 	event.Log(c.opts.Logger, event.TaskCrashedWorker, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
 		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.Int("beside", a.beside), slog.Bool("beside_suspect", a.besideSuspect),
 		slog.Int64("worked_ms", crash.WorkedMillis), slog.Int("lost_together", crash.LostTogether), slog.Int("pool", crash.PoolWorkers),
 		slog.String("kind", v.Kind.String()), slog.Bool("cleared", v.Cleared), slog.Int("crashes", v.Evidence.Crashes),
-		slog.Int("unexplained", v.Evidence.Unexplained), slog.Int("isolated", v.Evidence.Isolated), slog.Bool("given_up", v.GiveUp))
+		slog.Int("unexplained", v.Evidence.Unexplained), slog.Int("isolated", v.Evidence.Isolated),
+		slog.Int("explained", v.Evidence.Explained), slog.Int64("longest_crash_ms", v.Evidence.LongestCrashMillis), slog.Bool("given_up", v.GiveUp))
 	t.setEvidence(c, v.Evidence)
 	t.lostWith = nil
-	if v.Kind >= state.CrashUnexplained {
+	// After one explained crash the tasks of many workers restart, and need not
+	// avoid each other.
+	if v.Kind >= state.CrashUnexplained || v.Evidence.Explained > 1 {
 		t.lostWith = a.loss
 	}
 }
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -187,6 +187,42 @@
 	h.Expect(r.runsOf(crashingID)).To(BeNumerically("<=", maxStartsOfCrashingTask))
 }
 
+// Guards against tasks that crash their workers at the same moment, and so look
+// like a loss of many workers each time: after some work, when others may run
+// beside them again, or so late that a run seems to refute the evidence.
+func TestTasksThatCrashTheirWorkersTogetherAreGivenUp(t *testing.T) {
+	for name, tc := range map[string]struct {
+		after time.Duration
+		mod   func(*state.WorkflowStep)
+	}{
+		"after some work":          {600 * time.Millisecond, func(*state.WorkflowStep) {}},
+		"when others run beside":   {2500 * time.Millisecond, func(*state.WorkflowStep) {}},
+		"long-running tasks":       {600 * time.Millisecond, untilStopped},
+		"members of a gang, apart": {600 * time.Millisecond, func(s *state.WorkflowStep) { s.Gang = true }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			crashes := func(p fleet.TaskPosition, _ uint64) time.Duration {
+				if p.Workflow == crashingID {
+					return tc.after
+				}
+				return 0
+			}
+			r := h.addRestartingWorkers(8, pool.Options{RunTime: runForever, CrashesAfter: crashes})
+			h.submitAs(crashingID, step(4, tc.mod, func(s *state.WorkflowStep) { s.MaxPerWorker = 1 }))
+			h.Eventually(func() state.WorkflowPhase { return h.phaseOf(crashingID) }, 5*waitTimeout, "20ms").Should(Equal(state.WorkflowFailed))
+			starts := make(map[int]int)
+			for _, rec := range r.records() {
+				starts[rec.Position.Index]++
+			}
+			for index, n := range starts {
+				h.Expect(n).To(BeNumerically("<=", maxStartsOfCrashingTask), "task %d", index)
+			}
+		})
+	}
+}
+
 // Guards against giving up tasks that can be done because workers crash again
 // and again for other reasons, some of them together.
 func TestTasksOnWorkersThatCrashAreNotGivenUp(t *testing.T) {
--- a/fleet/worker_loss.go
+++ b/fleet/worker_loss.go
@@ -25,8 +25,9 @@
 	// closed is set if the worker closed a connection, so that at is when it
 	// ended, rather than when a call timed out.
 	closed bool
-	// isolated is set if a task that has to run alone was on the worker.
-	isolated bool
+	// suspect is set if a task that has to run alone was on the worker, however
+	// long it had been at work there.
+	suspect bool
 	// poolWorkers is the number of workers of the pool, including this one.
 	poolWorkers int
 	// restarted is the number of runs, by worker id, of tasks that were lost
@@ -39,7 +40,7 @@
 func (c *Controller) recordLoss(s *session, now time.Duration, cause error) {
 	c.losses = slices.DeleteFunc(c.losses, func(l *workerLoss) bool { return now-l.at > lossRetention })
 	closed := errors.Is(cause, io.EOF) || errors.Is(cause, syscall.ECONNRESET)
-	s.loss = &workerLoss{session: s, at: now, closed: closed, runs: s.startedRuns(), isolated: s.suspects > 0, restarted: make(map[string]int)}
+	s.loss = &workerLoss{session: s, at: now, closed: closed, runs: s.startedRuns(), suspect: s.hasSuspectTask(), restarted: make(map[string]int)}
 	for _, other := range c.sessions {
 		if other.worker.Pool == s.worker.Pool {
 			s.loss.poolWorkers++
@@ -74,13 +75,23 @@
 	return n
 }
 
+// hasSuspectTask reports whether a task that has to run alone is on the worker.
+func (s *session) hasSuspectTask() bool {
+	for _, a := range s.attempts {
+		if a.phase != attemptRecording && a.task.evidence.NeedsIsolation() {
+			return true
+		}
+	}
+	return false
+}
+
 // lostTogether returns the number of other workers of the pool that were lost
-// at the same moment. Workers of isolated tasks do not count, because these
-// tasks may have crashed them.
+// at the same moment. Workers of tasks that have to run alone do not count,
+// because these tasks may have crashed them.
 func (c *Controller) lostTogether(l *workerLoss) int {
 	n := 0
 	for _, other := range c.losses {
-		if other != l && !other.isolated && other.session.worker.Pool == l.session.worker.Pool && (other.at-l.at).Abs() <= lossWindow {
+		if other != l && !other.suspect && other.session.worker.Pool == l.session.worker.Pool && (other.at-l.at).Abs() <= lossWindow {
 			n++
 		}
 	}
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -125,6 +125,7 @@
 	t.run, t.failures, t.checkpoint, t.endedAt = r.Run, r.Failures, r.Checkpoint, r.EndedAt
 	t.setEvidence(c, placement.CrashEvidence{
 		Crashes: len(r.CrashedRuns), Unexplained: r.UnexplainedCrashes, Isolated: r.IsolatedCrashes,
+		Explained: len(r.ExplainedRuns), LongestCrashMillis: r.LongestCrash,
 	})
 	t.unresolved = len(r.LostRuns)
 	if t.endPending {
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -254,9 +254,13 @@
 func (w *Workflow) recordCrash(e TaskEnd) {
 	t := &w.Tasks[e.Task]
 	if e.Cleared {
-		t.CrashedRuns, t.UnexplainedCrashes, t.IsolatedCrashes = nil, 0, 0
+		t.CrashedRuns, t.UnexplainedCrashes, t.IsolatedCrashes, t.ExplainedRuns = nil, 0, 0, nil
 	}
-	if e.Crash != CrashNone || e.Resolved {
+	t.LongestCrash = max(t.LongestCrash, e.WorkedMillis)
+	if e.Explained && !slices.Contains(t.ExplainedRuns, e.Run) {
+		t.ExplainedRuns = append(slices.Clip(t.ExplainedRuns), e.Run)
+	}
+	if e.Crash != CrashNone || e.Explained || e.Resolved {
 		t.LostRuns = slices.DeleteFunc(slices.Clone(t.LostRuns), func(l LostRun) bool { return l.Run == e.Run })
 	}
 	if e.Crash != CrashNone && !slices.Contains(t.CrashedRuns, e.Run) {
--- a/state/crash_test.go
+++ b/state/crash_test.go
@@ -35,6 +35,27 @@
 	w.Expect(task.IsolatedCrashes).To(Equal(1))
 }
 
+// Guards against crashes that are forgotten because something else explains
+// them, each time.
+func TestExplainedCrashesAreRecorded(t *testing.T) {
+	w := newHarness(t)
+	w.submit(state.WorkflowStep{Count: 1, LongRunning: true})
+	for run := uint64(1); run <= 3; run++ {
+		w.start(0, run, "a")
+		for range 2 {
+			w.crash(run, state.CrashNone, func(e *state.TaskEnd) { e.Explained, e.WorkedMillis = true, int64(100*(4-run)) })
+		}
+	}
+	task := w.get().Tasks[0]
+	w.Expect(task.ExplainedRuns).To(Equal([]uint64{1, 2, 3}))
+	w.Expect(task.CrashedRuns).To(BeEmpty())
+	w.Expect(task.LongestCrash).To(Equal(int64(300)))
+	w.start(0, 4, "a")
+	w.crash(4, state.CrashUnexplained, func(e *state.TaskEnd) { e.Cleared = true })
+	w.Expect(w.get().Tasks[0].ExplainedRuns).To(BeEmpty())
+	w.Expect(w.get().Tasks[0].LongestCrash).To(Equal(int64(300)))
+}
+
 // Guards against losing the evidence of a run that was given up before its
 // worker was known to have crashed.
 func TestCrashOfEarlierRunIsRecorded(t *testing.T) {
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -232,6 +232,11 @@
 	// LostRuns are the runs that were given up when the lease of their worker
 	// expired, until it is known whether the worker had crashed.
 	LostRuns []LostRun `cbor:"12,keyasint,omitempty"`
+	// ExplainedRuns are the numbers of the runs whose worker crashed for a reason
+	// that does not count against the task. LongestCrash is how long the longest
+	// run that ended with a crash had been at work, in milliseconds.
+	ExplainedRuns []uint64 `cbor:"13,keyasint,omitempty"`
+	LongestCrash  int64    `cbor:"14,keyasint,omitempty"`
 }
 
 // LostRun is a run whose worker stopped responding.
@@ -345,6 +350,11 @@
 	// Resolved, which means that the crash, if any, says nothing.
 	LeaseExpired bool `cbor:"10,keyasint,omitempty"`
 	Resolved     bool `cbor:"11,keyasint,omitempty"`
+	// Explained means that the worker crashed, but for a reason that does not
+	// count against the task. Crash is then CrashNone.
+	Explained bool `cbor:"12,keyasint,omitempty"`
+	// WorkedMillis is how long the run had been at work when its worker crashed.
+	WorkedMillis int64 `cbor:"13,keyasint,omitempty"`
 }
 
 // RecordTasks records the ends and then the starts of runs. Entries that no
