--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -130,9 +130,14 @@
 func TestStartsOfCrashingTaskAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	for _, crash := range []placement.WorkerCrash{
-		{PoolWorkers: 60}, {PoolWorkers: 60, Isolated: true}, {PoolWorkers: 60, LostTogether: 30}, {PoolWorkers: 60, LostTogether: 1, WorkedMillis: 1000},
-		{PoolWorkers: 8, LostTogether: 3, WorkedMillis: 600}, {PoolWorkers: 8, BesideSuspect: true, WorkedMillis: 600},
-		{PoolWorkers: 60, WorkedMillis: 11_000, LongRunning: true}, {PoolWorkers: 8, LostTogether: 3, WorkedMillis: 11_000, LongRunning: true},
+		{PoolWorkers: 60},
+		{PoolWorkers: 60, Isolated: true},
+		{PoolWorkers: 60, LostTogether: 30},
+		{PoolWorkers: 60, LostTogether: 1, WorkedMillis: 1000},
+		{PoolWorkers: 8, LostTogether: 3, WorkedMillis: 600},
+		{PoolWorkers: 8, BesideSuspect: true, WorkedMillis: 600},
+		{PoolWorkers: 60, WorkedMillis: 11_000, LongRunning: true},
+		{PoolWorkers: 8, LostTogether: 3, WorkedMillis: 11_000, LongRunning: true},
 	} {
 		e, starts := placement.CrashEvidence{}, 0
 		for e.MayStart(0) && starts < 10 {
