--- a/event/fleet.go
+++ b/event/fleet.go
@@ -66,4 +66,6 @@
 		"evacuation of an availability zone changed", "No task is started on the workers of an evacuated zone.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
 		"refused heartbeat", "The report could not be decoded or names no usable worker. Check its sender.")
+	CapacityReserved = define(843, "capacity-reserved", slog.LevelInfo,
+		"setting capacity aside for a serving task", "The task has lost its run and fits on no worker. It starts on this one once enough batch tasks have ended. Nothing to do unless the same task repeats.")
 )
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -230,6 +230,7 @@
 	switch outcome {
 	case state.OutcomeFailed:
 		c.avoid(a)
+		c.reserveAfterFailure(a)
 	case state.OutcomeDone:
 		a.task.workflow.recordDuration(a, c.now())
 		if !a.task.step.Gang && !a.task.step.LongRunning && a.task.attempt == a {
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -87,6 +87,7 @@
 	losses         []*workerLoss       // within lossRetention
 	suspects       map[*task]bool      // open tasks that have to run alone
 	held           []*session          // kept for tasks that have to run alone
+	reserved       map[*task]bool      // tasks with capacity set aside
 	pollDue        map[*session]bool   // sessions to poll after this step, if necessary
 	journal        journal
 	interference   *placement.InterferenceModel
@@ -263,7 +264,7 @@
 	c.activatedAt = c.now()
 	c.workflows = make(map[string]*workflow)
 	c.sessions, c.sorted, c.losses = make(map[string]*session), nil, nil
-	c.suspects, c.held = make(map[*task]bool), nil
+	c.suspects, c.held, c.reserved = make(map[*task]bool), nil, make(map[*task]bool)
 	c.pollDue = make(map[*session]bool)
 	c.journal = journal{}
 	c.poolDemand = make(map[string]*poolDemand)
--- /dev/null
+++ b/fleet/reservation.go
@@ -0,0 +1,148 @@
+package fleet
+
+import (
+	"cmp"
+	"log/slog"
+	"maps"
+	"slices"
+
+	"apricotrouter/event"
+	"apricotrouter/placement"
+)
+
+// reserveCapacity sets capacity aside for a serving task that has lost its run,
+// has waited too long and fits on no worker. The share of serving tasks does not
+// bound it, because the task had this capacity before. It stays on one worker
+// until the task starts or can no longer start there.
+func (c *Controller) reserveCapacity(t *task, p *pool, waitedMillis int64) {
+	if t.step.Gang || t.reservedOn != nil || !placement.RestartOverdue(waitedMillis, true) || len(c.reserved) >= placement.MaxReserved(len(p.sessions)) {
+		return
+	}
+	request, _ := c.placementRequest(t, p, nil)
+	i := placement.ChooseReserved(p.workers, request)
+	if i < 0 {
+		return
+	}
+	c.reserveOn(t, p.sessions[i], waitedMillis)
+	p.setAside(i, t)
+}
+
+// reserveAfterFailure keeps the capacity of a failed run for the next run of its
+// serving task, which can't start before the end is committed. Otherwise tasks
+// that never ran would take it, and keep it, where serving tasks fill the pool.
+func (c *Controller) reserveAfterFailure(a *attempt) {
+	t := a.task
+	if t.step.LongRunning && !t.step.Gang && t.attempt == a && t.reservedOn == nil && !a.session.closed &&
+		len(c.reserved) < placement.MaxReserved(len(c.sessions)) {
+		c.reserveOn(t, a.session, 0)
+	}
+}
+
+func (c *Controller) reserveOn(t *task, s *session, waitedMillis int64) {
+	event.Log(c.opts.Logger, event.CapacityReserved, slog.String("workflow", t.workflow.spec.ID), slog.Int("task", t.number),
+		slog.String("worker", s.worker.ID), slog.Int64("waited_ms", waitedMillis), slog.Int64("milli_cpu", t.step.Size.MilliCPU),
+		slog.Int64("free_milli_cpu", s.free().MilliCPU), slog.Int("runs", len(s.attempts)), slog.Int("reserved", len(c.reserved)+1))
+	t.reservedOn = s
+	c.reserved[t] = true
+}
+
+// setAside removes the resources of a waiting task from the free capacity of a
+// worker for the rest of the pass.
+func (p *pool) setAside(worker int, t *task) {
+	r := p.workers[worker]
+	r.Free = r.Free.Sub(t.step.Reservation())
+	p.sessions[worker].resourcesValid = false
+}
+
+// placeReserved starts the tasks for which enough of their capacity has become
+// free, those that have waited longest first, and sets the capacity of the
+// others aside. A task returns to a worker where it failed only if it found no
+// other for some time. Until it is overdue, the share of serving tasks bounds
+// it; batch tasks may then use its capacity, but no serving task that exceeds
+// the share.
+func (c *Controller) placeReserved(pools map[string]*pool) {
+	tasks := slices.SortedFunc(maps.Keys(c.reserved), func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.waitingSince, b.waitingSince), cmp.Compare(a.workflow.spec.ID, b.workflow.spec.ID), a.number-b.number)
+	})
+	for _, t := range tasks {
+		p := pools[t.workflow.spec.Pool]
+		i := c.reservedWorker(t, p)
+		if i < 0 {
+			t.reservedOn = nil
+			delete(c.reserved, t)
+			continue
+		}
+		if c.exceedsShare(t, p, i) {
+			p.asideFromServing = append(p.asideFromServing, asideCapacity{i, t})
+			continue
+		}
+		fits := t.step.Reservation().FitsIn(p.workers[i].Free) && (!t.avoid[t.reservedOn.worker.ID] || placement.IsStarved(c.waited(t)))
+		if t.phase != taskReady || !fits || c.journal.full() {
+			p.setAside(i, t)
+			continue
+		}
+		request, _ := c.placementRequest(t, p, nil)
+		p.book(i, request)
+		c.place(t, p.sessions[i], t.run+1)
+		t.reservedOn = nil
+		delete(c.reserved, t)
+	}
+}
+
+// reservedWorker returns the index of the worker on which capacity is set aside
+// for the task, or -1 if the task no longer waits or can't start there.
+func (c *Controller) reservedWorker(t *task, p *pool) int {
+	if p == nil || !t.awaitsRun() || c.workflows[t.workflow.spec.ID] != t.workflow || t.waitsAlone() || !t.mayStart() {
+		return -1
+	}
+	i, found := slices.BinarySearchFunc(p.sessions, t.reservedOn, func(a, b *session) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
+	if !found || p.sessions[i] != t.reservedOn || !placement.AdmitsWithoutBatch(p.workers[i], t.step) {
+		return -1
+	}
+	t.expireRefusals(c.now())
+	if request, _ := c.placementRequest(t, p, nil); request.Excluded != nil && request.Excluded(i) {
+		return -1
+	}
+	return i
+}
+
+// exceedsShare reports whether the task is not overdue and would exceed the
+// share of serving tasks on the worker.
+func (c *Controller) exceedsShare(t *task, p *pool, worker int) bool {
+	if placement.RestartOverdue(c.waited(t), true) {
+		return false
+	}
+	c.ensureShare(t.workflow.spec.Pool, p, t.workflow.spec.Priority)
+	return !p.shares[t.workflow.spec.Priority].Admits(p.workers[worker], t.step.Size.MilliCPU)
+}
+
+// asideCapacity is capacity of a worker, by index, that is set aside for a task.
+type asideCapacity struct {
+	worker int
+	task   *task
+}
+
+// setAsideFromServing sets capacity aside that only batch tasks may use.
+func (p *pool) setAsideFromServing() {
+	for _, a := range p.asideFromServing {
+		if p.workers[a.worker] != nil && a.task.phase == taskReady {
+			p.setAside(a.worker, a.task)
+		}
+	}
+	p.asideFromServing = nil
+}
+
+// awaitsRun reports whether the task waits for a worker, or will as soon as the
+// end of its run is committed.
+func (t *task) awaitsRun() bool {
+	return t.phase == taskReady || t.phase == taskBlocked || t.phase == taskOnWorker && t.attempt != nil && t.attempt.phase == attemptEnded
+}
+
+// waited returns how long the task has waited for a worker, in milliseconds; 0
+// if the end of its run is not committed yet.
+func (c *Controller) waited(t *task) int64 {
+	if t.phase != taskReady {
+		return 0
+	}
+	return (c.now() - t.waitingSince).Milliseconds()
+}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -35,6 +35,8 @@
 	// in this pass, because batch tasks leave the CPU idle.
 	idleCapacity int
 	idleObserved bool
+	// asideFromServing is capacity that only batch tasks may use in this pass.
+	asideFromServing []asideCapacity
 }
 
 func newPool(size int) *pool {
@@ -80,16 +82,9 @@
 // once batch tasks end. Other overdue tasks may still use the worker if they
 // fit.
 func (p *pool) reserve(t placement.PoolTask) {
-	best := -1
-	for i, r := range p.workers {
-		if r == nil || p.reserved[i] || t.Excluded != nil && t.Excluded(i) || !placement.AdmitsWithoutBatch(r, t.Step) {
-			continue
-		}
-		if best < 0 || r.Free.MilliCPU > p.workers[best].Free.MilliCPU {
-			best = i
-		}
-	}
-	if best >= 0 {
+	excluded := t.Excluded
+	t.Excluded = func(i int) bool { return p.reserved[i] || excluded != nil && excluded(i) }
+	if best := placement.ChooseReserved(p.workers, t); best >= 0 {
 		p.reserved[best] = true
 	}
 }
@@ -128,6 +123,7 @@
 	if len(waiting) == 0 {
 		return
 	}
+	c.placeReserved(pools)
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
 	for _, j := range waiting {
 		pool := c.workflows[j.ID].spec.Pool
@@ -137,7 +133,7 @@
 	}
 	for _, j := range waiting {
 		f := c.workflows[j.ID]
-		if p := pools[f.spec.Pool]; p != nil && !j.Starved() {
+		if p := pools[f.spec.Pool]; p != nil && !j.Starved() && !j.Restart {
 			p.applyReservations()
 		}
 		if c.journal.full() {
@@ -146,6 +142,7 @@
 		}
 		if p := pools[f.spec.Pool]; p != nil {
 			if j.ExceedsShare {
+				p.setAsideFromServing()
 				c.observeIdle(f.spec.Pool, p)
 			}
 			c.placeWorkflow(f, p, j)
@@ -165,6 +162,10 @@
 		if f.readyTasks > 0 {
 			j := waitingJob(f, now)
 			waiting = append(waiting, j)
+			if restart := j; f.restartWaits() {
+				restart.Restart = true
+				waiting = append(waiting, restart)
+			}
 			if j.Serving && placement.NearlyOverdue(j.WaitedMillis) {
 				j.ExceedsShare = true
 				waiting = append(waiting, j)
@@ -197,6 +198,16 @@
 	return serving, waited
 }
 
+// restartWaits reports whether a serving task of the workflow waits that ran
+// before.
+func (f *workflow) restartWaits() bool {
+	return slices.ContainsFunc(f.tasks, func(t *task) bool { return t.phase == taskReady && t.restarts() })
+}
+
+// restarts reports whether the next run of the task replaces one that a serving
+// task has lost.
+func (t *task) restarts() bool { return t.step.LongRunning && t.ranBefore() }
+
 // remainingMillis returns the estimated remaining duration of the critical
 // path.
 func (f *workflow) remainingMillis() int64 {
@@ -318,7 +329,7 @@
 	unplaceable := unplaceableStep{step: -1}
 	var group *taskGroup
 	for _, t := range f.tasks {
-		if t.phase != taskReady || t.waitsAlone() || !t.mayStart() {
+		if t.phase != taskReady || t.waitsAlone() || !t.mayStart() || j.Restart != t.restarts() && !j.ExceedsShare {
 			continue
 		}
 		t.expireRefusals(c.now())
@@ -352,6 +363,9 @@
 		}
 		if i < 0 {
 			p.recordUnplaceable(t, class)
+			if j.Restart {
+				c.reserveCapacity(t, p, waited)
+			}
 			if j.Starved() && t.step.LongRunning && len(excludedWorkers) == 0 && len(t.refusedUntil) == 0 {
 				p.reserve(group.request)
 			}
--- a/fleet/serving_wait_test.go
+++ b/fleet/serving_wait_test.go
@@ -19,6 +19,80 @@
 // while a worker has free capacity, from the service terms.
 const servingWait = 6 * time.Second
 
+// Guards against a serving task that has lost its run and waits for ever while
+// more batch tasks wait than fit: each bit of CPU that one frees is used at once,
+// and the worker that is held for the task changes from pass to pass.
+func TestRestartGetsCapacityInAStreamOfBatchTasks(t *testing.T) {
+	h := newHarness(t)
+	work := func(p fleet.TaskPosition, number uint64) time.Duration {
+		switch {
+		case p.Workflow[0] == 'a':
+			return time.Duration(400+50*(p.Index%5)) * time.Millisecond
+		case number == 1:
+			return time.Second
+		}
+		return 0
+	}
+	fails := func(p fleet.TaskPosition, number uint64) bool { return p.Workflow[0] != 'a' && number == 1 }
+	var workers []*pool.Worker
+	for i := range 6 {
+		workers = append(workers, h.addWorker(fmt.Sprintf("w%d", i), pool.Options{RunTime: work, Fails: fails}))
+	}
+	runs := func(number uint64) *pool.Record {
+		for _, w := range workers {
+			for _, r := range w.Records() {
+				if r.Position.Workflow == jobID && r.Number == number {
+					return &r
+				}
+			}
+		}
+		return nil
+	}
+	h.Expect(h.submit(step(1, untilStopped, withCPU(3000)))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() any { return runs(1) }, waitTimeout, "5ms").ShouldNot(BeNil())
+	h.submitAs("a000000000000001", step(1500, withCPU(900), withEstimate(500*time.Millisecond)))
+	h.Eventually(func() bool { return !runs(1).Ended.IsZero() }, waitTimeout, "5ms").Should(BeTrue())
+	const lostAfter = 3 * time.Second // beyond servingWait, from the service terms
+	h.Eventually(func() any { return runs(2) }, servingWait+lostAfter, "5ms").ShouldNot(BeNil())
+	h.Expect(h.phaseOf("a000000000000001")).To(Equal(state.WorkflowActive), "batch tasks still wait")
+}
+
+// Guards against a serving task that loses its place for good with its run,
+// because a task that never ran, and has waited longer, takes it.
+func TestRestartComesBeforeTasksThatNeverRan(t *testing.T) {
+	h := newHarness(t)
+	var workers []*pool.Worker
+	total := func() (n int) {
+		for _, w := range workers {
+			n += running(w)
+		}
+		return n
+	}
+	options := pool.Options{Fails: firstRunFails, RunTime: func(p fleet.TaskPosition, number uint64) time.Duration {
+		if firstRunFails(p, number) {
+			return 3 * time.Second
+		}
+		return 0
+	}}
+	for i := range 4 {
+		workers = append(workers, h.addWorker(fmt.Sprintf("w%d", i), options))
+	}
+	h.Expect(h.submit(step(16, untilStopped))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(total, waitTimeout).Should(Equal(16))
+	h.submitAs("00000000000000bb", step(2, untilStopped))
+	restarted := func() bool {
+		for _, w := range workers {
+			for _, r := range w.Records() {
+				if r.Position.Workflow == jobID && r.Position.Index == 0 && r.Number == 2 {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	h.Eventually(restarted, servingWait).Should(BeTrue())
+}
+
 // fillWorker starts a worker and a serving task that reserves all its CPU.
 func (h *harness) fillWorker(id string) *pool.Worker {
 	h.t.Helper()
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -63,6 +63,7 @@
 	// unresolved is the number of runs on workers that stopped responding and
 	// may have crashed.
 	unresolved int
+	reservedOn *session    // worker on which capacity is set aside for the task
 	lostWith   *workerLoss // last loss that counts in evidence; nil if an earlier leader recorded it
 }
 
--- a/placement/job_order.go
+++ b/placement/job_order.go
@@ -21,6 +21,9 @@
 	// ExceedsShare is set when a serving job is considered for capacity that
 	// batch tasks leave unused.
 	ExceedsShare bool
+	// Restart is set when only those tasks of a serving job are considered that
+	// ran before.
+	Restart bool
 }
 
 // maxServingWait is how long tasks of serving jobs wait for free capacity in
@@ -40,13 +43,15 @@
 }
 
 // orderClass groups the jobs of a priority in the order in which they are
-// placed: serving jobs that have waited too long, jobs that can still meet
+// placed: tasks of serving jobs that have lost their run, whose users miss them,
+// serving jobs that have waited too long, jobs that can still meet
 // their objective, jobs that can end before LateDeadline, serving jobs that
 // exceed their share, and all others.
 type orderClass uint8
 
 const (
-	orderStarved orderClass = iota
+	orderRestart orderClass = iota
+	orderStarved
 	orderOnTime
 	orderLate
 	orderBeyondShare
@@ -62,7 +67,8 @@
 // still meet their objective therefore come first, those with the earliest
 // deadline at the head. Jobs that can no longer meet it do not delay others and
 // get the remaining capacity. Serving jobs that lost tasks are not delayed by a
-// continuous stream of jobs with an objective.
+// continuous stream of jobs with an objective, nor, where serving tasks fill
+// the pool, by tasks that never ran: these would keep the freed capacity.
 func OrderJobs(now int64, jobs []WaitingJob) {
 	slices.SortFunc(jobs, func(a, b WaitingJob) int {
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.orderClass(now), b.orderClass(now)),
@@ -77,6 +83,8 @@
 func (j *WaitingJob) orderClass(now int64) orderClass {
 	end := now + int64(float64(j.RemainingMillis)*remainingTimeFactor)
 	switch {
+	case j.Restart && j.Starved():
+		return orderRestart
 	case j.Starved():
 		return orderStarved
 	case j.ExceedsShare:
--- a/placement/job_order_test.go
+++ b/placement/job_order_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"apricotrouter/placement"
+	"apricotrouter/state"
 )
 
 // simulateJobs runs jobs with a single task each on a number of slots. Whenever
@@ -115,6 +116,55 @@
 	g.Expect(jobs[2].ID).To(Equal("new serving"))
 }
 
+// Guards against a task that has lost its run and waits behind tasks that never
+// ran.
+func TestRestartsComeFirst(t *testing.T) {
+	g := NewWithT(t)
+	jobs := []placement.WaitingJob{
+		{ID: "never ran", Serving: true, Deadline: -90_000, WaitedMillis: 20_000},
+		{ID: "job", Deadline: 5000, LateDeadline: 9000, RemainingMillis: 10},
+		{ID: "restart", Serving: true, Restart: true, Deadline: 6000, WaitedMillis: 1000},
+		{ID: "new restart", Serving: true, Restart: true, Deadline: 7000, WaitedMillis: 10},
+		{ID: "more urgent", Priority: -1, Deadline: 5000, LateDeadline: 9000, RemainingMillis: 10},
+	}
+	placement.OrderJobs(0, jobs)
+	var order []string
+	for _, j := range jobs {
+		order = append(order, j.ID)
+	}
+	g.Expect(order).To(Equal([]string{"more urgent", "restart", "never ran", "job", "new restart"}))
+}
+
+// Load pattern: workers that batch tasks fill. The one from which the fewest
+// batch tasks have to end is chosen, and none that serving tasks keep too full.
+func TestChooseReserved(t *testing.T) {
+	cpu := func(milliCPU int64) state.Resources { return state.Resources{MilliCPU: milliCPU, MemoryMiB: 100} }
+	worker := func(free, batch int64) *placement.WorkerCapacity {
+		return &placement.WorkerCapacity{Capacity: cpu(4000), Free: cpu(free), Batch: state.Resources{MilliCPU: batch}}
+	}
+	task := placement.PoolTask{Step: &state.WorkflowStep{Size: cpu(3000), LongRunning: true}}
+	for name, tc := range map[string]struct {
+		workers  []*placement.WorkerCapacity
+		excluded int
+		want     int
+	}{
+		"most free":             {[]*placement.WorkerCapacity{worker(500, 3500), worker(1500, 2500)}, -1, 1},
+		"stays too small":       {[]*placement.WorkerCapacity{worker(500, 3500), worker(2500, 0)}, -1, 0},
+		"excluded":              {[]*placement.WorkerCapacity{worker(500, 3500), worker(1500, 2500)}, 1, 0},
+		"not usable":            {[]*placement.WorkerCapacity{nil, worker(1500, 2500)}, -1, 1},
+		"already set aside":     {[]*placement.WorkerCapacity{worker(-1500, 4000), worker(-500, 2000)}, -1, -1},
+		"no worker in the pool": {nil, -1, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			task.Excluded = func(i int) bool { return i == tc.excluded }
+			NewWithT(t).Expect(placement.ChooseReserved(tc.workers, task)).To(Equal(tc.want))
+		})
+	}
+	g := NewWithT(t)
+	g.Expect(placement.MaxReserved(3)).To(Equal(1))
+	g.Expect(placement.MaxReserved(350)).To(Equal(43))
+}
+
 // Guards against serving tasks that exceed their share and delay batch jobs
 // which can still end before LateDeadline, or that wait for jobs which cannot.
 func TestServingJobsBeyondShareOnlyPrecedeExpiredJobs(t *testing.T) {
--- a/placement/worker_choice.go
+++ b/placement/worker_choice.go
@@ -184,6 +184,35 @@
 	return s.Reservation().FitsIn(r.Free.Add(r.Batch)) && hasLabel(r, s)
 }
 
+// Load pattern: more batch tasks wait than fit, so each bit of CPU that one
+// frees is used at once, and no worker ever has enough for a large serving task
+// that has lost its run. Capacity that is set aside on one worker, until the
+// task fits there, becomes free within the run time of the batch tasks.
+
+// maxReservedShare is the reciprocal of the number of reservations per worker
+// of a pool. After the loss of many workers the others keep running batch tasks.
+const maxReservedShare = 8
+
+// MaxReserved returns for how many tasks of a pool capacity may be set aside at
+// a time.
+func MaxReserved(poolWorkers int) int { return max(1, poolWorkers/maxReservedShare) }
+
+// ChooseReserved returns the index of the worker on which capacity is set aside
+// for a serving task, or -1: the one with the most free CPU among those on which
+// the task will fit once batch tasks have ended.
+func ChooseReserved(workers []*WorkerCapacity, t PoolTask) int {
+	best := -1
+	for i, r := range workers {
+		if r == nil || t.Excluded != nil && t.Excluded(i) || !AdmitsWithoutBatch(r, t.Step) {
+			continue
+		}
+		if best < 0 || r.Free.MilliCPU > workers[best].Free.MilliCPU {
+			best = i
+		}
+	}
+	return best
+}
+
 func hasLabel(r *WorkerCapacity, s *state.WorkflowStep) bool {
 	return s.Label == "" || slices.Contains(r.Labels, s.Label)
 }
