--- a/fleet/odd_heartbeat_test.go
+++ b/fleet/odd_heartbeat_test.go
@@ -42,6 +42,15 @@
 		"long id":      func(b *fleet.Heartbeat) { b.Worker.ID = strings.Repeat("x", 10_000) },
 		"many labels":  func(b *fleet.Heartbeat) { b.Worker.Labels = make([]string, 10_000) },
 		"unknown pool": func(b *fleet.Heartbeat) { b.Worker.Pool = "none" },
+		"unknown pool, known worker": func(b *fleet.Heartbeat) {
+			b.Worker.ID, b.Worker.StartedAt, b.Worker.Address, b.Worker.Pool = "a", startedAt, address("a", startedAt), "none"
+		},
+		"unknown pool, later incarnation of a known worker": func(b *fleet.Heartbeat) {
+			b.Worker.ID, b.Worker.Address, b.Worker.Pool = "a", address("a", startedAt), "none"
+		},
+		"no capacity, later incarnation of a known worker": func(b *fleet.Heartbeat) {
+			b.Worker.ID, b.Worker.Address, b.Worker.Capacity = "a", address("a", startedAt), state.Resources{}
+		},
 	} {
 		b := sound
 		mod(&b)
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -238,11 +238,12 @@
 	return &Response{Outcome: OutcomeDone}
 }
 
-// checkNewWorker returns an error if a worker that is not registered has no
-// capacity, or belongs to a pool that neither the configuration nor an open
-// workflow names.
+// checkNewWorker returns an error if an incarnation that is not registered, or
+// was registered in another pool, has no capacity, or belongs to a pool that
+// neither the configuration nor an open workflow names. It would replace the
+// registered one.
 func checkNewWorker(st *state.State, w *state.PoolWorker) error {
-	if _, ok := st.PoolWorkers.Get(w.ID); ok {
+	if old, ok := st.PoolWorkers.Get(w.ID); ok && old.StartedAt == w.StartedAt && old.Pool == w.Pool {
 		return nil
 	}
 	if w.Capacity == (state.Resources{}) {
