fleet: count workflows as pending until a task has started

Cause: a workflow is active once a start is recorded, before it is sent, and only queued ones were counted.

The controller publishes the workflows of which no task is known to have started; they are counted, too.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -162,7 +162,7 @@
 	if err == nil {
 		c.startRoundTrip.observe(now - begin)
 		s.markResponsive(c)
-		a.startDecidedAt, a.mayHaveStarted = now, true
+		a.startDecidedAt, a.mayHaveStarted, a.task.workflow.begun = now, true, true
 		a.phase = attemptRunning
 		if a.stopping {
 			a.phase = attemptStopping
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"runtime/debug"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -68,6 +69,9 @@
 	inbox   chan func()
 	ctx     context.Context // of Run
 	done    chan struct{}   // closed when Run returns
+	// waitingWorkflows are the open workflows of which no task is known to have
+	// started, as of the last resync. It is nil while the controller is idle.
+	waitingWorkflows atomic.Pointer[map[string]bool]
 
 	// Owned by the loop.
 	term uint64 // in which the controller is active
@@ -291,6 +295,7 @@
 		s.api.Close()
 	}
 	c.workflows, c.sessions = nil, nil
+	c.waitingWorkflows.Store(nil)
 	event.Log(c.opts.Logger, event.FleetLeaderStopped, slog.Uint64("fence", c.fence), slog.String("reason", reason))
 }
 
@@ -312,6 +317,7 @@
 		c.nextSync = now + resyncInterval
 		c.syncWorkflows(c.opts.Log.State())
 		c.logLateWorkflows()
+		c.publishWaitingWorkflows()
 		c.dirty = true
 	}
 	c.saveInterference(now)
@@ -321,6 +327,17 @@
 	}
 }
 
+// publishWaitingWorkflows updates waitingWorkflows.
+func (c *Controller) publishWaitingWorkflows() {
+	waiting := make(map[string]bool)
+	for id, f := range c.workflows {
+		if !f.begun {
+			waiting[id] = true
+		}
+	}
+	c.waitingWorkflows.Store(&waiting)
+}
+
 // advance runs a placement pass if one is due, commits the journal and sends
 // polls.
 func (c *Controller) advance() {
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -142,11 +142,14 @@
 	return &Response{Outcome: OutcomeGone}
 }
 
-// pending counts the workflows of a queue that have not started.
+// pending counts the workflows of a queue of which no task has started. A start
+// that was recorded may not have reached its worker.
 func (s *Service) pending(st *state.State, queue string) int {
 	n := 0
+	waiting := s.controller.waitingWorkflows.Load()
 	for id := range st.OpenWorkflows() {
-		if w, ok := st.Workflows.Get(id); ok && w.Spec.Queue == queue && w.Phase == state.WorkflowQueued {
+		w, ok := st.Workflows.Get(id)
+		if ok && w.Spec.Queue == queue && (w.Phase == state.WorkflowQueued || waiting != nil && (*waiting)[id]) {
 			n++
 		}
 	}
--- a/fleet/service_test.go
+++ b/fleet/service_test.go
@@ -3,10 +3,12 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"apricotrouter/fleet"
+	"apricotrouter/standin/pool"
 	"apricotrouter/state"
 )
 
@@ -46,3 +48,23 @@
 		g.Expect(valid(mod)).NotTo(Succeed(), name)
 	}
 }
+
+// Guards against a workflow that is not counted as pending because its first
+// start was recorded, although the start never reached its worker.
+func TestRecordedStartThatReachedNoWorkerIsPending(t *testing.T) {
+	h := newHarness(t, func(o *fleet.Options) { o.Limits.MaxLease = 20 * time.Second })
+	a := h.addWorker("a", pool.Options{RunTime: runForever})
+	pending := func() int {
+		p := h.call(&fleet.Request{Op: fleet.OpStatus, Host: host, Path: "/jobs/"}).Pending
+		h.Expect(p).NotTo(BeNil())
+		return *p
+	}
+	a.SetUnreachable(true)
+	h.Expect(h.submit(step(1))).To(Equal(fleet.OutcomeDone))
+	h.expectPhase(state.WorkflowActive)
+	const maxAge = 2 * time.Second // of the count, from the service terms
+	h.Eventually(pending, maxAge, "20ms").Should(Equal(1))
+	a.SetUnreachable(false)
+	h.Eventually(func() int { return running(a) }, waitTimeout).Should(Equal(1))
+	h.Eventually(pending, maxAge, "20ms").Should(BeZero())
+}
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -402,7 +402,7 @@
 		if outcome != state.OutcomeLost {
 			s.failures.record(c, s, a, outcome == state.OutcomeFailed)
 		}
-		a.mayHaveStarted = true
+		a.mayHaveStarted, a.task.workflow.begun = true, true
 		c.endAttempt(a, outcome, e.Checkpoint, e.Kind.String())
 		return
 	}
@@ -436,6 +436,7 @@
 	k := runKey{r.Position, r.Number}
 	if a := s.attempts[k]; a != nil {
 		a.mayHaveStarted, a.seenAt, a.incarnation = true, c.now(), s.worker.StartedAt
+		a.task.workflow.begun = true
 		if a.suspect && placement.Settled(a.workedFor().Milliseconds()) {
 			s.markSuspect(a, false)
 			c.dirty = true
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -21,8 +21,8 @@
 	openTasks    [][]int // unfinished tasks, by occurrence and step
 	readyTasks   int     // tasks that wait for a worker
 	checkBlocked bool    // blocked tasks may have become ready
-	started      bool
-	late         bool // was logged as late
+	begun        bool    // a run of a task is known to have started
+	late         bool    // was logged as late
 	// completedRuns and completedMillis are the number and the total duration
 	// of runs that completed a whole task, by step.
 	completedRuns, completedMillis []int64
@@ -90,7 +90,7 @@
 // their workers until these have been polled.
 func (c *Controller) openWorkflow(w *state.Workflow) {
 	spec := &w.Spec
-	f := &workflow{spec: spec, queue: spec.Queue, submittedAt: w.SubmittedAt, started: w.Phase == state.WorkflowActive}
+	f := &workflow{spec: spec, queue: spec.Queue, submittedAt: w.SubmittedAt}
 	f.deadline = w.SubmittedAt + objectiveMillis(spec)
 	f.completedRuns, f.completedMillis = make([]int64, len(spec.Steps)), make([]int64, len(spec.Steps))
 	f.loads = make([]placement.Load, len(spec.Steps))
@@ -124,6 +124,7 @@
 // syncTask updates a task from the replicated state.
 func (c *Controller) syncTask(t *task, r *state.WorkflowTask) {
 	t.run, t.failures, t.checkpoint, t.endedAt = r.Run, r.Failures, r.Checkpoint, r.EndedAt
+	t.workflow.begun = t.workflow.begun || r.Phase == state.TaskDone || r.Failures > 0 || r.EndedAt != 0 || r.Checkpoint != ""
 	t.setEvidence(c, placement.CrashEvidence{
 		Crashes: len(r.CrashedRuns), Unexplained: r.UnexplainedCrashes, Isolated: r.IsolatedCrashes,
 		Explained: len(r.ExplainedRuns), LongestCrashMillis: r.LongestCrash,
