--- a/event/fleet.go
+++ b/event/fleet.go
@@ -64,8 +64,8 @@
 		"configuration of queues changed", "A newer version is in effect. Nothing to do.")
 	ZoneEvacuation = define(842, "zone-evacuation", slog.LevelInfo,
 		"evacuation of an availability zone changed", "No task is started on the workers of an evacuated zone.")
+	CapacityReserved = define(843, "capacity-reserved", slog.LevelInfo,
+		"setting capacity aside for a serving task", "The task has lost its run. It starts on this worker unless another has room, once enough batch tasks have ended there. Nothing to do unless the same task repeats.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
 		"refused heartbeat", "The report could not be decoded or names no usable worker. Check its sender.")
-	CapacityReserved = define(843, "capacity-reserved", slog.LevelInfo,
-		"setting capacity aside for a serving task", "The task has lost its run and fits on no worker. It starts on this one once enough batch tasks have ended. Nothing to do unless the same task repeats.")
 )
