fleet: capacity of a failed run is not left idle

Cause: the capacity that sets aside for a task that failed there stayed idle for 0.8 s, and for ever if another task of its step fitted nowhere, since the step was then skipped.

A task that finds no other worker returns at once to the one where it failed.

--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -52,14 +52,15 @@
 	r := p.workers[worker]
 	r.Free = r.Free.Sub(t.step.Reservation())
 	p.sessions[worker].resourcesValid = false
+	p.aside[t] = true
 }
 
 // placeReserved starts the tasks for which enough of their capacity has become
 // free, those that have waited longest first, and sets the capacity of the
-// others aside. A task returns to a worker where it failed only if it found no
-// other for some time. Until it is overdue, the share of serving tasks bounds
-// it; batch tasks may then use its capacity, but no serving task that exceeds
-// the share.
+// others aside. A task whose capacity is on a worker where it failed looks for
+// another one first. Until it is overdue, the share of serving tasks bounds it;
+// batch tasks may then use its capacity, but no serving task that exceeds the
+// share.
 func (c *Controller) placeReserved(pools map[string]*pool) {
 	tasks := slices.SortedFunc(maps.Keys(c.reserved), func(a, b *task) int {
 		return cmp.Or(cmp.Compare(a.waitingSince, b.waitingSince), cmp.Compare(a.workflow.spec.ID, b.workflow.spec.ID), a.number-b.number)
@@ -76,27 +77,60 @@
 			p.asideFromServing = append(p.asideFromServing, asideCapacity{i, t})
 			continue
 		}
-		fits := t.step.Reservation().FitsIn(p.workers[i].Free) && (!t.avoid[t.reservedOn.worker.ID] || placement.IsStarved(c.waited(t)))
-		if t.phase != taskReady || !fits || c.journal.full() {
+		if t.phase != taskReady || t.avoid[t.reservedOn.worker.ID] || !c.placeOnReserved(t, p, i) {
 			p.setAside(i, t)
-			continue
 		}
-		request, _ := c.placementRequest(t, p, nil)
-		p.book(i, request)
-		c.place(t, p.sessions[i], t.run+1)
-		t.reservedOn = nil
-		delete(c.reserved, t)
 	}
 }
 
+// returnToReserved starts a task that found no other worker where its last run
+// failed, if its capacity was set aside there. The capacity must not stay idle
+// while others wait for some.
+func (c *Controller) returnToReserved(t *task, p *pool) bool {
+	if !p.aside[t] || !t.avoid[t.reservedOn.worker.ID] {
+		return false
+	}
+	i, found := p.indexOf(t.reservedOn)
+	if !found || p.workers[i] == nil {
+		return false
+	}
+	r := p.workers[i]
+	r.Free = r.Free.Add(t.step.Reservation())
+	if c.placeOnReserved(t, p, i) {
+		return true
+	}
+	p.setAside(i, t)
+	return false
+}
+
+// placeOnReserved starts a task on the worker, by index, on which capacity was
+// set aside for it, if enough is free.
+func (c *Controller) placeOnReserved(t *task, p *pool, worker int) bool {
+	if c.journal.full() || !t.step.Reservation().FitsIn(p.workers[worker].Free) {
+		return false
+	}
+	request, _ := c.placementRequest(t, p, nil)
+	p.book(worker, request)
+	c.place(t, p.sessions[worker], t.run+1)
+	t.reservedOn = nil
+	delete(c.reserved, t)
+	return true
+}
+
+// indexOf returns the index of a session among the usable workers of the pool.
+func (p *pool) indexOf(s *session) (int, bool) {
+	i, found := slices.BinarySearchFunc(p.sessions, s, func(a, b *session) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
+	return i, found && p.sessions[i] == s
+}
+
 // reservedWorker returns the index of the worker on which capacity is set aside
 // for the task, or -1 if the task no longer waits or can't start there.
 func (c *Controller) reservedWorker(t *task, p *pool) int {
 	if p == nil || !t.awaitsRun() || c.workflows[t.workflow.spec.ID] != t.workflow || t.waitsAlone() || !t.mayStart() {
 		return -1
 	}
-	i, found := slices.BinarySearchFunc(p.sessions, t.reservedOn, func(a, b *session) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
-	if !found || p.sessions[i] != t.reservedOn || !placement.AdmitsWithoutBatch(p.workers[i], t.step) {
+	i, found := p.indexOf(t.reservedOn)
+	if !found || !placement.AdmitsWithoutBatch(p.workers[i], t.step) {
 		return -1
 	}
 	t.expireRefusals(c.now())
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -35,6 +35,8 @@
 	// in this pass, because batch tasks leave the CPU idle.
 	idleCapacity int
 	idleObserved bool
+	// aside are the waiting tasks whose capacity has been set aside in this pass.
+	aside map[*task]bool
 	// asideFromServing is capacity that only batch tasks may use in this pass.
 	asideFromServing []asideCapacity
 }
@@ -43,7 +45,7 @@
 	return &pool{
 		sessions: make([]*session, 0, size), workers: make([]*placement.WorkerCapacity, 0, size),
 		smallestUnplaced: make(map[placementClass]state.Resources), reserved: make(map[int]bool), reservedInPass: make(map[int]bool),
-		shares: make(map[int]*placement.BatchReservation),
+		shares: make(map[int]*placement.BatchReservation), aside: make(map[*task]bool),
 	}
 }
 
@@ -338,6 +340,9 @@
 		usesReserved := j.ExceedsShare && placement.RestartOverdue(waited, t.ranBefore()) ||
 			j.Starved() && t.step.LongRunning && placement.Overdue(waited)
 		if unplaceable.includes(t, usesReserved, excludedWorkers) {
+			if j.Restart && c.returnToReserved(t, p) {
+				group = nil // its ranking does not include this worker
+			}
 			continue
 		}
 		if j.ExceedsShare && (!t.step.LongRunning || !placement.Overdue(waited)) {
@@ -361,6 +366,10 @@
 				i = group.bestWorker(j, waited, t.ranBefore())
 			}
 		}
+		if i < 0 && j.Restart && c.returnToReserved(t, p) {
+			group = nil
+			continue
+		}
 		if i < 0 {
 			p.recordUnplaceable(t, class)
 			if j.Restart {
--- a/fleet/serving_wait_test.go
+++ b/fleet/serving_wait_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -93,6 +94,52 @@
 	h.Eventually(restarted, servingWait).Should(BeTrue())
 }
 
+// Guards against capacity that stays idle, because it is set aside for a task
+// that failed there a moment ago, while other tasks of its step wait that lost
+// their runs with a worker and fit nowhere.
+func TestCapacityOfAFailedRunIsNotLeftIdle(t *testing.T) {
+	h := newHarness(t)
+	var workers []*pool.Worker
+	options := pool.Options{Fails: firstRunFails, RunTime: func(p fleet.TaskPosition, number uint64) time.Duration {
+		if firstRunFails(p, number) {
+			return 3 * time.Second
+		}
+		return 0
+	}}
+	for i := range 4 {
+		workers = append(workers, h.addWorker(fmt.Sprintf("w%d", i), options))
+	}
+	h.Expect(h.submit(step(16, untilStopped))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() (n int) {
+		for _, w := range workers {
+			n += running(w)
+		}
+		return n
+	}, waitTimeout).Should(Equal(16))
+	first := slices.IndexFunc(workers, func(w *pool.Worker) bool {
+		return slices.ContainsFunc(w.Records(), func(r pool.Record) bool { return r.Position.Index == 0 })
+	})
+	workers[(first+1)%len(workers)].SetUnreachable(true)
+	restart := func() time.Duration {
+		var failed, again time.Time
+		for _, w := range workers {
+			for _, r := range w.Records() {
+				if r.Position.Index == 0 && r.Number == 1 {
+					failed = r.Ended
+				} else if r.Position.Index == 0 && r.Number == 2 {
+					again = r.Started
+				}
+			}
+		}
+		if again.IsZero() {
+			return time.Hour
+		}
+		return again.Sub(failed)
+	}
+	const maxIdle = 400 * time.Millisecond // well below the time after which a serving task is starved
+	h.Eventually(restart, waitTimeout).Should(BeNumerically("<", maxIdle))
+}
+
 // fillWorker starts a worker and a serving task that reserves all its CPU.
 func (h *harness) fillWorker(id string) *pool.Worker {
 	h.t.Helper()
