--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,7 +22,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD; run it in the repository's root")
 		os.Exit(exitCannotRun)
 	}
-	cases := map[string]func(*record, bool) error{"rackcut": rackCut, "fills": fills, "antiaffinity": antiAffinity}
+	cases := map[string]func(*record, bool) error{"antiaffinity": antiAffinity, "rackcut": rackCut, "hangup": hangup, "fills": fills, "deadly": deadly}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
