Split fleet/session.go and fleet/schedule.go by job

session.go keeps the session of an incarnation, lease.go its lease and timeouts, poll.go polls and reports. schedule.go keeps the placement pass, pool.go the view of a pool in one pass, waiting.go the order of waiting jobs, task_group.go groups of interchangeable tasks, gang.go the placement of gangs. Declarations are moved as they are; behaviour does not change.

--- /dev/null
+++ b/fleet/gang.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"slices"
+
+	"apricotrouter/placement"
+	"apricotrouter/state"
+)
+
+// placeGang places all tasks of a gang, or none. They share the run number.
+func (c *Controller) placeGang(t *task, p *pool, usesReserved bool) {
+	f := t.workflow
+	first := f.spec.FirstTask(t.pos.Occurrence, t.pos.Step)
+	members := f.tasks[first : first+t.step.Count]
+	var number uint64
+	for _, m := range members {
+		if m.phase != taskReady || !m.mayStart() {
+			return
+		}
+		m.expireRefusals(c.now())
+		number = max(number, m.run+1)
+	}
+	workers := slices.Clone(p.workers)
+	if usesReserved {
+		copy(workers, p.allWorkers)
+	}
+	for i, s := range p.sessions {
+		if slices.ContainsFunc(members, func(m *task) bool { _, refused := m.refusedUntil[s.worker.ID]; return refused }) {
+			workers[i] = nil
+		}
+	}
+	request, _ := c.placementRequest(t, p, nil)
+	for _, rack := range gangRacks(t.step, p) {
+		if chosen := chooseGang(request, len(members), workers, rack); chosen != nil {
+			for i, m := range members {
+				p.book(chosen[i], request)
+				c.place(m, p.sessions[chosen[i]], number)
+			}
+			return
+		}
+	}
+}
+
+// gangRacks returns the rack labels to which a gang may be confined, in the
+// order in which they are tried; "" means any worker.
+func gangRacks(s *state.WorkflowStep, p *pool) []string {
+	if !s.SameRack {
+		return []string{""}
+	}
+	seen := make(map[string]bool)
+	var racks []string
+	for _, r := range p.workers {
+		if r == nil {
+			continue
+		}
+		for _, l := range r.Labels {
+			if !seen[l] && l != s.Label {
+				seen[l] = true
+				racks = append(racks, l)
+			}
+		}
+	}
+	slices.Sort(racks)
+	return append(racks, "")
+}
+
+// chooseGang returns the index of a worker for each member of a gang, or nil.
+func chooseGang(task placement.PoolTask, members int, workers []*placement.WorkerCapacity, label string) []int {
+	trial := make([]*placement.WorkerCapacity, len(workers))
+	for i, r := range workers {
+		if r != nil && (label == "" || slices.Contains(r.Labels, label)) {
+			worker := *r
+			worker.ServingGroups = slices.Clone(r.ServingGroups)
+			trial[i] = &worker
+		}
+	}
+	onWorker := make(map[int]int)
+	limit := task.Step.MaxPerWorker
+	task.Excluded = func(i int) bool { return limit > 0 && onWorker[i] >= limit }
+	chosen := make([]int, 0, members)
+	for range members {
+		i := placement.ChooseWorker(trial, task)
+		if i < 0 {
+			return nil
+		}
+		trial[i].Reserve(task)
+		onWorker[i]++
+		chosen = append(chosen, i)
+	}
+	return chosen
+}
--- /dev/null
+++ b/fleet/poll.go
@@ -0,0 +1,262 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"apricotrouter/event"
+	"apricotrouter/placement"
+	"apricotrouter/state"
+)
+
+const (
+	// pollWait is how long the response to a poll waits for a run to end. It
+	// allows several polls within one lease.
+	pollWait = time.Second
+	// pollsPerLease is the minimum number of polls within one lease, so that
+	// the lease survives a failed poll.
+	pollsPerLease = 4
+	// ratePollWait replaces pollWait where best-effort tasks may interfere with
+	// serving tasks. It is about as long as the window of the measurements.
+	ratePollWait = 700 * time.Millisecond
+	// pollRetry is the delay before an unanswered poll is repeated.
+	pollRetry = 200 * time.Millisecond
+	// minPollGap is the minimum delay between polls of one worker, so that runs
+	// that end at nearly the same time are reported together.
+	minPollGap = 20 * time.Millisecond
+	// maxReportedEnds is the maximum number of ended runs in one response to a
+	// poll.
+	maxReportedEnds = 500
+)
+
+// poll sends a poll if one is needed and due.
+func (c *Controller) poll(s *session) {
+	now := c.now()
+	needed := !s.polled || s.unresponsive || len(s.attempts) > 0 || len(s.unknownRuns) > 0 || s.ackUnsent
+	if s.closed || s.polling || s.endsPending || !needed || now < s.nextPoll {
+		return
+	}
+	s.polling = true
+	c.call(callPoll, func() *workerCall { return c.preparePoll(s) })
+}
+
+func (c *Controller) preparePoll(s *session) *workerCall {
+	if s.closed {
+		return nil
+	}
+	begin := c.now()
+	call := PollCall{Fence: c.fence, Acknowledged: s.ackedEnd, WaitMillis: c.pollWait(s).Milliseconds()}
+	// The lease of an unresponsive worker must expire so that its runs can be
+	// given up. A poll whose response is lost must not extend it.
+	if s.polled && !s.unresponsive {
+		call.Lease = s.extendLease(c)
+	}
+	var report *Report
+	var err error
+	return &workerCall{
+		timeout: startTimeout + time.Duration(call.WaitMillis)*time.Millisecond,
+		send:    func(ctx context.Context) { report, err = s.api.Poll(ctx, call) },
+		done:    func() { c.handlePollResponse(s, begin, call, report, err) },
+	}
+}
+
+// pollWait returns how long the response may wait for a run to end. It is 0 if
+// the response itself decides about a run. If there are more workers than polls
+// may be in flight, the wait of each is shorter, so that every worker is polled
+// in time.
+func (c *Controller) pollWait(s *session) time.Duration {
+	if !s.polled || len(s.attempts) == 0 {
+		return 0
+	}
+	serving, bestEffort := false, false
+	for _, a := range s.attempts {
+		if a.phase == attemptUnknown || a.stopAcked && a.startDecidedAt > s.lastPoll {
+			return 0
+		}
+		serving = serving || a.task.step.LongRunning && a.task.step.TailMillis > 0
+		bestEffort = bestEffort || a.task.step.BestEffort
+	}
+	wait := pollWait
+	if serving && bestEffort {
+		wait = ratePollWait
+	}
+	wait = min(wait, c.opts.Limits.MaxLease/pollsPerLease)
+	if maxInFlight := c.calls.maxInFlight(callPoll); c.calls.limit > 0 && len(c.sessions) > maxInFlight {
+		wait = wait * time.Duration(maxInFlight) / time.Duration(len(c.sessions))
+	}
+	return wait
+}
+
+// handlePollResponse applies the response to a poll. begin is when the poll was
+// sent.
+func (c *Controller) handlePollResponse(s *session, begin time.Duration, call PollCall, r *Report, err error) {
+	s.polling = false
+	c.pollDue[s] = true
+	if s.closed {
+		return
+	}
+	now := c.now()
+	c.metrics.polls.Inc()
+	if err != nil {
+		switch refusal(err) {
+		case RefusedOtherIncarnation:
+			c.crashed(s, "another life has its address")
+		case RefusedFence:
+			c.deactivate("a worker has seen a higher fence")
+		default:
+			s.recordCallFailure(c, now, err)
+		}
+		return
+	}
+	if r.StartedAt != 0 && r.StartedAt != s.worker.StartedAt {
+		// The session of the later incarnation, opened by its heartbeat,
+		// resolves the runs.
+		s.recordCallFailure(c, now, errOtherIncarnation)
+		return
+	}
+	s.markResponsive(c)
+	c.resolveExpired(s.expired)
+	s.expired = nil
+	s.nextPoll = now + minPollGap
+	s.lastPoll = begin
+	s.clock, s.clockReadAt = r.Clock, now
+	if call.Acknowledged == s.ackedEnd {
+		s.ackUnsent = false
+	}
+	c.applyReport(s, begin, r)
+	c.observeWorker(s)
+	c.moveStragglers(s)
+	s.resourcesValid = false
+	if !s.polled {
+		s.polled = true
+		c.dirty = true
+	}
+}
+
+// errOtherIncarnation is the cause of a failed poll whose response came from a
+// later incarnation of the worker.
+var errOtherIncarnation = errors.New("a later incarnation of the worker answered")
+
+// applyReport reconciles the attempts on the worker with a report.
+func (c *Controller) applyReport(s *session, begin time.Duration, r *Report) {
+	seen := make(map[runKey]bool, len(r.Running)+len(r.Ended))
+	for _, e := range r.Ended {
+		seen[runKey{e.Position, e.Number}] = true
+		c.applyEnd(s, e)
+	}
+	for i := range r.Running {
+		seen[runKey{r.Running[i].Position, r.Running[i].Number}] = true
+		c.applyRunning(s, &r.Running[i])
+	}
+	if s.lastEnd > s.ackedEnd {
+		s.endsPending = true
+		lastEnd := s.lastEnd
+		c.journal.onCommit = append(c.journal.onCommit, func() {
+			s.ackedEnd, s.endsPending, s.ackUnsent = max(s.ackedEnd, lastEnd), false, true
+			c.pollDue[s] = true
+		})
+	}
+	for k := range s.unknownRuns {
+		if !seen[k] {
+			delete(s.unknownRuns, k)
+			c.dirty = true
+		}
+	}
+	if len(r.Ended) >= maxReportedEnds {
+		return
+	}
+	for k, a := range s.attempts {
+		startDecided := a.phase == attemptRunning || a.phase == attemptUnknown && !a.stopping || a.stopAcked
+		if !seen[k] && startDecided && a.startDecidedAt < begin {
+			// The run was on an earlier incarnation, which has crashed.
+			a.crashed = a.crashed || a.incarnation != 0 && s.worker.StartedAt > a.incarnation
+			c.endAsLost(a, "not on the worker")
+		}
+	}
+}
+
+// applyEnd records an ended run from a report.
+func (c *Controller) applyEnd(s *session, e RunEnd) {
+	if e.Sequence <= s.lastEnd {
+		return
+	}
+	s.lastEnd = e.Sequence
+	outcome := state.OutcomeLost
+	switch e.Kind {
+	case EndDone:
+		outcome = state.OutcomeDone
+	case EndFailed:
+		outcome = state.OutcomeFailed
+	}
+	if a := s.attempts[runKey{e.Position, e.Number}]; a != nil {
+		if outcome != state.OutcomeLost {
+			s.failures.record(c, s, a, outcome == state.OutcomeFailed)
+		}
+		a.mayHaveStarted, a.task.workflow.begun = true, true
+		c.endAttempt(a, outcome, e.Checkpoint, e.Kind.String())
+		return
+	}
+	f := c.workflows[e.Position.Workflow]
+	if f == nil || !f.hasTask(e.Position) {
+		return
+	}
+	c.journal.ends = append(c.journal.ends, state.TaskEnd{
+		Workflow: e.Position.Workflow, Task: f.index(e.Position), Run: e.Number,
+		Outcome: outcome, Checkpoint: e.Checkpoint,
+	})
+}
+
+var endNames = [...]string{"", "done", "failed", "stopped", "lease ended", "gang broken", "gang alone"}
+
+// String returns the kind of end as in logs.
+func (k EndKind) String() string { return endNames[k] }
+
+// hasTask reports whether the workflow has a task at the position.
+func (f *workflow) hasTask(p TaskPosition) bool {
+	return p.Occurrence >= 0 && p.Occurrence < len(f.openTasks) && p.Step >= 0 && p.Step < len(f.spec.Steps) &&
+		p.Index >= 0 && p.Index < f.spec.Steps[p.Step].Count
+}
+
+// index returns the index in tasks of the task at the position.
+func (f *workflow) index(p TaskPosition) int { return f.spec.FirstTask(p.Occurrence, p.Step) + p.Index }
+
+// applyRunning matches a reported run with its attempt. An unknown run is
+// stopped.
+func (c *Controller) applyRunning(s *session, r *RunStatus) {
+	k := runKey{r.Position, r.Number}
+	if a := s.attempts[k]; a != nil {
+		a.mayHaveStarted, a.seenAt, a.incarnation = true, c.now(), s.worker.StartedAt
+		a.task.workflow.begun = true
+		if a.suspect && placement.Settled(a.workedFor().Milliseconds()) {
+			s.markSuspect(a, false)
+			c.dirty = true
+		}
+		if a.phase == attemptUnknown && !a.stopping || a.phase == attemptStarting {
+			a.phase = attemptRunning
+		}
+		if a.stopping && a.phase != attemptStarting {
+			c.sendStop(a)
+		}
+		c.recordStatus(a, r)
+		return
+	}
+	if lastStop, ok := s.unknownRuns[k]; ok && c.now()-lastStop < stopRetry {
+		return
+	}
+	s.unknownRuns[k] = c.now()
+	event.Log(c.opts.Logger, event.TaskStopping, slog.String("workflow", r.Position.Workflow),
+		slog.Int("step", r.Position.Step), slog.Int("index", r.Position.Index), slog.Uint64("run", r.Number),
+		slog.String("worker", s.worker.ID), slog.String("reason", "no record of this run"))
+	call := StopCall{Run: Run{Workflow: r.Position.Workflow, Number: r.Number}, Position: r.Position, Fence: c.fence}
+	c.call(callStart, func() *workerCall {
+		return &workerCall{
+			timeout: startTimeout,
+			// The next poll shows whether the run has ended; if not, the stop
+			// is repeated.
+			send: func(ctx context.Context) { _ = s.api.Stop(ctx, call) },
+			done: func() {},
+		}
+	})
+}
--- /dev/null
+++ b/fleet/pool.go
@@ -0,0 +1,208 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"apricotrouter/placement"
+	"apricotrouter/state"
+)
+
+// servingUsePercent is the assumed CPU use of a serving task, in percent of its
+// reservation.
+const servingUsePercent = 60
+
+// pool is the state of one pool during one placement pass.
+type pool struct {
+	sessions []*session
+	workers  []*placement.WorkerCapacity
+	// allWorkers includes the reserved workers, which are nil in workers.
+	allWorkers []*placement.WorkerCapacity
+	// smallestUnplaced has, by class, the smallest task that could not be
+	// placed in this pass. Larger tasks of the class can't be placed either.
+	smallestUnplaced map[placementClass]state.Resources
+	// reserved are the workers, by index, that overdue serving tasks have
+	// reserved in this pass.
+	reserved map[int]bool
+	// reservedInPass are all workers, by index, that were reserved in this
+	// pass.
+	reservedInPass map[int]bool
+	// shares are the batch reservations by priority.
+	shares map[int]*placement.BatchReservation
+	// idleCapacity is the number of serving tasks that may exceed their share
+	// in this pass, because batch tasks leave the CPU idle.
+	idleCapacity int
+	idleObserved bool
+	// aside are the waiting tasks whose capacity has been set aside in this pass.
+	aside map[*task]bool
+	// asideFromServing is capacity that only batch tasks may use in this pass.
+	asideFromServing []asideCapacity
+}
+
+func newPool(size int) *pool {
+	return &pool{
+		sessions: make([]*session, 0, size), workers: make([]*placement.WorkerCapacity, 0, size),
+		smallestUnplaced: make(map[placementClass]state.Resources), reserved: make(map[int]bool), reservedInPass: make(map[int]bool),
+		shares: make(map[int]*placement.BatchReservation), aside: make(map[*task]bool),
+	}
+}
+
+// placementClass is everything that decides whether a task fits, except its
+// size.
+type placementClass struct {
+	kind       taskKind
+	bestEffort bool
+	image      string // of a best-effort task; decides which serving tasks it interferes with
+	// priority and overShare of a serving task decide about its share.
+	priority                int
+	overShare, usesReserved bool
+}
+
+func classOf(s *state.WorkflowStep, j placement.WaitingJob) placementClass {
+	class := placementClass{kind: kindOf(s), bestEffort: s.BestEffort}
+	if s.BestEffort {
+		class.image = s.Image
+	}
+	if s.LongRunning {
+		class.priority, class.overShare = j.Priority, j.ExceedsShare
+	}
+	return class
+}
+
+// unplaceable reports whether a smaller task of the same class could not be
+// placed in this pass. With a long queue, a full pool then costs one search of
+// the workers for each class, not for each workflow.
+func (p *pool) unplaceable(s *state.WorkflowStep, class placementClass) bool {
+	smallest, ok := p.smallestUnplaced[class]
+	return ok && smallest.FitsIn(s.Size)
+}
+
+// reserve reserves a worker for a serving task that has waited too long. It
+// selects the worker with the most free CPU among those on which the task fits
+// once batch tasks end. Other overdue tasks may still use the worker if they
+// fit.
+func (p *pool) reserve(t placement.PoolTask) {
+	excluded := t.Excluded
+	t.Excluded = func(i int) bool { return p.reserved[i] || excluded != nil && excluded(i) }
+	if best := placement.ChooseReserved(p.workers, t); best >= 0 {
+		p.reserved[best] = true
+	}
+}
+
+// applyReservations removes the reserved workers from the rest of the pass.
+func (p *pool) applyReservations() {
+	for i := range p.reserved {
+		p.workers[i] = nil
+		p.reservedInPass[i] = true
+	}
+	clear(p.reserved)
+}
+
+// recordUnplaceable records that a task could not be placed. A task that is
+// restricted to some workers is skipped, because other tasks may fit elsewhere.
+func (p *pool) recordUnplaceable(t *task, class placementClass) {
+	s := t.step
+	if s.Label != "" || s.DataRack != "" || s.MaxPerWorker > 0 || len(t.avoid) > 0 || len(t.refusedUntil) > 0 {
+		return
+	}
+	if smallest, ok := p.smallestUnplaced[class]; !ok || s.Size.FitsIn(smallest) {
+		p.smallestUnplaced[class] = s.Size
+	}
+}
+
+// pools returns the usable workers by pool, ordered by id.
+func (c *Controller) pools(now time.Duration) map[string]*pool {
+	s := c.opts.Log.State()
+	all := make(map[string]*pool)
+	evacuated := make(map[string]bool)
+	var p *pool // of the previous worker
+	name := ""
+	for _, w := range c.sortedSessions() {
+		if !w.usable(c, now) {
+			continue
+		}
+		zoneEvacuated, known := evacuated[w.worker.Zone]
+		if !known {
+			zoneEvacuated = s.IsZoneEvacuated(w.worker.Zone)
+			evacuated[w.worker.Zone] = zoneEvacuated
+		}
+		if zoneEvacuated {
+			continue
+		}
+		if !w.resourcesValid {
+			c.updateResources(w)
+		}
+		if p == nil || name != w.worker.Pool {
+			name = w.worker.Pool
+			if p = all[name]; p == nil {
+				p = newPool(len(c.sorted))
+				all[name] = p
+			}
+		}
+		p.sessions = append(p.sessions, w)
+		p.workers = append(p.workers, &w.resources)
+		p.allWorkers = append(p.allWorkers, &w.resources)
+	}
+	return all
+}
+
+// sortedSessions returns all sessions ordered by worker id.
+func (c *Controller) sortedSessions() []*session {
+	if c.sorted == nil {
+		for _, s := range c.sessions {
+			c.sorted = append(c.sorted, s)
+		}
+		slices.SortFunc(c.sorted, func(a, b *session) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
+	}
+	return c.sorted
+}
+
+// updateResources computes the free capacity of the worker.
+func (c *Controller) updateResources(s *session) {
+	s.resourcesValid = true
+	r := &s.resources
+	*r = placement.WorkerCapacity{
+		Zone: s.worker.Zone, Labels: s.worker.Labels, Capacity: s.worker.Capacity, Free: s.free(),
+		IdleCPU: s.worker.Capacity.MilliCPU, ServingGroups: r.ServingGroups[:0],
+	}
+	clear(c.imageUse)
+	servingTasks := 0
+	for _, a := range s.attempts {
+		step := a.task.step
+		use := step.Size.MilliCPU
+		if step.LongRunning {
+			use = use * servingUsePercent / 100
+			if step.TailMillis > 0 {
+				servingTasks++
+			}
+		}
+		if step.BestEffort {
+			r.BestEffort++
+			c.imageUse[step.Image] += s.cpuShare(step.Size.MilliCPU)
+		}
+		r.IdleCPU -= use
+		if !step.LongRunning {
+			r.Batch = r.Batch.Add(step.Reservation())
+		}
+	}
+	if servingTasks == 0 {
+		return
+	}
+	for _, a := range s.attempts {
+		if a.task.step.LongRunning && a.task.step.TailMillis > 0 {
+			r.AddServingTask(a.task.step.Image, c.headroom(a, c.imageUse))
+		}
+	}
+}
+
+// headroom returns how much more load from co-located tasks a serving task
+// tolerates at its expected load.
+func (c *Controller) headroom(a *attempt, uses map[string]float64) float64 {
+	step := a.task.step
+	headroom := c.interference.Limit(step.Image, step.TailMillis) - c.expectedLoad(a, c.now(), placementHorizon)
+	for image, use := range uses {
+		headroom -= c.interference.Coefficient(step.Image, image) * use
+	}
+	return headroom
+}
