fleet: log starts that are answered after their run was resolved

The logs did not tell when the start was on its way: event 821 is written when the call is queued, and a response was dropped without a line once the run had been taken over by the next incarnation or ended.

Event 839 and apricotrouter_fleet_late_starts_total give the outcome of such a call (started, not sent, unknown or refused), how long it was in flight, and whether the run had ended.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -60,6 +60,8 @@
 		"worker announced its shutdown", "Its runs are considered lost once it no longer responds. Nothing to do.")
 	WorkerRemovalNotSaved = define(838, "worker-gone-not-saved", slog.LevelWarn,
 		"could not commit the removal of a worker", "No task is placed there. A later leader finds that the worker is unresponsive. If it repeats, check that the control group has a leader.")
+	TaskStartAnsweredLate = define(839, "task-start-answered-late", slog.LevelWarn,
+		"start was answered after its run had been resolved", "The call was still in flight when a later incarnation of the worker was registered, or when the run was ended (`ended`). `outcome` is what became of it: `started`, `not-sent`, `unknown` or the reason of a refusal. Report `started` with `ended`: the run is stopped, but its task may run twice.")
 	QueuesChanged = define(841, "queues-changed", slog.LevelInfo,
 		"configuration of queues changed", "A newer version is in effect. Nothing to do.")
 	ZoneEvacuation = define(842, "zone-evacuation", slog.LevelInfo,
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -157,6 +157,9 @@
 	now := c.now()
 	c.metrics.start.Observe((now - begin).Seconds())
 	if a.phase != attemptStarting {
+		if err != nil || a.phase != attemptRunning { // a report may list the run before the response arrives
+			c.logLateStart(a, now-begin, err)
+		}
 		return
 	}
 	if err == nil {
@@ -206,6 +209,30 @@
 	c.endAsLost(a, reason.String())
 }
 
+// logLateStart logs the outcome of a start whose run was resolved, or taken over
+// by a later incarnation of the worker, while the call was in flight.
+func (c *Controller) logLateStart(a *attempt, inFlight time.Duration, err error) {
+	outcome := startOutcome(err)
+	c.metrics.lateStarts.WithLabelValues(outcome).Inc()
+	event.Log(c.opts.Logger, event.TaskStartAnsweredLate, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
+		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.String("outcome", outcome),
+		slog.Bool("ended", a.phase == attemptEnded), slog.Int64("in_flight_ms", inFlight.Milliseconds()), slog.Any("error", err))
+}
+
+// startOutcome returns what became of a start, as in logs.
+func startOutcome(err error) string {
+	if err == nil {
+		return "started"
+	}
+	if neverSent, _ := unsent(err); neverSent {
+		return "not-sent"
+	}
+	if reason := refusal(err); reason != 0 {
+		return reason.String()
+	}
+	return "unknown"
+}
+
 // endAsLost ends a run that never started or is no longer on its worker.
 func (c *Controller) endAsLost(a *attempt, reason string) {
 	c.endAttempt(a, state.OutcomeLost, "", reason)
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -17,6 +17,7 @@
 	start      prometheus.Histogram
 	commit     prometheus.Histogram
 	refusals   *prometheus.CounterVec
+	lateStarts *prometheus.CounterVec
 	duration   *prometheus.HistogramVec
 	calls      *prometheus.CounterVec
 	late       *prometheus.CounterVec
@@ -55,6 +56,9 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "apricotrouter_fleet_start_refusals_total", Help: "Starts that workers refused, by reason.",
 		}, []string{"reason"}),
+		lateStarts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_late_starts_total", Help: "Starts answered after their run had been resolved or taken over by a later incarnation of the worker, by outcome.",
+		}, []string{"outcome"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "apricotrouter_fleet_workflow_objective_ratio", Help: "Time that workflows took, as a share of their objective, by phase.",
 			Buckets: []float64{0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5},
@@ -73,7 +77,7 @@
 		}, []string{"pool", "kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.start, m.commit, m.refusals, m.duration, m.calls, m.late, m.processors, m.waiting)
+		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting)
 	}
 	return m
 }
