fleet, platform: failing tests of starts that outlive an incarnation

The stand-in can delay starts while it does not respond, let their calls hang, and deliver them to another incarnation.

--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -136,12 +136,15 @@
 }
 
 // addWorker starts a worker and sends its first heartbeat.
-func (h *harness) addWorker(id string, o pool.Options) *pool.Worker {
+func (h *harness) addWorker(id string, o pool.Options, setUp ...func(*pool.Worker)) *pool.Worker {
 	o.ID, o.MaxLease = id, holdMax
 	if o.StartedAt == 0 {
 		o.StartedAt = time.Now().UnixMilli()
 	}
 	w := pool.New(o)
+	for _, f := range setUp {
+		f(w)
+	}
 	h.mu.Lock()
 	h.workers[address(id, o.StartedAt)] = w
 	h.mu.Unlock()
--- /dev/null
+++ b/fleet/incarnation_test.go
@@ -0,0 +1,129 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/fleet"
+	"apricotrouter/replica"
+	"apricotrouter/standin/pool"
+)
+
+// restartedWorker is a worker whose incarnations share an id.
+type restartedWorker struct {
+	*harness
+	incarnations []*pool.Worker
+}
+
+// startInDoubt submits a task whose start is delayed on the first incarnation of
+// a worker, which then stops responding. If the call hangs, it is in flight until
+// it times out.
+func startInDoubt(h *harness, hang bool) *restartedWorker {
+	r := &restartedWorker{harness: h}
+	first := r.restart()
+	if hang {
+		first.HangStarts(1)
+	} else {
+		first.DelayStarts(1)
+	}
+	first.SetUnreachable(true)
+	h.Expect(h.submit(step(1, untilStopped))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(first.DelayedStarts, waitTimeout, "1ms").Should(Equal(1))
+	return r
+}
+
+// restart starts the next incarnation.
+func (r *restartedWorker) restart(setUp ...func(*pool.Worker)) *pool.Worker {
+	time.Sleep(2 * time.Millisecond) // start times of incarnations differ
+	w := r.addWorker("a", pool.Options{RunTime: runForever}, setUp...)
+	r.incarnations = append(r.incarnations, w)
+	return w
+}
+
+func unreachable(w *pool.Worker) { w.SetUnreachable(true) }
+
+// Guards against a start that the next incarnation of its worker carries out
+// after it was found not to run there.
+func TestStartDelayedBeyondAPollOfTheNextIncarnationDoesNotRun(t *testing.T) {
+	sameLeader := func(*harness) {}
+	nextLeader := func(h *harness) {
+		h.log.SetLeadership(replica.Leadership{Leader: "other", Term: 1})
+		time.Sleep(20 * time.Millisecond)
+		h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: 2, Self: true, Epoch: 2})
+	}
+	for name, tc := range map[string]struct {
+		hang    bool
+		between func(h *harness)
+	}{
+		"in flight, same leader":  {true, sameLeader},
+		"in flight, next leader":  {true, nextLeader},
+		"unanswered, same leader": {false, sameLeader},
+		"unanswered, next leader": {false, nextLeader},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			r := startInDoubt(h, tc.hang)
+			tc.between(h)
+			b := h.addWorker("b", pool.Options{RunTime: runForever})
+			second := r.restart()
+			h.Eventually(func() int { return running(second) + running(b) }, waitTimeout, "1ms").Should(Equal(1))
+			r.incarnations[0].DeliverDelayedStartsTo(second)
+			h.Consistently(func() int { return running(second) + running(b) }, "300ms", "1ms").Should(Equal(1))
+			h.expectNoDuplicateRuns(append(r.incarnations, b)...)
+		})
+	}
+}
+
+// Guards against a second run of a task whose start reaches an incarnation that
+// has not been polled yet, however many incarnations there were since it was
+// sent.
+func TestStartReachesAnIncarnationBeforeItsFirstPoll(t *testing.T) {
+	for name, tc := range map[string]struct {
+		hang     bool
+		restarts int
+		lifetime time.Duration
+	}{
+		"in flight, the next":                {true, 1, 100 * time.Millisecond},
+		"unanswered, the next":               {false, 1, 100 * time.Millisecond},
+		"in flight, third within a second":   {true, 2, 200 * time.Millisecond},
+		"unanswered, third within a second":  {false, 2, 200 * time.Millisecond},
+		"unanswered, one after some seconds": {false, 5, 800 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			r := startInDoubt(h, tc.hang)
+			b := h.addWorker("b", pool.Options{RunTime: runForever})
+			var last *pool.Worker
+			for range tc.restarts {
+				time.Sleep(tc.lifetime)
+				last = r.restart(unreachable)
+			}
+			r.incarnations[0].DeliverDelayedStartsTo(last)
+			h.Expect(running(last)).To(Equal(1))
+			last.SetUnreachable(false)
+			h.Consistently(func() int { return running(last) + running(b) }, "500ms", "1ms").Should(BeNumerically("<=", 1))
+			h.Eventually(func() int { return running(last) + running(b) }, waitTimeout, "1ms").Should(Equal(1))
+			h.expectNoDuplicateRuns(append(r.incarnations, b)...)
+		})
+	}
+}
+
+// Guards against a task that waits for anything but the first response of the
+// next incarnation once its start can't be carried out any more.
+func TestTaskStartsAgainOnceItsStartIsKnownToBeVoid(t *testing.T) {
+	const retryInterval = 200 * time.Millisecond // the shortest of polls and stops
+	for name, hang := range map[string]bool{"in flight": true, "unanswered": false} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			r := startInDoubt(h, hang)
+			b := h.addWorker("b", pool.Options{RunTime: runForever})
+			began := time.Now()
+			second := r.restart()
+			h.Eventually(func() int { return running(second) + running(b) }, waitTimeout, "1ms").Should(Equal(1))
+			h.Expect(time.Since(began)).To(BeNumerically("<", retryInterval))
+		})
+	}
+}
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -89,9 +89,10 @@
 	crashed              bool
 	unreachable          bool // calls fail without effect
 	startsToLoseResponse int  // number of next starts that run, but whose response is lost
-	delayedStarts        []func()
-	startsToDelay        int // number of next starts to delay until DeliverDelayedStarts
-	stopCalls            int // number of calls of Stop
+	delayedStarts        []fleet.StartCall
+	startsToDelay        int  // number of next starts to delay until they are delivered
+	delayedStartsHang    bool // the calls of delayed starts end with their context
+	stopCalls            int  // number of calls of Stop
 }
 
 // New returns a worker without runs.
@@ -156,21 +157,42 @@
 	w.startsToLoseResponse = n
 }
 
-// DelayStarts delays the next n starts until DeliverDelayedStarts and loses their responses.
+// DelayStarts delays the next n starts until they are delivered and loses their
+// responses, also while the worker is unreachable.
 func (w *Worker) DelayStarts(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.startsToDelay = n
 }
 
+// HangStarts is like DelayStarts, but the calls end only with their contexts.
+func (w *Worker) HangStarts(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.startsToDelay, w.delayedStartsHang = n, true
+}
+
+// DelayedStarts returns the number of starts that wait for their delivery.
+func (w *Worker) DelayedStarts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.delayedStarts)
+}
+
 // DeliverDelayedStarts carries out the delayed starts.
-func (w *Worker) DeliverDelayedStarts() {
+func (w *Worker) DeliverDelayedStarts() { w.DeliverDelayedStartsTo(w) }
+
+// DeliverDelayedStartsTo carries out the delayed starts on another incarnation
+// of the worker, also if that is unreachable otherwise.
+func (w *Worker) DeliverDelayedStartsTo(next *Worker) {
 	w.mu.Lock()
 	delayed := w.delayedStarts
 	w.delayedStarts = nil
 	w.mu.Unlock()
-	for _, f := range delayed {
-		f()
+	next.mu.Lock()
+	defer next.mu.Unlock()
+	for _, c := range delayed {
+		_ = next.start(c)
 	}
 }
 
@@ -209,7 +231,7 @@
 
 // Start implements fleet.Worker.
 func (w *Worker) Start(ctx context.Context, c fleet.StartCall) error {
-	err := w.answerStart(c)
+	err := w.answerStart(ctx, c)
 	if err == nil && w.opts.CrashesAfter != nil && w.opts.CrashesAfter(c.Position, c.Run.Number) < 0 {
 		w.Crash()
 		return ErrNoResponse
@@ -217,19 +239,20 @@
 	return err
 }
 
-func (w *Worker) answerStart(c fleet.StartCall) error {
+func (w *Worker) answerStart(ctx context.Context, c fleet.StartCall) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.unreachable:
-		return ErrNoResponse
 	case w.startsToDelay > 0:
 		w.startsToDelay--
-		w.delayedStarts = append(w.delayedStarts, func() {
+		w.delayedStarts = append(w.delayedStarts, c)
+		if w.delayedStartsHang {
+			w.mu.Unlock()
+			<-ctx.Done()
 			w.mu.Lock()
-			defer w.mu.Unlock()
-			_ = w.start(c)
-		})
+		}
+		return ErrNoResponse
+	case w.unreachable:
 		return ErrNoResponse
 	case w.startsToLoseResponse > 0:
 		w.startsToLoseResponse--
