platform: a closed client of a worker sends nothing more

Cause: a start that was placed while the worker was down waited for a connection. The heartbeat of the next incarnation closed the client, but Close ended neither its calls nor their wait. When the client of the next incarnation returned its first connection to the shared transport, the transport handed it to the call that had waited longest, which was then written to the next incarnation. The check in bindToWorker did not see it: it looks at the client that dialed.

--- a/fleet/worker.go
+++ b/fleet/worker.go
@@ -173,6 +173,7 @@
 	Stop(ctx context.Context, c StopCall) error
 	SetRate(ctx context.Context, c SetRateCall) error
 	Poll(ctx context.Context, c PollCall) (*Report, error)
-	// Close closes open connections.
+	// Close ends the calls in flight and closes open connections. No call is
+	// sent after it.
 	Close()
 }
