fleet: a fence for each incarnation of a worker

Behind the calls that a closed client sent stands a proof that was none: a run was given up when one poll of the next incarnation did not list it. The list says what runs, not what will run: the same fence was in the start and in the poll, so a start that was still on its way was carried out afterwards. Where the start was known to be unanswered, a stop had to be acknowledged first, which cost the retry interval of 250 ms.

Each registration of an incarnation now takes the next fence of the term, and all calls of its session carry it. An incarnation that has answered a poll refuses every call that was sent to an earlier one: starts, stops, rates, leases and acknowledgements. So the first response settles a run, whether it lists it or not, and no stop is needed. The proof holds for this incarnation only: a stop that an earlier one acknowledged while the run was being taken over no longer counts, and the next incarnation starts with a fence of its own. A later leader has a higher fence anyway.

The low 16 bits of a fence number both activations and incarnations, so builds with and without this change order their fences alike. A leader that runs out of them in its term (57,343) ends its loop; the next term has new ones. Before, the number wrapped.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -45,6 +45,7 @@
 	stopPending    bool // stop call is in flight
 	nextStop       time.Duration
 	startedAt      time.Duration
+	fence          uint64        // of the start; 0 if an earlier leader sent it
 	seenAt         time.Duration // last report that lists the run
 	// beside and younger are the numbers of other runs on the worker, and of
 	// those that started later, when the worker was lost.
@@ -134,14 +135,14 @@
 		c.endAsLost(a, "the capacity of its worker shrank before it was sent")
 		return nil
 	}
-	a.phase, a.startedAt = attemptStarting, c.now()
+	a.phase, a.startedAt, a.fence = attemptStarting, c.now(), s.fence
 	c.pollDue[s] = true
 	call := StartCall{
-		Run: a.run, Position: a.position(), Payload: a.task.workflow.spec.Payload, Fence: c.fence,
+		Run: a.run, Position: a.position(), Payload: a.task.workflow.spec.Payload, Fence: a.fence,
 		Lease: s.extendLease(c), Checkpoint: a.task.checkpoint, Ticket: a.ticket,
 	}
 	event.Log(c.opts.Logger, event.TaskPlaced, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
-		slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID), slog.Uint64("fence", c.fence),
+		slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID), slog.Uint64("fence", a.fence),
 		slog.String("queue", a.task.workflow.queue), slog.String("image", a.task.step.Image), slog.Int64("late_in_ms", a.task.workflow.deadline-c.opts.Clock.Now().UnixMilli()),
 		slog.Int64("waited_ms", (a.startedAt-a.task.waitingSince).Milliseconds()))
 	var err error
@@ -312,30 +313,33 @@
 		return
 	}
 	a.stopPending = true
-	call := StopCall{Run: a.run, Position: a.position(), Fence: c.fence}
 	s := a.session
+	call := StopCall{Run: a.run, Position: a.position(), Fence: s.fence}
 	c.call(callStart, func() *workerCall {
 		var err error
 		return &workerCall{
 			timeout: startTimeout,
 			send:    func(ctx context.Context) { err = s.api.Stop(ctx, call) },
-			done:    func() { c.handleStopResponse(a, err) },
+			done:    func() { c.handleStopResponse(a, s, err) },
 		}
 	})
 }
 
-func (c *Controller) handleStopResponse(a *attempt, err error) {
+func (c *Controller) handleStopResponse(a *attempt, s *session, err error) {
 	a.stopPending = false
+	if a.session != s {
+		return // the next incarnation does not know of the stop
+	}
 	now := c.now()
 	if err != nil {
 		a.nextStop = now + stopRetry
 		if refusal(err) == RefusedOtherIncarnation {
-			c.crashed(a.session, "another life has its address")
+			c.crashed(s, "another life has its address")
 		}
 		return
 	}
-	a.session.markResponsive(c)
-	c.pollDue[a.session] = true
+	s.markResponsive(c)
+	c.pollDue[s] = true
 	a.stopAcked, a.startDecidedAt = true, now
 	if a.phase != attemptEnded {
 		a.phase = attemptStopping
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -78,7 +78,8 @@
 	// generation changes on each activation and deactivation. Responses to
 	// calls of an earlier generation are discarded.
 	generation     uint64
-	fence          uint64
+	fence          uint64 // of this activation
+	fenceSequence  uint64 // low bits of the highest fence of the term
 	active         bool
 	activatedAt    time.Duration // time of the last activation
 	nextSync       time.Duration
@@ -158,6 +159,9 @@
 	case <-changed:
 	}
 	c.advance()
+	if c.fenceSequence > maxFenceSequence {
+		return errFencesExhausted
+	}
 	return nil
 }
 
@@ -255,16 +259,35 @@
 	}
 }
 
-// fenceShift is the number of low bits of a fence that number the activations
-// within one term. A worker that a later activation has polled refuses calls of
-// an earlier one.
-const fenceShift = 16
+const (
+	// fenceShift is the number of low bits of a fence that number the
+	// activations and the incarnations of workers within one term. A worker that
+	// a later activation has polled refuses calls of an earlier one, and an
+	// incarnation that has been polled refuses calls that were sent to an
+	// earlier one.
+	fenceShift = 16
+	// maxFenceSequence leaves enough fences for one step of the loop.
+	maxFenceSequence = 1<<fenceShift - 1 - 2*inboxSize
+)
+
+// errFencesExhausted ends a controller that has no fence left in its term. A
+// leader in another term continues.
+var errFencesExhausted = errors.New("fences of the term are exhausted")
+
+// nextFence returns a fence that is higher than all others of the term.
+func (c *Controller) nextFence() uint64 {
+	c.fenceSequence++
+	return c.term<<fenceShift | c.fenceSequence
+}
 
 // activate loads the workflows and workers from the replicated state.
 func (c *Controller) activate(l replica.Leadership) {
 	c.generation++
+	if l.Term != c.term {
+		c.fenceSequence = 0
+	}
 	c.active, c.term = true, l.Term
-	c.fence = l.Term<<fenceShift | c.generation&(1<<fenceShift-1)
+	c.fence = c.nextFence()
 	c.activatedAt = c.now()
 	c.workflows = make(map[string]*workflow)
 	c.sessions, c.sorted, c.losses = make(map[string]*session), nil, nil
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -69,6 +69,7 @@
 	}
 	placeholder := c.sessions[b.Worker.ID]
 	s := c.openSession(*w, placeholder == nil && !replaced)
+	s.fence = c.nextFence() // earlier incarnations may have got calls with all lower ones
 	if placeholder != nil {
 		for _, a := range placeholder.attempts {
 			s.add(a)
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -47,7 +47,7 @@
 		return nil
 	}
 	begin := c.now()
-	call := PollCall{Fence: c.fence, Acknowledged: s.ackedEnd, WaitMillis: c.pollWait(s).Milliseconds()}
+	call := PollCall{Fence: s.fence, Acknowledged: s.ackedEnd, WaitMillis: c.pollWait(s).Milliseconds()}
 	// The lease of an unresponsive worker must expire so that its runs can be
 	// given up. A poll whose response is lost must not extend it.
 	if s.polled && !s.unresponsive {
@@ -168,7 +168,9 @@
 		return
 	}
 	for k, a := range s.attempts {
-		startDecided := a.phase == attemptRunning || a.phase == attemptUnknown && !a.stopping || a.stopAcked
+		// A worker that has seen the fence of this session refuses starts with
+		// a lower one.
+		startDecided := a.phase == attemptRunning || a.phase == attemptUnknown && a.fence < s.fence || a.stopAcked
 		if !seen[k] && startDecided && a.startDecidedAt < begin {
 			// The run was on an earlier incarnation, which has crashed.
 			a.crashed = a.crashed || a.incarnation != 0 && s.worker.StartedAt > a.incarnation
@@ -249,7 +251,7 @@
 	event.Log(c.opts.Logger, event.TaskStopping, slog.String("workflow", r.Position.Workflow),
 		slog.Int("step", r.Position.Step), slog.Int("index", r.Position.Index), slog.Uint64("run", r.Number),
 		slog.String("worker", s.worker.ID), slog.String("reason", "no record of this run"))
-	call := StopCall{Run: Run{Workflow: r.Position.Workflow, Number: r.Number}, Position: r.Position, Fence: c.fence}
+	call := StopCall{Run: Run{Workflow: r.Position.Workflow, Number: r.Number}, Position: r.Position, Fence: s.fence}
 	c.call(callStart, func() *workerCall {
 		return &workerCall{
 			timeout: startTimeout,
--- a/fleet/rate.go
+++ b/fleet/rate.go
@@ -281,8 +281,8 @@
 	event.Log(c.opts.Logger, event.TaskRateChanged, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
 		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.Int("percent", rate),
 		slog.Int("before", old), slog.String("image", a.task.step.Image))
-	call := SetRateCall{Run: a.run, Position: a.position(), Fence: c.fence, Percent: rate}
 	s := a.session
+	call := SetRateCall{Run: a.run, Position: a.position(), Fence: s.fence, Percent: rate}
 	c.call(callSetRate, func() *workerCall {
 		if a.phase == attemptEnded {
 			return nil
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -38,7 +38,8 @@
 	resourcesValid bool                     // resources is up to date
 	unknownRuns    map[runKey]time.Duration // runs without a record, with the time of the last stop sent
 
-	polled       bool // polled in this term, so that all its runs are known
+	fence        uint64 // of all calls; higher than that of any call to an earlier incarnation
+	polled       bool   // polled in this term, so that all its runs are known
 	closed       bool
 	polling      bool
 	endsPending  bool // ended runs are being committed
@@ -82,6 +83,7 @@
 // knew the worker, so that nothing runs on it.
 func (c *Controller) openSession(w state.PoolWorker, fresh bool) *session {
 	s := newSession(w, c.opts.Dial(w))
+	s.fence = c.fence
 	now := c.now()
 	s.polled, s.lastHeartbeat, s.openedAt = fresh, now, now
 	s.leaseEnd = now + c.leaseBound()
