fleet: unanswered starts stay undecided over any number of restarts

Age decides nothing for a start without a response: a call may be carried out seconds later. Such a run is now taken over by each incarnation that registers, until one answers a poll, whose fence settles it. A run that a report has listed belongs to the incarnation that listed it and is lost with it at once, also within the 3 s; the wall clock only decides about starts that were answered and not listed yet.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -60,6 +60,7 @@
 	separatedFrom  *workerLoss
 	adopted        bool // started by an earlier leader
 	mayHaveStarted bool // the run may have started
+	startAnswered  bool // the worker has answered that it started the run
 	ticket         string
 	runStats       runStats
 }
@@ -166,7 +167,7 @@
 	if err == nil {
 		c.startRoundTrip.observe(now - begin)
 		s.markResponsive(c)
-		a.startDecidedAt, a.mayHaveStarted, a.task.workflow.begun = now, true, true
+		a.startDecidedAt, a.mayHaveStarted, a.startAnswered, a.task.workflow.begun = now, true, true, true
 		a.phase = attemptRunning
 		if a.stopping {
 			a.phase = attemptStopping
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -47,7 +47,7 @@
 // workerRegistered opens a session with a new incarnation of a worker, unless a
 // later one has been registered since.
 func (c *Controller) workerRegistered(b *Heartbeat) {
-	var recent []*attempt
+	var undecided []*attempt
 	replaced := false
 	for _, old := range c.sessions {
 		same := old.worker.ID == b.Worker.ID || old.worker.Address == b.Worker.Address
@@ -59,7 +59,7 @@
 		}
 		replaced = true
 		if old.worker.ID == b.Worker.ID {
-			recent = append(recent, c.takeRecentAttempts(old, b.Worker.StartedAt)...)
+			undecided = append(undecided, c.takeUndecidedAttempts(old, b.Worker.StartedAt)...)
 		}
 		c.crashed(old, "a later life has reported")
 	}
@@ -75,7 +75,7 @@
 			s.add(a)
 		}
 	}
-	for _, a := range recent {
+	for _, a := range undecided {
 		s.add(a)
 		a.phase, a.stopAcked, a.startDecidedAt = attemptUnknown, false, c.now()
 	}
@@ -88,25 +88,36 @@
 }
 
 // wallClockSlack covers differences between the wall clocks of machines. A
-// start that was sent up to this long before a later incarnation began may
-// still have reached it.
+// start that was sent up to this long before a later incarnation began may have
+// been answered by it.
 const wallClockSlack = 3 * time.Second
 
-// takeRecentAttempts removes and returns the attempts of an earlier incarnation
-// whose start may have reached the later one, which has the same address and
-// id. A poll of the later incarnation shows which of them run.
-func (c *Controller) takeRecentAttempts(old *session, workerStartedAt int64) []*attempt {
+// takeUndecidedAttempts removes and returns the attempts of an earlier
+// incarnation that may run on the later one, which has the same id. A poll of
+// the later incarnation decides about them.
+func (c *Controller) takeUndecidedAttempts(old *session, workerStartedAt int64) []*attempt {
 	age := time.Duration(c.opts.Clock.Now().UnixMilli()-workerStartedAt)*time.Millisecond + wallClockSlack
-	var recent []*attempt
+	var undecided []*attempt
 	for _, a := range old.attempts {
-		if a.phase != attemptRecording && c.now()-a.startedAt <= age {
-			recent = append(recent, a)
+		if a.mayRunLater(c.now() - age) {
+			undecided = append(undecided, a)
 		}
 	}
-	for _, a := range recent {
+	for _, a := range undecided {
 		old.remove(a)
 	}
-	return recent
+	return undecided
+}
+
+// mayRunLater reports whether an incarnation that registers now may run the
+// attempt. A start without a response may be carried out by any later
+// incarnation, whatever an earlier one has acknowledged. answeredSince is when
+// the incarnation may have begun to answer.
+func (a *attempt) mayRunLater(answeredSince time.Duration) bool {
+	if a.phase == attemptRecording || a.seenAt > 0 {
+		return false
+	}
+	return !a.startAnswered || a.startedAt >= answeredSince
 }
 
 // updateWorker handles the heartbeat of an incarnation that has a session.
