fleet: poll a worker that returns after its removal before it gets tasks

A worker that was silent until its lease had expired is removed. When it registers again, the leader took it for a new one on which nothing runs, and did not poll it until it had a task for it. A start that was given up with the lease could run there unseen next to its successor, on capacity that counted as free.

The poll carries the fence of the new incarnation, so a start that arrives later is refused, and one that has arrived is listed and stopped.

TestStartDelayedBeyondTheRemovalOfItsWorkerDoesNotRun fails without the change: the worker has not been polled after 300 ms.

--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -68,7 +68,7 @@
 		return
 	}
 	placeholder := c.sessions[b.Worker.ID]
-	s := c.openSession(*w, placeholder == nil && !replaced)
+	s := c.openSession(*w, placeholder == nil && !replaced && !c.wasLost(w.ID))
 	s.fence = c.nextFence() // earlier incarnations may have got calls with all lower ones
 	if placeholder != nil {
 		for _, a := range placeholder.attempts {
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -111,6 +111,25 @@
 	}
 }
 
+// Guards against a start that was given up with the lease of its worker and is
+// carried out by the next incarnation, which registers after the worker was
+// removed and gets no task.
+func TestStartDelayedBeyondTheRemovalOfItsWorkerDoesNotRun(t *testing.T) {
+	h := newHarness(t, func(o *fleet.Options) { o.Limits.Heartbeat = 10 * time.Millisecond })
+	r := startInDoubt(h, false)
+	removed := func() bool {
+		_, known := h.log.State().PoolWorkers.Get("a")
+		return !known
+	}
+	h.Eventually(removed, waitTimeout, "5ms").Should(BeTrue())
+	b := h.addWorker("b", pool.Options{RunTime: runForever})
+	h.Eventually(func() int { return running(b) }, waitTimeout, "1ms").Should(Equal(1))
+	second := r.restart()
+	h.Eventually(second.Fence, "300ms", "1ms").ShouldNot(BeZero(), "the worker is polled")
+	r.incarnations[0].DeliverDelayedStartsTo(second)
+	h.Consistently(func() int { return running(second) }, "200ms", "1ms").Should(BeZero())
+}
+
 // Guards against a task that waits for anything but the first response of the
 // next incarnation once its start can't be carried out any more.
 func TestTaskStartsAgainOnceItsStartIsKnownToBeVoid(t *testing.T) {
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// openSession opens the session of a worker. Fresh means that no earlier leader
-// knew the worker, so that nothing runs on it.
+// openSession opens the session of a worker. Fresh means that no start was sent
+// to an earlier incarnation of it, so that nothing runs on it.
 func (c *Controller) openSession(w state.PoolWorker, fresh bool) *session {
 	s := newSession(w, c.opts.Dial(w))
 	s.fence = c.fence
--- a/fleet/worker_loss.go
+++ b/fleet/worker_loss.go
@@ -64,6 +64,12 @@
 	s.loss = nil
 }
 
+// wasLost reports whether an incarnation of the worker was lost within
+// lossRetention.
+func (c *Controller) wasLost(id string) bool {
+	return slices.ContainsFunc(c.losses, func(l *workerLoss) bool { return l.session.worker.ID == id })
+}
+
 // startedRuns returns the number of runs on the worker that may have started.
 func (s *session) startedRuns() int {
 	n := 0
