fleet: a start that was not sent or was refused is no crash of its worker

The response to such a start was dropped, because the run had been taken over by the next incarnation, and the poll that did not list the run ended it as lost in a crash. Now the poll leaves a run alone whose start is in flight, which Close ends at once. A call that was not sent, or was refused, ends its run without a crash; one that was answered with success is known to have run; any other waits for the poll as before and counts, since a task may crash its worker before it answers.

TestStartThatWasNotSentIsNoCrash fails without the change (CrashedRuns is [1]).

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -61,6 +61,7 @@
 	adopted        bool // started by an earlier leader
 	mayHaveStarted bool // the run may have started
 	startAnswered  bool // the worker has answered that it started the run
+	startInFlight  bool // the start call has not ended yet
 	ticket         string
 	runStats       runStats
 }
@@ -136,7 +137,7 @@
 		c.endAsLost(a, "the capacity of its worker shrank before it was sent")
 		return nil
 	}
-	a.phase, a.startedAt, a.fence = attemptStarting, c.now(), s.fence
+	a.phase, a.startedAt, a.fence, a.startInFlight = attemptStarting, c.now(), s.fence, true
 	c.pollDue[s] = true
 	call := StartCall{
 		Run: a.run, Position: a.position(), Payload: a.task.workflow.spec.Payload, Fence: a.fence,
@@ -155,13 +156,12 @@
 }
 
 func (c *Controller) handleStartResponse(a *attempt, begin time.Duration, err error) {
+	a.startInFlight = false
 	s := a.session
 	now := c.now()
 	c.metrics.start.Observe((now - begin).Seconds())
 	if a.phase != attemptStarting {
-		if err != nil || a.phase != attemptRunning { // a report may list the run before the response arrives
-			c.logLateStart(a, now-begin, err)
-		}
+		c.handleLateStartResponse(a, now-begin, err)
 		return
 	}
 	if err == nil {
@@ -211,8 +211,29 @@
 	c.endAsLost(a, reason.String())
 }
 
-// logLateStart logs the outcome of a start whose run was resolved, or taken over
-// by a later incarnation of the worker, while the call was in flight.
+// handleLateStartResponse handles the response to a start whose run was resolved,
+// or taken over by a later incarnation of the worker, while the call was in
+// flight. A call that was not sent or was refused ends the run without a crash.
+func (c *Controller) handleLateStartResponse(a *attempt, inFlight time.Duration, err error) {
+	if err == nil && a.phase == attemptRunning {
+		return // a report has listed the run before the response arrived
+	}
+	c.logLateStart(a, inFlight, err)
+	if a.phase != attemptUnknown {
+		return
+	}
+	c.pollDue[a.session] = true
+	neverSent, _ := unsent(err)
+	switch {
+	case err == nil:
+		a.mayHaveStarted, a.startAnswered, a.task.workflow.begun = true, true, true
+	case neverSent:
+		c.endAsLost(a, "its start was not sent")
+	case refusal(err) != 0:
+		c.endAsLost(a, refusal(err).String())
+	}
+}
+
 func (c *Controller) logLateStart(a *attempt, inFlight time.Duration, err error) {
 	outcome := startOutcome(err)
 	c.metrics.lateStarts.WithLabelValues(outcome).Inc()
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -55,6 +55,7 @@
 	client       *fleet.Client
 	mu           sync.Mutex
 	workers      map[string]*pool.Worker // by address
+	blocked      map[string]bool         // addresses at which starts get no connection
 	lastSequence uint64
 	commitGate   commitGate
 }
@@ -62,7 +63,7 @@
 func newHarness(t *testing.T, mod ...func(*fleet.Options)) *harness {
 	h := &harness{
 		WithT: NewWithT(t), t: t, log: replica.NewFakeLog(clockwork.NewRealClock()),
-		workers: make(map[string]*pool.Worker),
+		workers: make(map[string]*pool.Worker), blocked: make(map[string]bool),
 	}
 	g := group{h.log, &h.commitGate}
 	opts := fleet.Options{Log: g, Dial: h.dial, Limits: fleet.Limits{
@@ -90,12 +91,17 @@
 	return h
 }
 
-func (h *harness) dial(w state.PoolWorker) fleet.Worker { return dialed{h, w.Address} }
+func (h *harness) dial(w state.PoolWorker) fleet.Worker {
+	ctx, cancel := context.WithCancel(context.Background())
+	return dialed{h, w.Address, ctx, cancel}
+}
 
 // dialed calls the worker that has the address at the time of the call.
 type dialed struct {
 	h       *harness
 	address string
+	ctx     context.Context // until the client is closed
+	close   context.CancelFunc
 }
 
 func (d dialed) worker() *pool.Worker {
@@ -104,7 +110,16 @@
 	return d.h.workers[d.address]
 }
 
-func (d dialed) Start(ctx context.Context, c fleet.StartCall) error { return d.worker().Start(ctx, c) }
+func (d dialed) Start(ctx context.Context, c fleet.StartCall) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.ctx, cancel)()
+	if d.h.blocksConnections(d.address) {
+		<-ctx.Done()
+		return &fleet.NotSentError{Err: ctx.Err()}
+	}
+	return d.worker().Start(ctx, c)
+}
 
 func (d dialed) Stop(ctx context.Context, c fleet.StopCall) error { return d.worker().Stop(ctx, c) }
 
@@ -116,7 +131,20 @@
 	return d.worker().Poll(ctx, c)
 }
 
-func (dialed) Close() {}
+func (d dialed) Close() { d.close() }
+
+// blockConnections makes starts at an address wait for a connection.
+func (h *harness) blockConnections(address string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.blocked[address] = true
+}
+
+func (h *harness) blocksConnections(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.blocked[address]
+}
 
 func (h *harness) call(req *fleet.Request) *fleet.Response {
 	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
@@ -204,6 +232,13 @@
 	h.Eventually(h.phase, waitTimeout, 5*time.Millisecond).Should(Equal(want))
 }
 
+// taskOf returns the first task of a workflow.
+func (h *harness) taskOf(id string) state.WorkflowTask {
+	w, ok := h.log.State().Workflows.Get(id)
+	h.Expect(ok).To(BeTrue())
+	return w.Tasks[0]
+}
+
 // running returns the number of current runs on a worker.
 func running(w *pool.Worker) int {
 	n := 0
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -9,12 +10,15 @@
 	"apricotrouter/fleet"
 	"apricotrouter/replica"
 	"apricotrouter/standin/pool"
+	"apricotrouter/state"
 )
 
 // restartedWorker is a worker whose incarnations share an id.
 type restartedWorker struct {
 	*harness
+	id           string // default "a"
 	incarnations []*pool.Worker
+	addresses    []string // of the incarnations
 }
 
 // startInDoubt submits a task whose start is delayed on the first incarnation of
@@ -37,8 +41,9 @@
 // restart starts the next incarnation.
 func (r *restartedWorker) restart(setUp ...func(*pool.Worker)) *pool.Worker {
 	time.Sleep(2 * time.Millisecond) // start times of incarnations differ
-	w := r.addWorker("a", pool.Options{RunTime: runForever}, setUp...)
-	r.incarnations = append(r.incarnations, w)
+	startedAt, id := time.Now().UnixMilli(), cmp.Or(r.id, "a")
+	w := r.addWorker(id, pool.Options{RunTime: runForever, StartedAt: startedAt}, setUp...)
+	r.incarnations, r.addresses = append(r.incarnations, w), append(r.addresses, address(id, startedAt))
 	return w
 }
 
@@ -146,3 +151,18 @@
 		})
 	}
 }
+
+// Guards against a crash that counts against a task whose start was never sent
+// to the worker.
+func TestStartThatWasNotSentIsNoCrash(t *testing.T) {
+	h := newHarness(t)
+	r := &restartedWorker{harness: h}
+	r.restart()
+	h.blockConnections(r.addresses[0])
+	h.Expect(h.submit(step(1, untilStopped))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() state.WorkflowTaskPhase { return h.taskOf(jobID).Phase }, waitTimeout, "1ms").Should(Equal(state.TaskStarted))
+	time.Sleep(20 * time.Millisecond) // until the call waits for a connection
+	second := r.restart()
+	h.Eventually(func() int { return running(second) }, waitTimeout, "1ms").Should(Equal(1))
+	h.Expect(h.taskOf(jobID).CrashedRuns).To(BeEmpty())
+}
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -171,7 +171,7 @@
 		// A worker that has seen the fence of this session refuses starts with
 		// a lower one.
 		startDecided := a.phase == attemptRunning || a.phase == attemptUnknown && a.fence < s.fence || a.stopAcked
-		if !seen[k] && startDecided && a.startDecidedAt < begin {
+		if !seen[k] && startDecided && !a.startInFlight && a.startDecidedAt < begin {
 			// The run was on an earlier incarnation, which has crashed.
 			a.crashed = a.crashed || a.incarnation != 0 && s.worker.StartedAt > a.incarnation
 			c.endAsLost(a, "not on the worker")
