fleet: unanswered starts keep the loss of their worker

The loss is recorded before runs are taken over, and a run keeps it until a report lists the run on a later incarnation. Losses of one worker's incarnations don't count as losses of several workers.

TestUnansweredStartsInALossOfManyWorkersAreExplained fails without the change (UnexplainedCrashes is 1).

--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -59,6 +59,9 @@
 		}
 		replaced = true
 		if old.worker.ID == b.Worker.ID {
+			if old.loss == nil {
+				c.recordLoss(old, c.now(), nil) // before attempts are taken from it
+			}
 			undecided = append(undecided, c.takeUndecidedAttempts(old, b.Worker.StartedAt)...)
 		}
 		c.crashed(old, "a later life has reported")
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -166,3 +168,35 @@
 	h.Eventually(func() int { return running(second) }, waitTimeout, "1ms").Should(Equal(1))
 	h.Expect(h.taskOf(jobID).CrashedRuns).To(BeEmpty())
 }
+
+// Guards against a loss of many workers that counts as unexplained crashes
+// against the tasks whose starts were unanswered.
+func TestUnansweredStartsInALossOfManyWorkersAreExplained(t *testing.T) {
+	h := newHarness(t)
+	var workers []*restartedWorker
+	for i := range 4 {
+		r := &restartedWorker{harness: h, id: fmt.Sprintf("worker-%d", i)}
+		first := r.restart()
+		first.HangStarts(1)
+		workers = append(workers, r)
+	}
+	h.Expect(h.submit(step(4, untilStopped, func(s *state.WorkflowStep) { s.MaxPerWorker = 1 }))).To(Equal(fleet.OutcomeDone))
+	for _, r := range workers {
+		h.Eventually(r.incarnations[0].DelayedStarts, waitTimeout, "1ms").Should(Equal(1))
+	}
+	for _, r := range workers {
+		r.incarnations[0].SetUnreachable(true)
+		r.restart(unreachable)
+	}
+	for _, r := range workers {
+		r.incarnations[1].SetUnreachable(false)
+	}
+	h.Eventually(func() bool {
+		w, _ := h.log.State().Workflows.Get(jobID)
+		return !slices.ContainsFunc(w.Tasks, func(t state.WorkflowTask) bool { return len(t.CrashedRuns) == 0 })
+	}, waitTimeout, "5ms").Should(BeTrue())
+	w, _ := h.log.State().Workflows.Get(jobID)
+	for _, t := range w.Tasks {
+		h.Expect(t.UnexplainedCrashes).To(BeZero())
+	}
+}
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -230,6 +230,9 @@
 	k := runKey{r.Position, r.Number}
 	if a := s.attempts[k]; a != nil {
 		a.mayHaveStarted, a.seenAt, a.incarnation = true, c.now(), s.worker.StartedAt
+		if a.loss != nil && a.loss.session != s {
+			a.loss = nil // the start was carried out after that loss
+		}
 		a.task.workflow.begun = true
 		if a.suspect && placement.Settled(a.workedFor().Milliseconds()) {
 			s.markSuspect(a, false)
--- a/fleet/worker_loss.go
+++ b/fleet/worker_loss.go
@@ -47,6 +47,9 @@
 		}
 	}
 	for _, a := range s.attempts {
+		if a.loss != nil && a.phase == attemptUnknown {
+			continue // taken over from an incarnation that was lost before
+		}
 		a.loss, a.beside, a.younger = s.loss, max(0, s.loss.runs-1), s.youngerRuns(a)
 		a.besideSuspect = s.suspects > 0 && !a.suspect // suspects do not explain each other's crashes
 	}
@@ -95,13 +98,14 @@
 // at the same moment. Workers of tasks that have to run alone do not count,
 // because these tasks may have crashed them.
 func (c *Controller) lostTogether(l *workerLoss) int {
-	n := 0
+	workers := make(map[string]bool) // several incarnations of a worker may be lost within the window
 	for _, other := range c.losses {
-		if other != l && !other.suspect && other.session.worker.Pool == l.session.worker.Pool && (other.at-l.at).Abs() <= lossWindow {
-			n++
+		w := &other.session.worker
+		if w.ID != l.session.worker.ID && w.Pool == l.session.worker.Pool && !other.suspect && (other.at-l.at).Abs() <= lossWindow {
+			workers[w.ID] = true
 		}
 	}
-	return n
+	return len(workers)
 }
 
 // sinceLoss returns how long the worker has not responded.
