--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -1,6 +1,9 @@
 package fleet_test
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,12 +12,15 @@
 	"apricotrouter/fleet"
 	"apricotrouter/replica"
 	"apricotrouter/standin/pool"
+	"apricotrouter/state"
 )
 
 // restartedWorker is a worker whose incarnations share an id.
 type restartedWorker struct {
 	*harness
+	id           string // default "a"
 	incarnations []*pool.Worker
+	addresses    []string // of the incarnations
 }
 
 // startInDoubt submits a task whose start is delayed on the first incarnation of
@@ -37,8 +43,9 @@
 // restart starts the next incarnation.
 func (r *restartedWorker) restart(setUp ...func(*pool.Worker)) *pool.Worker {
 	time.Sleep(2 * time.Millisecond) // start times of incarnations differ
-	w := r.addWorker("a", pool.Options{RunTime: runForever}, setUp...)
-	r.incarnations = append(r.incarnations, w)
+	startedAt, id := time.Now().UnixMilli(), cmp.Or(r.id, "a")
+	w := r.addWorker(id, pool.Options{RunTime: runForever, StartedAt: startedAt}, setUp...)
+	r.incarnations, r.addresses = append(r.incarnations, w), append(r.addresses, address(id, startedAt))
 	return w
 }
 
@@ -111,6 +118,25 @@
 	}
 }
 
+// Guards against a start that was given up with the lease of its worker and is
+// carried out by the next incarnation, which registers after the worker was
+// removed and gets no task.
+func TestStartDelayedBeyondTheRemovalOfItsWorkerDoesNotRun(t *testing.T) {
+	h := newHarness(t, func(o *fleet.Options) { o.Limits.Heartbeat = 10 * time.Millisecond })
+	r := startInDoubt(h, false)
+	removed := func() bool {
+		_, known := h.log.State().PoolWorkers.Get("a")
+		return !known
+	}
+	h.Eventually(removed, waitTimeout, "5ms").Should(BeTrue())
+	b := h.addWorker("b", pool.Options{RunTime: runForever})
+	h.Eventually(func() int { return running(b) }, waitTimeout, "1ms").Should(Equal(1))
+	second := r.restart()
+	h.Eventually(second.Fence, "300ms", "1ms").ShouldNot(BeZero(), "the worker is polled")
+	r.incarnations[0].DeliverDelayedStartsTo(second)
+	h.Consistently(func() int { return running(second) }, "200ms", "1ms").Should(BeZero())
+}
+
 // Guards against a task that waits for anything but the first response of the
 // next incarnation once its start can't be carried out any more.
 func TestTaskStartsAgainOnceItsStartIsKnownToBeVoid(t *testing.T) {
@@ -127,3 +153,50 @@
 		})
 	}
 }
+
+// Guards against a crash that counts against a task whose start was never sent
+// to the worker.
+func TestStartThatWasNotSentIsNoCrash(t *testing.T) {
+	h := newHarness(t)
+	r := &restartedWorker{harness: h}
+	r.restart()
+	h.blockConnections(r.addresses[0])
+	h.Expect(h.submit(step(1, untilStopped))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() state.WorkflowTaskPhase { return h.taskOf(jobID).Phase }, waitTimeout, "1ms").Should(Equal(state.TaskStarted))
+	time.Sleep(20 * time.Millisecond) // until the call waits for a connection
+	second := r.restart()
+	h.Eventually(func() int { return running(second) }, waitTimeout, "1ms").Should(Equal(1))
+	h.Expect(h.taskOf(jobID).CrashedRuns).To(BeEmpty())
+}
+
+// Guards against a loss of many workers that counts as unexplained crashes
+// against the tasks whose starts were unanswered.
+func TestUnansweredStartsInALossOfManyWorkersAreExplained(t *testing.T) {
+	h := newHarness(t)
+	var workers []*restartedWorker
+	for i := range 4 {
+		r := &restartedWorker{harness: h, id: fmt.Sprintf("worker-%d", i)}
+		first := r.restart()
+		first.HangStarts(1)
+		workers = append(workers, r)
+	}
+	h.Expect(h.submit(step(4, untilStopped, func(s *state.WorkflowStep) { s.MaxPerWorker = 1 }))).To(Equal(fleet.OutcomeDone))
+	for _, r := range workers {
+		h.Eventually(r.incarnations[0].DelayedStarts, waitTimeout, "1ms").Should(Equal(1))
+	}
+	for _, r := range workers {
+		r.incarnations[0].SetUnreachable(true)
+		r.restart(unreachable)
+	}
+	for _, r := range workers {
+		r.incarnations[1].SetUnreachable(false)
+	}
+	h.Eventually(func() bool {
+		w, _ := h.log.State().Workflows.Get(jobID)
+		return !slices.ContainsFunc(w.Tasks, func(t state.WorkflowTask) bool { return len(t.CrashedRuns) == 0 })
+	}, waitTimeout, "5ms").Should(BeTrue())
+	w, _ := h.log.State().Workflows.Get(jobID)
+	for _, t := range w.Tasks {
+		h.Expect(t.UnexplainedCrashes).To(BeZero())
+	}
+}
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -171,7 +171,7 @@
 		// A worker that has seen the fence of this session refuses starts with
 		// a lower one.
 		startDecided := a.phase == attemptRunning || a.phase == attemptUnknown && a.fence < s.fence || a.stopAcked
-		if !seen[k] && startDecided && a.startDecidedAt < begin {
+		if !seen[k] && startDecided && !a.startInFlight && a.startDecidedAt < begin {
 			// The run was on an earlier incarnation, which has crashed.
 			a.crashed = a.crashed || a.incarnation != 0 && s.worker.StartedAt > a.incarnation
 			c.endAsLost(a, "not on the worker")
@@ -230,6 +230,9 @@
 	k := runKey{r.Position, r.Number}
 	if a := s.attempts[k]; a != nil {
 		a.mayHaveStarted, a.seenAt, a.incarnation = true, c.now(), s.worker.StartedAt
+		if a.loss != nil && a.loss.session != s {
+			a.loss = nil // the start was carried out after that loss
+		}
 		a.task.workflow.begun = true
 		if a.suspect && placement.Settled(a.workedFor().Milliseconds()) {
 			s.markSuspect(a, false)
