fleet: log ends that a worker discarded before they were read

What remains can be seen: ends are numbered from 1 in each incarnation. Event 840 and apricotrouter_fleet_missing_ends_total tell of a first report that begins later.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -62,6 +62,8 @@
 		"could not commit the removal of a worker", "No task is placed there. A later leader finds that the worker is unresponsive. If it repeats, check that the control group has a leader.")
 	TaskStartAnsweredLate = define(839, "task-start-answered-late", slog.LevelWarn,
 		"start was answered after its run had been resolved", "The call was still in flight when a later incarnation of the worker was registered, or when the run was ended (`ended`). `outcome` is what became of it: `started`, `not-sent`, `unknown` or the reason of a refusal. Report `started` with `ended`: the run is stopped, but its task may run twice.")
+	WorkerEndsMissing = define(840, "worker-ends-missing", slog.LevelWarn,
+		"worker has discarded ends that were never read", "The first report of an incarnation begins with the end numbered `first`, not 1: a call that was sent to an earlier incarnation has acknowledged the ends before it. Their tasks may run again. Report it with the events of the worker.")
 	QueuesChanged = define(841, "queues-changed", slog.LevelInfo,
 		"configuration of queues changed", "A newer version is in effect. Nothing to do.")
 	ZoneEvacuation = define(842, "zone-evacuation", slog.LevelInfo,
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -73,6 +73,9 @@
 	placeholder := c.sessions[b.Worker.ID]
 	s := c.openSession(*w, placeholder == nil && !replaced && !c.wasLost(w.ID))
 	s.fence = c.nextFence() // earlier incarnations may have got calls with all lower ones
+	// An older incarnation may have been removed and return with ends that were
+	// acknowledged before.
+	s.unread = c.opts.Clock.Now().UnixMilli()-w.StartedAt < (removeAfterHeartbeats * c.opts.Limits.Heartbeat).Milliseconds()
 	if placeholder != nil {
 		for _, a := range placeholder.attempts {
 			s.add(a)
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -4,10 +4,13 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"apricotrouter/fleet"
 	"apricotrouter/replica"
@@ -200,3 +203,23 @@
 		h.Expect(t.UnexplainedCrashes).To(BeZero())
 	}
 }
+
+// Guards against an acknowledgement for an earlier incarnation that discards
+// ends unnoticed.
+func TestEndsDiscardedBeforeTheyWereReadAreCounted(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	h := newHarness(t, func(o *fleet.Options) { o.Registerer = registry })
+	h.addWorker("a", pool.Options{RunTime: runFor60ms}, func(w *pool.Worker) {
+		for number := range uint64(3) {
+			h.Expect(w.Start(t.Context(), fleet.StartCall{Run: fleet.Run{Number: number + 1}, Lease: 500})).To(Succeed())
+			h.Expect(w.Stop(t.Context(), fleet.StopCall{Run: fleet.Run{Number: number + 1}})).To(Succeed())
+		}
+		_, err := w.Poll(t.Context(), fleet.PollCall{Acknowledged: 2})
+		h.Expect(err).NotTo(HaveOccurred())
+	})
+	h.Expect(h.submit(step(1))).To(Equal(fleet.OutcomeDone))
+	h.expectPhase(state.WorkflowCompleted)
+	const name = "apricotrouter_fleet_missing_ends_total"
+	expected := "# HELP " + name + " Ends of runs that workers discarded before they were read.\n# TYPE " + name + " counter\n" + name + " 2\n"
+	h.Expect(testutil.GatherAndCompare(registry, strings.NewReader(expected), name)).To(Succeed())
+}
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -8,21 +8,22 @@
 
 // metrics are the metrics of the controller and the service.
 type metrics struct {
-	polls      prometheus.Counter
-	unsent     prometheus.Counter
-	inFlight   prometheus.Gauge
-	panics     prometheus.Counter
-	crashes    prometheus.Counter
-	givenUp    prometheus.Counter
-	start      prometheus.Histogram
-	commit     prometheus.Histogram
-	refusals   *prometheus.CounterVec
-	lateStarts *prometheus.CounterVec
-	duration   *prometheus.HistogramVec
-	calls      *prometheus.CounterVec
-	late       *prometheus.CounterVec
-	processors *prometheus.GaugeVec
-	waiting    *prometheus.GaugeVec
+	polls       prometheus.Counter
+	unsent      prometheus.Counter
+	inFlight    prometheus.Gauge
+	panics      prometheus.Counter
+	crashes     prometheus.Counter
+	givenUp     prometheus.Counter
+	missingEnds prometheus.Counter
+	start       prometheus.Histogram
+	commit      prometheus.Histogram
+	refusals    *prometheus.CounterVec
+	lateStarts  *prometheus.CounterVec
+	duration    *prometheus.HistogramVec
+	calls       *prometheus.CounterVec
+	late        *prometheus.CounterVec
+	processors  *prometheus.GaugeVec
+	waiting     *prometheus.GaugeVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -45,6 +46,9 @@
 		givenUp: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "apricotrouter_fleet_tasks_given_up_total", Help: "Tasks that were given up because workers crashed while they ran them.",
 		}),
+		missingEnds: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_missing_ends_total", Help: "Ends of runs that workers discarded before they were read.",
+		}),
 		start: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "apricotrouter_fleet_start_seconds", Help: "Time until a worker answered a start.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
@@ -77,7 +81,7 @@
 		}, []string{"pool", "kind"}),
 	}
 	if r != nil {
-		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting)
+		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting)
 	}
 	return m
 }
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -141,6 +141,7 @@
 
 // applyReport reconciles the attempts on the worker with a report.
 func (c *Controller) applyReport(s *session, begin time.Duration, r *Report) {
+	c.checkEnds(s, r)
 	seen := make(map[runKey]bool, len(r.Running)+len(r.Ended))
 	for _, e := range r.Ended {
 		seen[runKey{e.Position, e.Number}] = true
@@ -179,6 +180,20 @@
 	}
 }
 
+// checkEnds logs if an incarnation has discarded ends before they were read. The
+// numbers of its ends begin at 1.
+func (c *Controller) checkEnds(s *session, r *Report) {
+	if !s.unread || s.lastEnd > 0 || len(r.Ended) == 0 {
+		return
+	}
+	s.unread = false
+	if first := r.Ended[0].Sequence; first > 1 {
+		c.metrics.missingEnds.Add(float64(first - 1))
+		event.Log(c.opts.Logger, event.WorkerEndsMissing, slog.String("worker", s.worker.ID), slog.Int64("born", s.worker.StartedAt),
+			slog.Uint64("first", first))
+	}
+}
+
 // applyEnd records an ended run from a report.
 func (c *Controller) applyEnd(s *session, e RunEnd) {
 	if e.Sequence <= s.lastEnd {
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -57,6 +57,7 @@
 	clock       int64         // last reading of the worker's clock, in milliseconds
 	clockReadAt time.Duration // when the reading arrived
 
+	unread            bool   // no end of the incarnation has been acknowledged to it
 	ackedEnd          uint64 // last end that the worker may discard
 	lastEnd           uint64 // last end that is committed or being committed
 	ackUnsent         bool   // the worker does not have the current ackedEnd yet
