--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -215,7 +215,7 @@
 // or taken over by a later incarnation of the worker, while the call was in
 // flight. A call that was not sent or was refused ends the run without a crash.
 func (c *Controller) handleLateStartResponse(a *attempt, inFlight time.Duration, err error) {
-	if err == nil && a.phase == attemptRunning {
+	if err == nil && a.mayHaveStarted {
 		return // a report has listed the run before the response arrived
 	}
 	c.logLateStart(a, inFlight, err)
