fleet: no wall clock decides which starts a later incarnation may run

Now each run that no report has listed waits for the first poll of the next incarnation; one that a report has listed is lost at once, as before. The answer to a start does not tell the incarnation, a report does. That also drops the 3 s of slack between the clocks.

TestStartReachingLaterIncarnationIsNotDuplicated, with a clock that is a minute ahead and a second worker, fails without the change (2 runs at the same time).

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -60,7 +60,6 @@
 	separatedFrom  *workerLoss
 	adopted        bool // started by an earlier leader
 	mayHaveStarted bool // the run may have started
-	startAnswered  bool // the worker has answered that it started the run
 	startInFlight  bool // the start call has not ended yet
 	ticket         string
 	runStats       runStats
@@ -167,7 +166,7 @@
 	if err == nil {
 		c.startRoundTrip.observe(now - begin)
 		s.markResponsive(c)
-		a.startDecidedAt, a.mayHaveStarted, a.startAnswered, a.task.workflow.begun = now, true, true, true
+		a.startDecidedAt, a.mayHaveStarted, a.task.workflow.begun = now, true, true
 		a.phase = attemptRunning
 		if a.stopping {
 			a.phase = attemptStopping
@@ -226,7 +225,7 @@
 	neverSent, _ := unsent(err)
 	switch {
 	case err == nil:
-		a.mayHaveStarted, a.startAnswered, a.task.workflow.begun = true, true, true
+		a.mayHaveStarted, a.task.workflow.begun = true, true
 	case neverSent:
 		c.endAsLost(a, "its start was not sent")
 	case refusal(err) != 0:
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -62,7 +62,7 @@
 			if old.loss == nil {
 				c.recordLoss(old, c.now(), nil) // before attempts are taken from it
 			}
-			undecided = append(undecided, c.takeUndecidedAttempts(old, b.Worker.StartedAt)...)
+			undecided = append(undecided, takeUndecidedAttempts(old)...)
 		}
 		c.crashed(old, "a later life has reported")
 	}
@@ -93,19 +93,13 @@
 		slog.String("zone", w.Zone), slog.String("pool", w.Pool), slog.Bool("draining", w.Draining))
 }
 
-// wallClockSlack covers differences between the wall clocks of machines. A
-// start that was sent up to this long before a later incarnation began may have
-// been answered by it.
-const wallClockSlack = 3 * time.Second
-
 // takeUndecidedAttempts removes and returns the attempts of an earlier
 // incarnation that may run on the later one, which has the same id. A poll of
 // the later incarnation decides about them.
-func (c *Controller) takeUndecidedAttempts(old *session, workerStartedAt int64) []*attempt {
-	age := time.Duration(c.opts.Clock.Now().UnixMilli()-workerStartedAt)*time.Millisecond + wallClockSlack
+func takeUndecidedAttempts(old *session) []*attempt {
 	var undecided []*attempt
 	for _, a := range old.attempts {
-		if a.mayRunLater(c.now() - age) {
+		if a.mayRunLater() {
 			undecided = append(undecided, a)
 		}
 	}
@@ -115,16 +109,11 @@
 	return undecided
 }
 
-// mayRunLater reports whether an incarnation that registers now may run the
-// attempt. A start without a response may be carried out by any later
-// incarnation, whatever an earlier one has acknowledged. answeredSince is when
-// the incarnation may have begun to answer.
-func (a *attempt) mayRunLater(answeredSince time.Duration) bool {
-	if a.phase == attemptRecording || a.seenAt > 0 {
-		return false
-	}
-	return !a.startAnswered || a.startedAt >= answeredSince
-}
+// mayRunLater reports whether a later incarnation of the worker may run the
+// attempt. One that no report has listed may be carried out by any of them, or
+// has been: an earlier one can't acknowledge that for a later one, and the answer
+// to a start does not tell the incarnation.
+func (a *attempt) mayRunLater() bool { return a.phase != attemptRecording && a.seenAt == 0 }
 
 // updateWorker handles the heartbeat of an incarnation that has a session.
 func (c *Controller) updateWorker(s *session, b *Heartbeat, reply func(Outcome)) {
