fleet: an overtaken registration drops no undecided start

Callers could see LOST: a task that waits for ever. When a worker registered twice in a row, the result of the first registration closed the session of the incarnation before, took its undecided starts over, and then found that the state held the later incarnation; the starts belonged to no session any more, and their tasks were recorded as started.

The registration is compared with the state before anything is changed. TestUndecidedStartOutlivesAnOvertakenRegistration fails without the change (no run after 10 s).

--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -47,6 +47,10 @@
 // workerRegistered opens a session with a new incarnation of a worker, unless a
 // later one has been registered since.
 func (c *Controller) workerRegistered(b *Heartbeat) {
+	w, ok := c.opts.Log.State().PoolWorkers.Get(b.Worker.ID)
+	if !ok || w.StartedAt != b.Worker.StartedAt {
+		return
+	}
 	var undecided []*attempt
 	replaced := false
 	for _, old := range c.sessions {
@@ -66,10 +70,6 @@
 		}
 		c.crashed(old, "a later life has reported")
 	}
-	w, ok := c.opts.Log.State().PoolWorkers.Get(b.Worker.ID)
-	if !ok || w.StartedAt != b.Worker.StartedAt {
-		return
-	}
 	placeholder := c.sessions[b.Worker.ID]
 	s := c.openSession(*w, placeholder == nil && !replaced && !c.wasLost(w.ID))
 	s.fence = c.nextFence() // earlier incarnations may have got calls with all lower ones
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -223,3 +225,71 @@
 	expected := "# HELP " + name + " Ends of runs that workers discarded before they were read.\n# TYPE " + name + " counter\n" + name + " 2\n"
 	h.Expect(testutil.GatherAndCompare(registry, strings.NewReader(expected), name)).To(Succeed())
 }
+
+// registrationGate delays the results of registrations, which are applied at
+// once.
+type registrationGate struct {
+	replica.Log
+	mu      sync.Mutex
+	closed  bool
+	waiting []chan struct{}
+}
+
+// Propose implements replica.Log.
+func (g *registrationGate) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	r, err := g.Log.Propose(ctx, c)
+	g.mu.Lock()
+	if c.Kind != state.KindSetPoolWorkers || !g.closed {
+		g.mu.Unlock()
+		return r, err
+	}
+	wait := make(chan struct{})
+	g.waiting = append(g.waiting, wait)
+	g.mu.Unlock()
+	<-wait
+	return r, err
+}
+
+func (g *registrationGate) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+}
+
+func (g *registrationGate) delayed() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.waiting)
+}
+
+func (g *registrationGate) release(i int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = false
+	close(g.waiting[i])
+}
+
+// Guards against a task that never starts again because the registration of one
+// incarnation was overtaken by that of the next.
+func TestUndecidedStartOutlivesAnOvertakenRegistration(t *testing.T) {
+	gate := new(registrationGate)
+	h := newHarness(t, func(o *fleet.Options) { gate.Log = o.Log; o.Log = gate })
+	startInDoubt(h, true)
+	b := h.addWorker("b", pool.Options{RunTime: runForever})
+	gate.close()
+	var later [2]*pool.Worker
+	var registrations sync.WaitGroup
+	startedAt := time.Now().UnixMilli()
+	for i := range later {
+		registrations.Go(func() {
+			later[i] = h.addWorker("a", pool.Options{RunTime: runForever, StartedAt: startedAt + int64(i)})
+		})
+		h.Eventually(gate.delayed, waitTimeout, "1ms").Should(Equal(i + 1))
+	}
+	gate.release(0)
+	time.Sleep(50 * time.Millisecond) // until the first result is handled
+	gate.release(1)
+	registrations.Wait()
+	total := func() int { return running(later[0]) + running(later[1]) + running(b) }
+	h.Eventually(total, waitTimeout, "5ms").Should(Equal(1))
+}
