--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -226,6 +226,23 @@
 	h.Expect(testutil.GatherAndCompare(registry, strings.NewReader(expected), name)).To(Succeed())
 }
 
+// Guards against a stopped run that keeps its capacity until its start call
+// times out.
+func TestStoppedRunDoesNotWaitForItsStartCall(t *testing.T) {
+	h := newHarness(t)
+	r := &restartedWorker{harness: h}
+	first := r.restart()
+	first.HangStarts(1)
+	whole := func(s *state.WorkflowStep) { s.Size = state.Resources{MilliCPU: 4000, MemoryMiB: 4000} }
+	h.Expect(h.submit(step(1, untilStopped, whole))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(first.DelayedStarts, waitTimeout, "1ms").Should(Equal(1))
+	h.submitAs(otherID(0), step(1, untilStopped, whole))
+	began := time.Now()
+	h.Expect(h.call(&fleet.Request{Op: fleet.OpCancel, Host: host, Path: "/jobs/" + jobID}).Outcome).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() int { return running(first) }, waitTimeout, "1ms").Should(Equal(1))
+	h.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond), "a start call times out after 1 s")
+}
+
 // registrationGate delays the results of registrations, which are applied at
 // once.
 type registrationGate struct {
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -169,10 +169,7 @@
 		return
 	}
 	for k, a := range s.attempts {
-		// A worker that has seen the fence of this session refuses starts with
-		// a lower one.
-		startDecided := a.phase == attemptRunning || a.phase == attemptUnknown && a.fence < s.fence || a.stopAcked
-		if !seen[k] && startDecided && !a.startInFlight && a.startDecidedAt < begin {
+		if !seen[k] && a.startDecided() && a.startDecidedAt < begin {
 			// The run was on an earlier incarnation, which has crashed.
 			a.crashed = a.crashed || a.incarnation != 0 && s.worker.StartedAt > a.incarnation
 			c.endAsLost(a, "not on the worker")
@@ -180,6 +177,18 @@
 	}
 }
 
+// startDecided reports whether the worker has carried out the start or never
+// will.
+func (a *attempt) startDecided() bool {
+	if a.phase == attemptRunning || a.stopAcked {
+		return true
+	}
+	// A worker that has seen the fence of its session refuses starts with a lower
+	// one. The outcome of a call that is still in flight tells whether it was
+	// sent.
+	return a.phase == attemptUnknown && a.fence < a.session.fence && !a.startInFlight
+}
+
 // checkEnds logs if an incarnation has discarded ends before they were read. The
 // numbers of its ends begin at 1.
 func (c *Controller) checkEnds(s *session, r *Report) {
