fleet: poll an incarnation as soon as it has registered

The first poll of an incarnation makes earlier starts void. It was sent with the next tick, up to 50 ms later. TestIncarnationThatReplacesAnotherIsPolledAtOnce fails without the change (no poll).

--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -85,6 +85,7 @@
 		s.add(a)
 		a.phase, a.stopAcked, a.startDecidedAt = attemptUnknown, false, c.now()
 	}
+	c.pollDue[s] = true
 	s.heartbeatSequence, s.clock, s.clockReadAt = b.Sequence, b.Clock, c.now()
 	if w.Draining {
 		s.drainDeadline = c.now() + time.Duration(b.RemainingMillis)*time.Millisecond
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
@@ -243,6 +244,17 @@
 	h.Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond), "a start call times out after 1 s")
 }
 
+// Guards against an incarnation that carries out earlier starts until the next
+// tick of the leader.
+func TestIncarnationThatReplacesAnotherIsPolledAtOnce(t *testing.T) {
+	withoutTicks := clockwork.NewFakeClock()
+	h := newHarness(t, func(o *fleet.Options) { o.Clock = withoutTicks })
+	r := &restartedWorker{harness: h}
+	r.restart()
+	second := r.restart()
+	h.Eventually(second.Fence, waitTimeout, "1ms").ShouldNot(BeZero())
+}
+
 // registrationGate delays the results of registrations, which are applied at
 // once.
 type registrationGate struct {
