replica: a new core starts without the rounds of the old one

Cause: after a failed write and when the disk works again, a replica gets a new core, which numbers its heartbeat rounds from 1. The replica kept the start times of the rounds of the old core by number. It took no time for a round whose number it had, and the times that it found were too old or no longer recorded. So no round confirmed the leader until the new core had started as many rounds as the old one.

startCore is now the only place that sets the core, and it discards what refers to the rounds and entries of the previous one: the times of rounds, and the proposals and lease requests that wait for it. The latter were failed only if the replica was known to lead: one that was elected and lost its disk in the same batch kept them until their callers gave up.

TestLeaderIsConfirmedAtOnceAfterAFailedWrite fails without the change ("a majority acknowledged a round of this term": false).

--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
 
+	"apricotrouter/disk"
 	"apricotrouter/raft"
 	"apricotrouter/state"
 	"apricotrouter/transport"
@@ -53,19 +54,35 @@
 }
 
 func newDrivenReplica(t *testing.T, entries ...raft.Entry) *drivenReplica {
-	g := NewWithT(t)
-	clock := clockwork.NewFakeClock()
-	r, err := New(Options{Self: "e1", Peers: disconnectedPeers{}, Mux: transport.NewMux(), Clock: clock})
-	g.Expect(err).NotTo(HaveOccurred())
-	s := &drivenReplica{Replica: r, g: g, clock: clock}
+	s := openDrivenReplica(t, Options{})
 	first := state.New()
 	first.Index = 1
-	members := raft.Membership{Voters: []raft.Member{{ID: r.id.Replica, Instance: "e1"}, {ID: 2, Instance: "e2"}, {ID: 3, Instance: "e3"}}}
-	r.id.Group = "group"
-	g.Expect(r.newCore(recoveredState{base: raft.Position{Index: 1, Term: 1, Members: members}, entries: entries, state: first, hard: raft.HardState{Term: 1}})).To(Succeed())
+	s.id.Group = "group"
+	s.g.Expect(s.newCore(recoveredState{base: raft.Position{Index: 1, Term: 1, Members: s.members()}, entries: entries, state: first, hard: raft.HardState{Term: 1}})).To(Succeed())
+	return s
+}
+
+// newDrivenReplicaWithDisk returns a replica that stores its log on the disk.
+func newDrivenReplicaWithDisk(t *testing.T, fs disk.FS) *drivenReplica {
+	s := openDrivenReplica(t, Options{FS: fs, DataDir: t.TempDir()})
+	s.g.Expect(s.joinOnLoop("group", s.members())).To(Succeed())
+	t.Cleanup(func() { s.g.Expect(s.store.close()).To(Succeed()) })
 	return s
 }
 
+func openDrivenReplica(t *testing.T, o Options) *drivenReplica {
+	g := NewWithT(t)
+	clock := clockwork.NewFakeClock()
+	o.Self, o.Peers, o.Mux, o.Clock = "e1", disconnectedPeers{}, transport.NewMux(), clock
+	r, err := New(o)
+	g.Expect(err).NotTo(HaveOccurred())
+	return &drivenReplica{Replica: r, g: g, clock: clock}
+}
+
+func (s *drivenReplica) members() raft.Membership {
+	return raft.Membership{Voters: []raft.Member{{ID: s.id.Replica, Instance: "e1"}, {ID: 2, Instance: "e2"}, {ID: 3, Instance: "e3"}}}
+}
+
 // runBatch runs f as one batch of the loop.
 func (s *drivenReplica) runBatch(f func()) {
 	now := s.now()
@@ -265,3 +282,31 @@
 	s.g.Expect(p.err).To(MatchError(ErrOutcomeUnknown))
 	s.g.Expect(s.State().Index).To(Equal(last.LastIndex))
 }
+
+// Guards against a leader that does nothing because an earlier core of its
+// replica, which a failed write ended, had started more heartbeat rounds.
+func TestLeaderIsConfirmedAtOnceAfterAFailedWrite(t *testing.T) {
+	full := false
+	s := newDrivenReplicaWithDisk(t, &disk.Faulty{FS: disk.OS{}, Fail: func(op disk.Op, _ string) error {
+		if full && op == disk.OpWrite {
+			return errFullDisk
+		}
+		return nil
+	}})
+	s.elect()
+	s.runFor(10 * time.Second)
+	s.g.Expect(s.Leadership().Self).To(BeTrue())
+	full = true
+	var p proposalResult
+	s.g.Expect(s.propose().done).To(Receive(&p))
+	s.g.Expect(p.err).To(MatchError(ErrOutcomeUnknown))
+	s.g.Expect(s.Leadership().Self).To(BeFalse())
+	full = false
+	s.clock.Advance(storageRetryInterval)
+	s.runBatch(func() { s.g.Expect(s.retryStorage(s.now())).To(Succeed()) })
+	s.elect()
+	c := s.requestLease("e5")
+	s.runFor(s.opts.Tick * time.Duration(2*s.opts.HeartbeatTicks))
+	s.g.Expect(s.Leadership().Self).To(BeTrue(), "a majority acknowledged a round of this term")
+	s.g.Expect(c.done).To(Receive(HaveField("Confirmed", BeTrue())))
+}
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -223,7 +223,7 @@
 }
 
 // failPending fails all pending proposals and lease requests when this
-// replica's leadership begins or ends.
+// replica's leadership begins or ends, or its core is replaced.
 func (r *Replica) failPending() {
 	for index, w := range r.pendingProposals {
 		w.done <- proposalResult{err: ErrOutcomeUnknown}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -135,20 +135,26 @@
 // are known to be committed.
 func (r *Replica) newCore(rec recoveredState) error {
 	r.state.Store(rec.state)
-	r.core = raft.New(raft.Options{
-		Self:           r.id.Replica,
-		HeartbeatTicks: r.opts.HeartbeatTicks,
-		ElectionTicks:  r.opts.ElectionTicks,
-		HardState:      rec.hard,
-		Base:           rec.base,
-		Entries:        rec.entries,
-		Commit:         rec.commit,
-		Applied:        rec.state.Index,
+	r.startCore(raft.Options{
+		HardState: rec.hard,
+		Base:      rec.base,
+		Entries:   rec.entries,
+		Commit:    rec.commit,
+		Applied:   rec.state.Index,
 	})
 	r.compact = compaction{snapshotAt: rec.state.Index}
 	return r.applyCommitted(r.core.Take().Committed)
 }
 
+// startCore replaces the core, and discards everything that refers to the
+// rounds and entries of the previous one.
+func (r *Replica) startCore(o raft.Options) {
+	o.Self, o.HeartbeatTicks, o.ElectionTicks = r.id.Replica, r.opts.HeartbeatTicks, r.opts.ElectionTicks
+	r.core = raft.New(o)
+	r.rounds = roundTimes{}
+	r.failPending()
+}
+
 // Run runs the replica until ctx ends or an entry cannot be applied.
 func (r *Replica) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
--- a/replica/storage_retry.go
+++ b/replica/storage_retry.go
@@ -32,10 +32,7 @@
 		position = r.core.Base()
 	}
 	r.id = identity{Replica: newReplicaID(), Group: r.id.Group}
-	r.core = raft.New(raft.Options{
-		Self: r.id.Replica, HeartbeatTicks: r.opts.HeartbeatTicks, ElectionTicks: r.opts.ElectionTicks,
-		Base: position, Applied: r.State().Index,
-	})
+	r.startCore(raft.Options{Base: position, Applied: r.State().Index})
 	r.updateRole(r.now())
 }
 
