replica: use a disk again after a failed compaction

Nothing told of it, as the disk was not even tried (event 215 never came).

TestVoterReturnsAfterAFailedCompaction times out after 20 s without the change ("it votes again": false).

--- a/replica/failure_test.go
+++ b/replica/failure_test.go
@@ -257,6 +257,31 @@
 	}
 }
 
+// Guards against a voter that never uses its disk again after the disk was full
+// when the log was compacted.
+func TestVoterReturnsAfterAFailedCompaction(t *testing.T) {
+	var full atomic.Bool
+	c := newCluster(t, 3, 3, 3, func(o *replica.Options) {
+		o.RepairAfter, o.SnapshotEntries, o.TrailingEntries = time.Hour, 20, 4
+		o.FS = &disk.Faulty{FS: disk.OS{}, Fail: func(op disk.Op, name string) error {
+			if full.Load() && op == disk.OpCreate && strings.Contains(name, "/e2/snapshot") {
+				return errDisk
+			}
+			return nil
+		}}
+	})
+	c.form("e1")
+	full.Store(true)
+	for i := range 30 {
+		c.put(c.nodes["e1"], fmt.Sprint("team-", i))
+	}
+	n := c.nodes["e2"]
+	c.g.Eventually(isVoter(n), waitTimeout, "5ms").Should(BeFalse())
+	full.Store(false)
+	c.g.Eventually(isVoter(n), waitTimeout, "10ms").Should(BeTrue(), "it votes again")
+	c.put(n, "after")
+}
+
 // Guards against a successful result for an uncommitted change: the leader is
 // partitioned, the others elect a new leader, and the partition heals.
 func TestPartitionedLeaderReportsUnknownOutcome(t *testing.T) {
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -200,7 +200,7 @@
 type compaction struct {
 	snapshotAt uint64 // index of the last snapshot
 	bytes      int    // size of the commands applied since then
-	running    bool
+	running    bool   // a snapshot is being saved in the background
 }
 
 // maybeCompact saves a snapshot and compacts the log when the log has grown
@@ -215,8 +215,8 @@
 	if !ok {
 		return
 	}
-	r.compact = compaction{snapshotAt: s.Index, running: true}
 	store := r.store
+	r.compact = compaction{snapshotAt: s.Index, running: store != nil}
 	if store == nil {
 		r.compactLog(s.Index)
 		return
@@ -226,6 +226,7 @@
 		defer r.background.Done()
 		err := saveStateSnapshot(store, position, s)
 		r.inbox.post(func() {
+			r.compact.running = false
 			if err != nil && store == r.store {
 				r.detachStorage(err)
 				return
@@ -246,7 +247,6 @@
 // compactLog discards the entries that the snapshot at index covers, except for
 // the trailing entries for slightly lagging replicas.
 func (r *Replica) compactLog(index uint64) {
-	r.compact.running = false
 	r.core.Compact(index - r.trailingEntries(index))
 	err := r.store.rewrite(r.core.Base(), r.core.HardState(), r.core.Status().Commit, r.core.Tail())
 	if err != nil {
