replica: a lease from the leader makes it known again

After a call to the leader went unanswered, an instance could know no leader for the rest of the term: its proposals waited for one until their callers gave up, and its status showed none, while it got freshness leases from the same leader all the time.

Cause: an unanswered or denied call marks the leader's term as ignored, so that a learner does not follow a leader that was replaced. Only another instance could name the leader after that. If all of them, or the only other one, had ignored it as well, none could, and the mark outlived its cause until the next election.

An instance that grants a lease has just been confirmed by a majority, so it is now taken as the leader if none is known. If it was replaced meanwhile, its next response denies it, as before.

TestLeaderIsKnownAgainAfterAnUnansweredCall, which needs no timing, fails without it.

--- a/replica/freshness.go
+++ b/replica/freshness.go
@@ -123,7 +123,12 @@
 
 func (r *Replica) handleFreshnessResponse(peer string, resp freshnessResponse, until time.Duration) {
 	if resp.Confirmed {
-		r.inbox.post(func() { r.pendingGrants = append(r.pendingGrants, pendingGrant{index: resp.Index, until: until}) })
+		r.inbox.post(func() {
+			r.pendingGrants = append(r.pendingGrants, pendingGrant{index: resp.Index, until: until})
+			if r.leaderHint == "" && peer != r.opts.Self {
+				r.leaderHint = peer
+			}
+		})
 		return
 	}
 	r.clearLeader(peer)
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -310,3 +310,22 @@
 	s.g.Expect(s.Leadership().Self).To(BeTrue(), "a majority acknowledged a round of this term")
 	s.g.Expect(c.done).To(Receive(HaveField("Confirmed", BeTrue())))
 }
+
+// Guards against an instance that knows no leader for the rest of a term in
+// which its leader did not answer a call, though it gets leases from it.
+func TestLeaderIsKnownAgainAfterAnUnansweredCall(t *testing.T) {
+	s := newDrivenReplica(t)
+	s.stepFromPeer(raft.Message{Type: raft.MsgHeartbeat, Term: 2})
+	s.g.Expect(s.Leadership().Leader).To(Equal("e2"))
+	unanswered := func() {
+		s.clearLeader("e2")
+		s.runBatch(s.inbox.run)
+		s.g.Expect(s.Leadership().Leader).To(BeEmpty())
+	}
+	unanswered()
+	s.handleFreshnessResponse("e2", freshnessResponse{Confirmed: true}, s.now())
+	s.runBatch(s.inbox.run)
+	s.stepFromPeer(raft.Message{Type: raft.MsgHeartbeat})
+	s.g.Expect(s.Leadership().Leader).To(Equal("e2"))
+	unanswered()
+}
