--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -329,3 +329,22 @@
 	s.g.Expect(s.Leadership().Leader).To(Equal("e2"))
 	unanswered()
 }
+
+// Guards against a replica that ends because a write failed before a received
+// snapshot was installed.
+func TestReceivedSnapshotIsKeptAfterAFailedWrite(t *testing.T) {
+	s := newDrivenReplicaWithDisk(t, disk.OS{})
+	record := snapshotAt(s.g, 50, 2)
+	record.Position.Members = s.members()
+	got := &receivedSnapshot{record: *record, state: state.New()}
+	got.state.Index = 50
+	s.runBatch(func() {
+		s.stepSnapshot(&chunk{From: 2, To: s.id.Replica, Term: 2, Index: 50}, got)
+		s.detachStorage(errFullDisk)
+	})
+	s.stepFromPeer(raft.Message{
+		Type: raft.MsgAppend, Term: 2, Index: 50, LogTerm: 2, Commit: 51,
+		Entries: []raft.Entry{{Index: 51, Term: 2, Type: raft.EntryNoop}},
+	})
+	s.g.Expect(s.State().Index).To(BeEquivalentTo(51))
+}
--- a/replica/snapshot.go
+++ b/replica/snapshot.go
@@ -183,11 +183,7 @@
 // cannot store it.
 func (r *Replica) installSnapshot(p raft.Position) error {
 	got := r.receivedSnapshot
-	r.receivedSnapshot = nil
-	if got.state.Index > r.State().Index {
-		r.state.Store(got.state)
-		r.notify()
-	}
+	r.adoptReceivedState()
 	r.compact.snapshotAt = p.Index
 	event.Log(r.opts.Logger, event.ReplicaSnapshotInstalled, slog.Uint64("index", p.Index))
 	if err := r.store.saveSnapshot(&got.record); err != nil {
@@ -196,6 +192,17 @@
 	return r.store.rewrite(r.core.Base(), r.core.HardState(), r.core.Status().Commit, r.core.Tail())
 }
 
+// adoptReceivedState replaces the state with that of the received snapshot, if
+// there is one.
+func (r *Replica) adoptReceivedState() {
+	got := r.receivedSnapshot
+	r.receivedSnapshot = nil
+	if got != nil && got.state.Index > r.State().Index {
+		r.state.Store(got.state)
+		r.notify()
+	}
+}
+
 // compaction is the progress of log compaction.
 type compaction struct {
 	snapshotAt uint64 // index of the last snapshot
--- a/replica/storage_retry.go
+++ b/replica/storage_retry.go
@@ -27,6 +27,7 @@
 	}
 	r.store = nil
 	r.nextStorageRetry = r.now() + storageRetryInterval
+	r.adoptReceivedState() // the core may have accepted it already
 	position, ok := r.core.Position(r.State().Index)
 	if !ok {
 		position = r.core.Base()
