replica: a request of an earlier term shows no wiped voter

With ReplaceWipedVoters, a leader that had led less than 10 s before, while an instance ran another replica, took the voter that the instance has had since for wiped. Until the next request of the instance (300 ms) it could replace a sound voter.

Cause: the table of instances, which a leader fills from freshness requests, outlives its term, and the membership may change between two terms.

Each entry now has the term of its request, and only one of the current term shows that a disk was wiped. The other uses of the table need a request within the last 1.5 s, or remove entries.

TestVoterIsNotTakenForWipedOnARequestOfAnEarlierTerm fails without the change.

--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -348,3 +348,19 @@
 	})
 	s.g.Expect(s.State().Index).To(BeEquivalentTo(51))
 }
+
+// Guards against a voter that is replaced because its instance had an earlier
+// replica when this leader led before.
+func TestVoterIsNotTakenForWipedOnARequestOfAnEarlierTerm(t *testing.T) {
+	s := newDrivenReplica(t)
+	s.opts.ReplaceWipedVoters = true
+	s.elect()
+	c := &pendingConfirmation{instance: "e2", done: make(chan freshnessResponse, 1)}
+	s.runBatch(func() { s.addConfirmation(c, &freshnessRequest{Replica: 77, Disk: true}) })
+	s.g.Expect(s.voterStates()[1].unresponsive).To(BeTrue(), "e2 runs another replica")
+	s.stepFromPeer(raft.Message{Type: raft.MsgHeartbeat, Term: s.core.Status().Term + 1})
+	s.elect()
+	for _, v := range s.voterStates() {
+		s.g.Expect(v.unresponsive).To(BeFalse(), v.Instance)
+	}
+}
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -22,6 +22,7 @@
 	replica  raft.ID
 	disk     bool
 	zone     string
+	term     uint64        // of the last request
 	lastSeen time.Duration // time since New
 }
 
@@ -52,7 +53,9 @@
 		delete(r.members.byID, old.replica)
 	}
 	zone := r.zoneOf(instance, req.Zone)
-	r.members.info[instance] = &instanceInfo{replica: req.Replica, disk: req.Disk, zone: zone, lastSeen: r.now()}
+	r.members.info[instance] = &instanceInfo{
+		replica: req.Replica, disk: req.Disk, zone: zone, term: r.core.Status().Term, lastSeen: r.now(),
+	}
 	r.members.byID[req.Replica] = instance
 	r.core.AddLearner(req.Replica)
 }
@@ -113,7 +116,9 @@
 // Without ReplaceWipedVoters it is always false.
 func (r *Replica) diskWiped(m raft.Member) bool {
 	info := r.members.info[m.Instance]
-	return r.opts.ReplaceWipedVoters && info != nil && info.disk && info.replica != m.ID
+	// A request from an earlier term may be older than the voter.
+	known := info != nil && info.term == r.core.Status().Term
+	return r.opts.ReplaceWipedVoters && known && info.disk && info.replica != m.ID
 }
 
 // candidates returns the learners that may become voters.
