--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -364,3 +364,23 @@
 		s.g.Expect(v.unresponsive).To(BeFalse(), v.Instance)
 	}
 }
+
+// Guards against a proposal without an answer after a replica was elected and
+// lost its disk in the same batch.
+func TestProposalIsAnsweredIfTheDiskFailsAtTheElection(t *testing.T) {
+	s := newDrivenReplicaWithDisk(t, disk.OS{})
+	for s.core.Status().Role != raft.PreCandidate {
+		s.tick()
+	}
+	term := s.core.Status().Term + 1
+	s.stepFromPeer(raft.Message{Type: raft.MsgPreVoteResp, Term: term})
+	w := &pendingProposal{done: make(chan proposalResult, 1)}
+	s.runBatch(func() {
+		s.core.Step(raft.Message{Type: raft.MsgVoteResp, From: 2, To: s.id.Replica, Term: term})
+		s.appendCommand(state.NewCommand(state.Noop{}), nil, w)
+		s.detachStorage(errFullDisk)
+	})
+	var p proposalResult
+	s.g.Expect(w.done).To(Receive(&p))
+	s.g.Expect(p.err).To(MatchError(ErrOutcomeUnknown))
+}
