fleet: tests of undecided starts no longer depend on the time of a tick

The stand-in was unreachable before the start was sent. It loses contact with the start itself now; the checks are the same.

--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -40,7 +40,7 @@
 	} else {
 		first.DelayStarts(1)
 	}
-	first.SetUnreachable(true)
+	first.LoseContactAtStart() // the leader sends nothing to a worker that is known to be unreachable
 	h.Expect(h.submit(step(1, untilStopped))).To(Equal(fleet.OutcomeDone))
 	h.Eventually(first.DelayedStarts, waitTimeout, "1ms").Should(Equal(1))
 	return r
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -92,6 +92,7 @@
 	delayedStarts        []fleet.StartCall
 	startsToDelay        int  // number of next starts to delay until they are delivered
 	delayedStartsHang    bool // the calls of delayed starts end with their context
+	unreachableNext      bool // the worker is unreachable from the next delayed start on
 	stopCalls            int  // number of calls of Stop
 }
 
@@ -172,6 +173,13 @@
 	w.startsToDelay, w.delayedStartsHang = n, true
 }
 
+// LoseContactAtStart makes the worker unreachable from the next delayed start on.
+func (w *Worker) LoseContactAtStart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unreachableNext = true
+}
+
 // DelayedStarts returns the number of starts that wait for their delivery.
 func (w *Worker) DelayedStarts() int {
 	w.mu.Lock()
@@ -246,6 +254,7 @@
 	case w.startsToDelay > 0:
 		w.startsToDelay--
 		w.delayedStarts = append(w.delayedStarts, c)
+		w.unreachable = w.unreachable || w.unreachableNext
 		if w.delayedStartsHang {
 			w.mu.Unlock()
 			<-ctx.Done()
