fleet: undecided starts keep their lease, and outlive a change of leader

- A registration took over runs before all checks were made, and could return in between.
The checks come first now.
- A start that is carried out late by an incarnation that has not been polled takes a whole lease there: the lease in the call is a reading of an earlier clock.
The session's lease did not cover it.
- A worker that was removed under an earlier leader was taken for a new one.
For lossRetention after a leader has found workflows, each worker that registers is polled before it gets tasks.

Not covered: the same start where the incarnation has not registered when the lease of the earlier one expires.

--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -82,6 +82,7 @@
 	fenceSequence  uint64 // low bits of the highest fence of the term
 	active         bool
 	activatedAt    time.Duration // time of the last activation
+	adopted        bool          // workflows of an earlier leader were found then
 	nextSync       time.Duration
 	nextPass       time.Duration // earliest time of the next placement pass
 	nextReport     time.Duration // of the occupancy of pools
@@ -297,6 +298,7 @@
 	c.poolDemand = make(map[string]*poolDemand)
 	c.dirty = true
 	s := c.opts.Log.State()
+	c.adopted = s.Workflows.Len() > 0
 	c.interference, c.saving = placement.RestoreInterferenceModel(s.Interference), false
 	for _, w := range s.PoolWorkers.All() {
 		c.openSession(*w, false)
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -51,8 +51,7 @@
 	if !ok || w.StartedAt != b.Worker.StartedAt {
 		return
 	}
-	var undecided []*attempt
-	replaced := false
+	var replaced []*session
 	for _, old := range c.sessions {
 		same := old.worker.ID == b.Worker.ID || old.worker.Address == b.Worker.Address
 		if !same || old.worker.Address == "" {
@@ -61,7 +60,10 @@
 		if old.worker.StartedAt >= b.Worker.StartedAt {
 			return
 		}
-		replaced = true
+		replaced = append(replaced, old)
+	}
+	var undecided []*attempt
+	for _, old := range replaced {
 		if old.worker.ID == b.Worker.ID {
 			if old.loss == nil {
 				c.recordLoss(old, c.now(), nil) // before attempts are taken from it
@@ -71,7 +73,7 @@
 		c.crashed(old, "a later life has reported")
 	}
 	placeholder := c.sessions[b.Worker.ID]
-	s := c.openSession(*w, placeholder == nil && !replaced && !c.wasLost(w.ID))
+	s := c.openSession(*w, placeholder == nil && len(replaced) == 0 && !c.mayHaveBeenLost(w.ID))
 	s.fence = c.nextFence() // earlier incarnations may have got calls with all lower ones
 	// An older incarnation may have been removed and return with ends that were
 	// acknowledged before.
@@ -84,6 +86,8 @@
 	for _, a := range undecided {
 		s.add(a)
 		a.phase, a.stopAcked, a.startDecidedAt = attemptUnknown, false, c.now()
+		// A start that this incarnation carries out late takes a whole lease.
+		s.leaseEnd = max(s.leaseEnd, a.startedAt+maxCallDelay+c.leaseBound())
 	}
 	c.pollDue[s] = true
 	s.heartbeatSequence, s.clock, s.clockReadAt = b.Sequence, b.Clock, c.now()
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -57,23 +57,26 @@
 
 func unreachable(w *pool.Worker) { w.SetUnreachable(true) }
 
+// changeLeader makes another instance the leader, and then this one again.
+func changeLeader(h *harness) {
+	h.log.SetLeadership(replica.Leadership{Leader: "other", Term: 1})
+	time.Sleep(20 * time.Millisecond)
+	h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: 2, Self: true, Epoch: 2})
+	time.Sleep(20 * time.Millisecond)
+}
+
 // Guards against a start that the next incarnation of its worker carries out
 // after it was found not to run there.
 func TestStartDelayedBeyondAPollOfTheNextIncarnationDoesNotRun(t *testing.T) {
 	sameLeader := func(*harness) {}
-	nextLeader := func(h *harness) {
-		h.log.SetLeadership(replica.Leadership{Leader: "other", Term: 1})
-		time.Sleep(20 * time.Millisecond)
-		h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: 2, Self: true, Epoch: 2})
-	}
 	for name, tc := range map[string]struct {
 		hang    bool
 		between func(h *harness)
 	}{
 		"in flight, same leader":  {true, sameLeader},
-		"in flight, next leader":  {true, nextLeader},
+		"in flight, next leader":  {true, changeLeader},
 		"unanswered, same leader": {false, sameLeader},
-		"unanswered, next leader": {false, nextLeader},
+		"unanswered, next leader": {false, changeLeader},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
@@ -128,19 +131,48 @@
 // carried out by the next incarnation, which registers after the worker was
 // removed and gets no task.
 func TestStartDelayedBeyondTheRemovalOfItsWorkerDoesNotRun(t *testing.T) {
-	h := newHarness(t, func(o *fleet.Options) { o.Limits.Heartbeat = 200 * time.Millisecond })
-	r := startInDoubt(h, false)
-	removed := func() bool {
-		_, known := h.log.State().PoolWorkers.Get("a")
-		return !known
+	for name, between := range map[string]func(h *harness){"same leader": func(*harness) {}, "next leader": changeLeader} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, func(o *fleet.Options) { o.Limits.Heartbeat = 200 * time.Millisecond })
+			r := startInDoubt(h, false)
+			removed := func() bool {
+				_, known := h.log.State().PoolWorkers.Get("a")
+				return !known
+			}
+			h.Eventually(removed, waitTimeout, "5ms").Should(BeTrue())
+			b := h.addWorker("b", pool.Options{RunTime: runForever})
+			h.Eventually(func() int { return running(b) }, waitTimeout, "1ms").Should(Equal(1))
+			between(h)
+			second := r.restart()
+			h.Eventually(second.Fence, waitTimeout, "1ms").ShouldNot(BeZero(), "the worker is polled")
+			r.incarnations[0].DeliverDelayedStartsTo(second)
+			h.Consistently(func() int { return running(second) }, "200ms", "1ms").Should(BeZero())
+		})
 	}
-	h.Eventually(removed, waitTimeout, "5ms").Should(BeTrue())
+}
+
+// Guards against a run that is given up with the lease of the next incarnation
+// of its worker, which has not been polled and carries out the start late.
+func TestLateStartOutlivesTheLeaseOfAnUnpolledIncarnation(t *testing.T) {
+	h := newHarness(t)
+	r := &restartedWorker{harness: h}
+	r.restart()
+	time.Sleep(2 * time.Second) // a lease on the first clock is long on that of the next incarnation
+	first := r.incarnations[0]
+	first.DelayStarts(1)
+	first.LoseContactAtStart()
+	h.Expect(h.submit(step(1, untilStopped))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(first.DelayedStarts, waitTimeout, "1ms").Should(Equal(1))
 	b := h.addWorker("b", pool.Options{RunTime: runForever})
-	h.Eventually(func() int { return running(b) }, waitTimeout, "1ms").Should(Equal(1))
-	second := r.restart()
-	h.Eventually(second.Fence, "300ms", "1ms").ShouldNot(BeZero(), "the worker is polled")
-	r.incarnations[0].DeliverDelayedStartsTo(second)
-	h.Consistently(func() int { return running(second) }, "200ms", "1ms").Should(BeZero())
+	second := r.restart(unreachable)
+	time.Sleep(holdMax + holdMax/2)
+	first.DeliverDelayedStartsTo(second)
+	h.Expect(running(second)).To(Equal(1))
+	h.Consistently(func() int { return running(second) + running(b) }, "1500ms", "2ms").Should(BeNumerically("<=", 1))
+	second.SetUnreachable(false)
+	h.Eventually(func() int { return running(second) + running(b) }, waitTimeout, "2ms").Should(Equal(1))
+	h.expectNoDuplicateRuns(first, second, b)
 }
 
 // Guards against a task that waits for anything but the first response of the
--- a/fleet/worker_loss.go
+++ b/fleet/worker_loss.go
@@ -67,10 +67,10 @@
 	s.loss = nil
 }
 
-// wasLost reports whether an incarnation of the worker was lost within
-// lossRetention.
-func (c *Controller) wasLost(id string) bool {
-	return slices.ContainsFunc(c.losses, func(l *workerLoss) bool { return l.session.worker.ID == id })
+// mayHaveBeenLost reports whether an incarnation of the worker may have been lost
+// within lossRetention. Losses under an earlier leader are not known.
+func (c *Controller) mayHaveBeenLost(id string) bool {
+	return c.adopted && c.now()-c.activatedAt < lossRetention || slices.ContainsFunc(c.losses, func(l *workerLoss) bool { return l.session.worker.ID == id })
 }
 
 // startedRuns returns the number of runs on the worker that may have started.
