fleet: a refused start is no evidence of a crash

A 421 shows that another incarnation has the address, which ended the session of the worker in a crash of each of its runs, the refused one among them. The poll that follows a start can be refused first; then the session ended with the start in flight, and closing its client cut off the refusal.

A refused run now ends, as not started, before the session does. A session that closes with starts in flight keeps its client until they are answered, at most their timeout later: one that was refused or not sent ends its run without a crash, any other with it. The task does not start again before that. A start that the worker neither answered nor reported may not have run; it counts towards the bound of five, but not as a crash under a task that ran alone.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -67,6 +67,9 @@
 
 func (a *attempt) reservation() state.Resources { return a.task.step.Reservation() }
 
+// confirmed reports whether the worker is known to have run the attempt.
+func (a *attempt) confirmed() bool { return a.mayHaveStarted && !a.adopted || a.seenAt > 0 }
+
 func (a *attempt) position() TaskPosition { return a.task.position() }
 
 func (t *task) position() TaskPosition {
@@ -163,6 +166,11 @@
 		c.handleLateStartResponse(a, now-begin, err)
 		return
 	}
+	if s.closed {
+		c.logLateStart(a, now-begin, err)
+		c.endAfterLoss(a, err)
+		return
+	}
 	if err == nil {
 		c.startRoundTrip.observe(now - begin)
 		s.markResponsive(c)
@@ -196,6 +204,7 @@
 		slog.Int("task", a.run.Task), slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID),
 		slog.String("reason", reason.String()))
 	c.metrics.countRefusal(reason)
+	c.endAsLost(a, reason.String()) // before its worker is known to have crashed
 	switch reason {
 	case RefusedCapacity:
 		s.fullUntil = now + fullPause
@@ -205,9 +214,7 @@
 		a.task.recordRefusal(s.worker.ID, now) // an immediate retry would be refused again
 	case RefusedOtherIncarnation:
 		c.crashed(s, "another life has its address")
-		return
 	}
-	c.endAsLost(a, reason.String())
 }
 
 // handleLateStartResponse handles the response to a start whose run was resolved,
@@ -233,6 +240,19 @@
 	}
 }
 
+// endAfterLoss ends a run whose worker was lost while its start was in flight.
+func (c *Controller) endAfterLoss(a *attempt, err error) {
+	neverSent, _ := unsent(err)
+	switch {
+	case err == nil:
+		a.mayHaveStarted, a.task.workflow.begun = true, true
+	case neverSent || refusal(err) != 0:
+		a.crashed = false
+	}
+	c.endAsLost(a, "its worker was lost while its start was in flight: "+startOutcome(err))
+	c.closeCalls(a.session)
+}
+
 func (c *Controller) logLateStart(a *attempt, inFlight time.Duration, err error) {
 	outcome := startOutcome(err)
 	c.metrics.lateStarts.WithLabelValues(outcome).Inc()
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -89,6 +89,7 @@
 	workflows      map[string]*workflow
 	sessions       map[string]*session // by worker id
 	sorted         []*session          // by worker id; nil after a change of sessions
+	closing        map[*session]bool   // closed sessions with starts in flight
 	losses         []*workerLoss       // within lossRetention
 	suspects       map[*task]bool      // open tasks that have to run alone
 	held           []*session          // kept for tasks that have to run alone
@@ -291,6 +292,7 @@
 	c.activatedAt = c.now()
 	c.workflows = make(map[string]*workflow)
 	c.sessions, c.sorted, c.losses = make(map[string]*session), nil, nil
+	c.closing = make(map[*session]bool)
 	c.suspects, c.held, c.reserved = make(map[*task]bool), nil, make(map[*task]bool)
 	c.pollDue = make(map[*session]bool)
 	c.journal = journal{}
@@ -317,7 +319,10 @@
 		s.closed = true
 		s.api.Close()
 	}
-	c.workflows, c.sessions = nil, nil
+	for s := range c.closing {
+		s.api.Close()
+	}
+	c.workflows, c.sessions, c.closing = nil, nil, nil
 	c.waitingWorkflows.Store(nil)
 	event.Log(c.opts.Logger, event.FleetLeaderStopped, slog.Uint64("fence", c.fence), slog.String("reason", reason))
 }
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -79,7 +79,7 @@
 // the task.
 func (c *Controller) judgeCrash(a *attempt, end *state.TaskEnd) {
 	t := a.task
-	crash := placement.WorkerCrash{WorkedMillis: a.workedFor().Milliseconds(), LongRunning: t.step.LongRunning}
+	crash := placement.WorkerCrash{WorkedMillis: a.workedFor().Milliseconds(), LongRunning: t.step.LongRunning, Unconfirmed: !a.confirmed()}
 	if l := a.loss; l != nil {
 		crash.PoolWorkers, crash.LostTogether = l.poolWorkers, c.lostTogether(l)
 		crash.Isolated, crash.BesideSuspect = a.beside == 0, a.besideSuspect
@@ -93,7 +93,7 @@
 	}
 	event.Log(c.opts.Logger, event.TaskCrashedWorker, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
 		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.Int("beside", a.beside), slog.Bool("beside_suspect", a.besideSuspect),
-		slog.Int64("worked_ms", crash.WorkedMillis), slog.Int("lost_together", crash.LostTogether), slog.Int("pool", crash.PoolWorkers),
+		slog.Int64("worked_ms", crash.WorkedMillis), slog.Bool("confirmed", !crash.Unconfirmed), slog.Int("lost_together", crash.LostTogether), slog.Int("pool", crash.PoolWorkers),
 		slog.String("kind", v.Kind.String()), slog.Bool("cleared", v.Cleared), slog.Int("crashes", v.Evidence.Crashes),
 		slog.Int("unexplained", v.Evidence.Unexplained), slog.Int("isolated", v.Evidence.Isolated),
 		slog.Int("explained", v.Evidence.Explained), slog.Int64("longest_crash_ms", v.Evidence.LongestCrashMillis), slog.Bool("given_up", v.GiveUp))
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -156,13 +156,16 @@
 
 // endAllAttempts ends all runs on a worker. A run whose start is not committed
 // yet can't be ended; it is marked so that its start is not sent after the
-// commit.
+// commit. The response to a start in flight of a closed session ends its run.
 func (c *Controller) endAllAttempts(s *session, reason string) {
 	for _, a := range s.attempts {
 		if a.phase == attemptRecording {
 			a.stopping = true
 			continue
 		}
+		if a.phase == attemptStarting && s.closed {
+			continue
+		}
 		c.endAsLost(a, reason)
 	}
 }
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -166,7 +166,8 @@
 	c.endAllAttempts(s, reason)
 	c.resolveExpired(s.expired)
 	s.expired = nil
-	s.api.Close()
+	c.closing[s] = true
+	c.closeCalls(s)
 	if c.sessions[s.worker.ID] == s {
 		delete(c.sessions, s.worker.ID)
 		c.sorted = nil
@@ -184,6 +185,18 @@
 	})
 }
 
+// closeCalls closes the client of a closed session once no start is in flight
+// there. The response to a start shows whether the worker ran it.
+func (c *Controller) closeCalls(s *session) {
+	for _, a := range s.attempts {
+		if a.phase == attemptStarting {
+			return
+		}
+	}
+	delete(c.closing, s)
+	s.api.Close()
+}
+
 // proposeChange commits a change independently of the journal and calls
 // onResult in the loop.
 func (c *Controller) proposeChange(body state.Body, onResult func(err error)) {
--- a/placement/crash.go
+++ b/placement/crash.go
@@ -73,8 +73,11 @@
 	// BesideSuspect means that a task that has to run alone was on the worker,
 	// and this one is not such a task. Nothing starts after it there.
 	BesideSuspect bool
-	WorkedMillis  int64 // how long the run is known to have been at work
-	LongRunning   bool  // the task is restarted whenever it ends
+	// Unconfirmed means that the worker neither answered the start nor reported
+	// the run, so it may not have run the task.
+	Unconfirmed  bool
+	WorkedMillis int64 // how long the run is known to have been at work
+	LongRunning  bool  // the task is restarted whenever it ends
 }
 
 // CrashVerdict is what a crash means for a task that ran on the worker.
@@ -106,7 +109,7 @@
 	if !massLoss {
 		v.Kind = state.CrashUnexplained
 		v.Evidence.Unexplained++
-		if crash.Isolated && crash.LostTogether == 0 && e.NeedsIsolation() {
+		if crash.Isolated && !crash.Unconfirmed && crash.LostTogether == 0 && e.NeedsIsolation() {
 			v.Kind = state.CrashIsolated
 			v.Evidence.Isolated++
 		}
--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -43,6 +43,12 @@
 			},
 			isolate: true,
 		},
+		"isolated, but the worker may not have run the task": {
+			evidence: placement.CrashEvidence{Crashes: 3, Unexplained: 3, Isolated: 1},
+			crash:    placement.WorkerCrash{PoolWorkers: 60, Isolated: true, Unconfirmed: true},
+			want:     placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 4, Unexplained: 4, Isolated: 1}},
+			isolate:  true,
+		},
 		"isolated, but another worker was lost too": {
 			evidence: suspect, crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 1, Isolated: true},
 			want:    placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 3, Unexplained: 3}},
