fleet: whether a worker crashed is decided when its runs are taken over

Whether a run that the next incarnation took over was lost in a crash was derived from start times when a poll did not list it. So a crash was not counted if the lease of that incarnation expired first (towards a sixth start, BUDGET), and a worker that had announced its shutdown counted as crashed.

It is recorded when the run is taken over, and taken back when a report lists the run or its start turns out to have had no effect. Only for runs of an earlier leader the start times decide.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -233,10 +233,9 @@
 	switch {
 	case err == nil:
 		a.mayHaveStarted, a.task.workflow.begun = true, true
-	case neverSent:
-		c.endAsLost(a, "its start was not sent")
-	case refusal(err) != 0:
-		c.endAsLost(a, refusal(err).String())
+	case neverSent || refusal(err) != 0:
+		a.crashed = false
+		c.endAsLost(a, "its start had no effect: "+startOutcome(err))
 	}
 }
 
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -65,10 +65,7 @@
 	var undecided []*attempt
 	for _, old := range replaced {
 		if old.worker.ID == b.Worker.ID {
-			if old.loss == nil {
-				c.recordLoss(old, c.now(), nil) // before attempts are taken from it
-			}
-			undecided = append(undecided, takeUndecidedAttempts(old)...)
+			undecided = append(undecided, c.takeUndecidedAttempts(old)...)
 		}
 		c.crashed(old, "a later life has reported")
 	}
@@ -100,8 +97,12 @@
 
 // takeUndecidedAttempts removes and returns the attempts of an earlier
 // incarnation that may run on the later one, which has the same id. A poll of
-// the later incarnation decides about them.
-func takeUndecidedAttempts(old *session) []*attempt {
+// the later incarnation decides about them. Those that it does not list were lost
+// with the earlier one.
+func (c *Controller) takeUndecidedAttempts(old *session) []*attempt {
+	if old.loss == nil {
+		c.recordLoss(old, c.now(), nil)
+	}
 	var undecided []*attempt
 	for _, a := range old.attempts {
 		if a.mayRunLater() {
@@ -110,6 +111,7 @@
 	}
 	for _, a := range undecided {
 		old.remove(a)
+		a.crashed = a.crashed || !old.worker.Draining
 	}
 	return undecided
 }
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -239,6 +240,34 @@
 	}
 }
 
+// Guards against a crash that is not counted because the lease of the next
+// incarnation expired before that was polled.
+func TestCrashIsCountedIfTheNextIncarnationIsNotPolled(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	r := startInDoubt(h, false)
+	r.incarnations[0].Crash()
+	second := r.restart(unreachable)
+	h.Eventually(func() []uint64 { return h.taskOf(jobID).CrashedRuns }, 3*waitTimeout, "20ms").Should(Equal([]uint64{1}))
+	second.SetUnreachable(false)
+	h.Eventually(func() int { return running(second) }, waitTimeout, "1ms").Should(Equal(1))
+	h.Expect(h.taskOf(jobID).LostRuns).To(BeEmpty())
+}
+
+// Guards against a crash that counts against a task although its worker had
+// announced its shutdown.
+func TestUnansweredStartOnADrainingWorkerIsNoCrash(t *testing.T) {
+	h := newHarness(t)
+	r := startInDoubt(h, false)
+	first := r.incarnations[0]
+	startedAt, err := strconv.ParseInt(strings.TrimPrefix(r.addresses[0], "a:"), 10, 64)
+	h.Expect(err).NotTo(HaveOccurred())
+	h.Expect(h.heartbeat("a", startedAt, first, true)).To(Equal(fleet.OutcomeDone))
+	second := r.restart()
+	h.Eventually(func() int { return running(second) }, waitTimeout, "1ms").Should(Equal(1))
+	h.Expect(h.taskOf(jobID).CrashedRuns).To(BeEmpty())
+}
+
 // Guards against an acknowledgement for an earlier incarnation that discards
 // ends unnoticed.
 func TestEndsDiscardedBeforeTheyWereReadAreCounted(t *testing.T) {
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -170,8 +170,8 @@
 	}
 	for k, a := range s.attempts {
 		if !seen[k] && a.startDecided() && a.startDecidedAt < begin {
-			// The run was on an earlier incarnation, which has crashed.
-			a.crashed = a.crashed || a.incarnation != 0 && s.worker.StartedAt > a.incarnation
+			// The worker of an adopted run was replaced under an earlier leader.
+			a.crashed = a.crashed || a.adopted && a.incarnation != 0 && s.worker.StartedAt > a.incarnation
 			c.endAsLost(a, "not on the worker")
 		}
 	}
@@ -220,7 +220,7 @@
 		if outcome != state.OutcomeLost {
 			s.failures.record(c, s, a, outcome == state.OutcomeFailed)
 		}
-		a.mayHaveStarted, a.task.workflow.begun = true, true
+		a.listed()
 		c.endAttempt(a, outcome, e.Checkpoint, e.Kind.String())
 		return
 	}
@@ -248,16 +248,24 @@
 // index returns the index in tasks of the task at the position.
 func (f *workflow) index(p TaskPosition) int { return f.spec.FirstTask(p.Occurrence, p.Step) + p.Index }
 
+// listed records that a report of the worker lists the run or its end, so that it
+// was not lost with an earlier incarnation.
+func (a *attempt) listed() {
+	s := a.session
+	a.mayHaveStarted, a.task.workflow.begun = true, true
+	a.incarnation, a.crashed = s.worker.StartedAt, false
+	if a.loss != nil && a.loss.session != s {
+		a.loss = nil
+	}
+}
+
 // applyRunning matches a reported run with its attempt. An unknown run is
 // stopped.
 func (c *Controller) applyRunning(s *session, r *RunStatus) {
 	k := runKey{r.Position, r.Number}
 	if a := s.attempts[k]; a != nil {
-		a.mayHaveStarted, a.seenAt, a.incarnation = true, c.now(), s.worker.StartedAt
-		if a.loss != nil && a.loss.session != s {
-			a.loss = nil // the start was carried out after that loss
-		}
-		a.task.workflow.begun = true
+		a.seenAt = c.now()
+		a.listed()
 		if a.suspect && placement.Settled(a.workedFor().Milliseconds()) {
 			s.markSuspect(a, false)
 			c.dirty = true
