fleet: decide each start of a pass from its present view

Cause: a placement pass read its view of a worker twice. At its beginning, reservedWorker checked that each task may return to the worker where it failed. Task 0 then found room on the worker of task 1. Task 1 found none on that of task 0, where capacity was still set aside for task 0, and returned to its own, where only the free capacity was checked again.

Sessions now count their runs by step, and every decision of a pass asks this count, which a start changes at once; before, each request counted anew, and groups of tasks and gangs kept copies. All starts of a pass go through startOn, which releases what was set aside for the task. returnToReserved asks again for all conditions: the limit, refusals, and the share of serving tasks, which it didn't check either. A ranking of workers is made again after any other change of free capacity than the start on its best worker; before, each caller discarded it by hand.

--- a/fleet/batch_reservation.go
+++ b/fleet/batch_reservation.go
@@ -90,6 +90,7 @@
 		}
 	}
 	p.allWorkers[worker].Reserve(t)
+	p.changes++
 }
 
 // observeIdle records, once per placement pass, the capacity that useful batch
--- a/fleet/gang.go
+++ b/fleet/gang.go
@@ -29,12 +29,11 @@
 			workers[i] = nil
 		}
 	}
-	request, _ := c.placementRequest(t, p, nil)
+	request := c.placementRequest(t, p, nil)
 	for _, rack := range gangRacks(t.step, p) {
-		if chosen := chooseGang(request, len(members), workers, rack); chosen != nil {
+		if chosen := chooseGang(t, request, len(members), p, workers, rack); chosen != nil {
 			for i, m := range members {
-				p.book(chosen[i], request)
-				c.place(m, p.sessions[chosen[i]], number)
+				c.startOn(m, p, chosen[i], request, number)
 			}
 			return
 		}
@@ -65,7 +64,7 @@
 }
 
 // chooseGang returns the index of a worker for each member of a gang, or nil.
-func chooseGang(task placement.PoolTask, members int, workers []*placement.WorkerCapacity, label string) []int {
+func chooseGang(t *task, request placement.PoolTask, members int, p *pool, workers []*placement.WorkerCapacity, label string) []int {
 	trial := make([]*placement.WorkerCapacity, len(workers))
 	for i, r := range workers {
 		if r != nil && (label == "" || slices.Contains(r.Labels, label)) {
@@ -75,15 +74,14 @@
 		}
 	}
 	onWorker := make(map[int]int)
-	limit := task.Step.MaxPerWorker
-	task.Excluded = func(i int) bool { return limit > 0 && onWorker[i] >= limit }
+	request.Excluded = func(i int) bool { return p.sessions[i].stepRuns.exceedLimit(t, onWorker[i]+1) }
 	chosen := make([]int, 0, members)
 	for range members {
-		i := placement.ChooseWorker(trial, task)
+		i := placement.ChooseWorker(trial, request)
 		if i < 0 {
 			return nil
 		}
-		trial[i].Reserve(task)
+		trial[i].Reserve(request)
 		onWorker[i]++
 		chosen = append(chosen, i)
 	}
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -106,7 +106,7 @@
 	if !placement.NearlyOverdue(waited.Milliseconds()) {
 		return
 	}
-	request, _ := c.placementRequest(t, p, c.excludedWorkers(t, p))
+	request := c.placementRequest(t, p, c.excludedWorkers(t, p))
 	share := p.shares[t.workflow.spec.Priority]
 	var batchFree, batchReserved, batchUnit int64
 	if share != nil {
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -34,17 +34,21 @@
 	// in this pass, because batch tasks leave the CPU idle.
 	idleCapacity int
 	idleObserved bool
-	// aside are the waiting tasks whose capacity has been set aside in this pass.
-	aside map[*task]bool
+	// aside has the worker, by index, of each waiting task whose capacity has
+	// been set aside in this pass.
+	aside map[*task]int
 	// asideFromServing is capacity that only batch tasks may use in this pass.
 	asideFromServing []asideCapacity
+	// changes counts the changes of the workers' free capacity in this pass, and
+	// releases those that left a worker with more of it.
+	changes, releases int
 }
 
 func newPool(size int) *pool {
 	return &pool{
 		sessions: make([]*session, 0, size), workers: make([]*placement.WorkerCapacity, 0, size),
 		smallestUnplaced: make(map[placementClass]state.Resources), reserved: make(map[int]bool), reservedInPass: make(map[int]bool),
-		shares: make(map[int]*placement.BatchReservation), aside: make(map[*task]bool),
+		shares: make(map[int]*placement.BatchReservation), aside: make(map[*task]int),
 	}
 }
 
--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -18,8 +18,7 @@
 	if t.step.Gang || t.reservedOn != nil || !placement.RestartOverdue(waitedMillis, true) || len(c.reserved) >= placement.MaxReserved(len(p.sessions)) {
 		return
 	}
-	request, _ := c.placementRequest(t, p, nil)
-	i := placement.ChooseReserved(p.workers, request)
+	i := placement.ChooseReserved(p.workers, c.placementRequest(t, p, nil))
 	if i < 0 {
 		return
 	}
@@ -46,13 +45,41 @@
 	c.reserved[t] = true
 }
 
+func (c *Controller) dropReservation(t *task) {
+	t.reservedOn = nil
+	delete(c.reserved, t)
+}
+
 // setAside removes the resources of a waiting task from the free capacity of a
-// worker for the rest of the pass.
+// worker until it is released, at the latest for the rest of the pass.
 func (p *pool) setAside(worker int, t *task) {
-	r := p.workers[worker]
+	r := p.allWorkers[worker]
 	r.Free = r.Free.Sub(t.step.Reservation())
 	p.sessions[worker].resourcesValid = false
-	p.aside[t] = true
+	p.aside[t] = worker
+	p.changes++
+}
+
+// release returns the capacity that was set aside for a task in this pass.
+func (p *pool) release(t *task) {
+	r := p.allWorkers[p.aside[t]]
+	r.Free = r.Free.Add(t.step.Reservation())
+	delete(p.aside, t)
+	p.changes++
+}
+
+// startOn starts the next run of a task on a worker, by index, that can take it
+// now. What was set aside for the task is free for others, also in this pass.
+func (c *Controller) startOn(t *task, p *pool, worker int, request placement.PoolTask, number uint64) {
+	if aside, ok := p.aside[t]; ok {
+		p.release(t)
+		if aside != worker {
+			p.releases++
+		}
+	}
+	c.dropReservation(t)
+	p.book(worker, request)
+	c.place(t, p.sessions[worker], number)
 }
 
 // placeReserved starts the tasks for which enough of their capacity has become
@@ -69,51 +96,48 @@
 		p := pools[t.workflow.spec.Pool]
 		i := c.reservedWorker(t, p)
 		if i < 0 {
-			t.reservedOn = nil
-			delete(c.reserved, t)
+			c.dropReservation(t)
 			continue
 		}
 		if c.exceedsShare(t, p, i) {
 			p.asideFromServing = append(p.asideFromServing, asideCapacity{i, t})
 			continue
 		}
-		if t.phase != taskReady || t.avoid[t.reservedOn.worker.ID] || !c.placeOnReserved(t, p, i) {
+		if t.phase != taskReady || t.avoid[t.reservedOn.worker.ID] || !c.startOnReserved(t, p, i) {
 			p.setAside(i, t)
 		}
 	}
 }
 
 // returnToReserved starts a task that found no other worker where its last run
-// failed, if its capacity was set aside there. The capacity must not stay idle
-// while others wait for some.
+// failed, if its capacity was set aside there and it may still start there:
+// other tasks were placed since. The capacity must not stay idle while others
+// wait for some.
 func (c *Controller) returnToReserved(t *task, p *pool) bool {
-	if !p.aside[t] || !t.avoid[t.reservedOn.worker.ID] {
+	aside, ok := p.aside[t]
+	if !ok || p.workers[aside] == nil || !t.avoid[t.reservedOn.worker.ID] {
 		return false
 	}
-	i, found := p.indexOf(t.reservedOn)
-	if !found || p.workers[i] == nil {
+	p.release(t)
+	i := c.reservedWorker(t, p)
+	if i < 0 {
+		c.dropReservation(t)
+		p.releases++
 		return false
 	}
-	r := p.workers[i]
-	r.Free = r.Free.Add(t.step.Reservation())
-	if c.placeOnReserved(t, p, i) {
+	if !c.exceedsShare(t, p, i) && c.startOnReserved(t, p, i) {
 		return true
 	}
 	p.setAside(i, t)
 	return false
 }
 
-// placeOnReserved starts a task on the worker, by index, on which capacity was
-// set aside for it, if enough is free.
-func (c *Controller) placeOnReserved(t *task, p *pool, worker int) bool {
+// startOnReserved starts a task on its reservedWorker if enough is free there.
+func (c *Controller) startOnReserved(t *task, p *pool, worker int) bool {
 	if c.journal.full() || !t.step.Reservation().FitsIn(p.workers[worker].Free) {
 		return false
 	}
-	request, _ := c.placementRequest(t, p, nil)
-	p.book(worker, request)
-	c.place(t, p.sessions[worker], t.run+1)
-	t.reservedOn = nil
-	delete(c.reserved, t)
+	c.startOn(t, p, worker, c.placementRequest(t, p, nil), t.run+1)
 	return true
 }
 
@@ -134,7 +158,7 @@
 		return -1
 	}
 	t.expireRefusals(c.now())
-	if request, _ := c.placementRequest(t, p, nil); request.Excluded != nil && request.Excluded(i) {
+	if request := c.placementRequest(t, p, nil); request.Excluded != nil && request.Excluded(i) {
 		return -1
 	}
 	return i
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -58,9 +58,9 @@
 		waited := (c.now() - t.waitingSince).Milliseconds()
 		usesReserved := j.ExceedsShare && placement.RestartOverdue(waited, t.ranBefore()) ||
 			j.Starved() && t.step.LongRunning && placement.Overdue(waited)
-		if unplaceable.includes(t, usesReserved, excludedWorkers) {
-			if j.Restart && c.returnToReserved(t, p) {
-				group = nil // its ranking does not include this worker
+		if unplaceable.includes(t, p, usesReserved, excludedWorkers) {
+			if j.Restart {
+				c.returnToReserved(t, p)
 			}
 			continue
 		}
@@ -69,7 +69,7 @@
 		}
 		if t.step.Gang {
 			c.placeGang(t, p, usesReserved)
-			group, unplaceable = nil, unplaceableStep{step: t.pos.Step, occurrence: t.pos.Occurrence, usesReserved: true}
+			group, unplaceable = nil, unplaceableStep{step: t.pos.Step, occurrence: t.pos.Occurrence, usesReserved: true, releases: p.releases}
 			continue
 		}
 		class := classOf(t.step, j)
@@ -86,7 +86,6 @@
 			}
 		}
 		if i < 0 && j.Restart && c.returnToReserved(t, p) {
-			group = nil
 			continue
 		}
 		if i < 0 {
@@ -98,15 +97,14 @@
 				p.reserve(group.request)
 			}
 			if !j.ExceedsShare && len(t.refusedUntil) == 0 { // other tasks of the step may still fit
-				unplaceable = unplaceableStep{t.pos.Step, t.pos.Occurrence, usesReserved, excludedWorkers}
+				unplaceable = unplaceableStep{t.pos.Step, t.pos.Occurrence, usesReserved, excludedWorkers, p.releases}
 			}
 			continue
 		}
-		p.book(i, group.request)
 		if j.ExceedsShare {
 			p.idleCapacity = max(0, p.idleCapacity-1)
 		}
-		c.place(t, p.sessions[i], t.run+1)
-		group.recordPlaced(i)
+		c.startOn(t, p, i, group.request, t.run+1)
+		group.recordPlaced()
 	}
 }
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -33,6 +33,7 @@
 	worker         state.PoolWorker
 	api            Worker
 	attempts       map[runKey]*attempt
+	stepRuns       stepCounts // of the attempts
 	reserved       state.Resources
 	resources      placement.WorkerCapacity // as of the last placement pass
 	resourcesValid bool                     // resources is up to date
@@ -76,7 +77,7 @@
 
 func newSession(w state.PoolWorker, api Worker) *session {
 	return &session{
-		worker: w, api: api, attempts: make(map[runKey]*attempt), unknownRuns: make(map[runKey]time.Duration),
+		worker: w, api: api, attempts: make(map[runKey]*attempt), stepRuns: make(stepCounts), unknownRuns: make(map[runKey]time.Duration),
 	}
 }
 
@@ -108,6 +109,7 @@
 func (s *session) add(a *attempt) {
 	a.session = s
 	s.attempts[s.key(a)] = a
+	s.stepRuns.add(a.task, 1)
 	s.reserved = s.reserved.Add(a.reservation())
 	s.resourcesValid = false
 	s.markSuspect(a, a.task.evidence.NeedsIsolation())
@@ -120,6 +122,7 @@
 func (s *session) remove(a *attempt) {
 	if s.attempts[s.key(a)] == a {
 		delete(s.attempts, s.key(a))
+		s.stepRuns.add(a.task, -1)
 		s.reserved = s.reserved.Sub(a.reservation())
 		s.resourcesValid = false
 		s.markSuspect(a, false)
--- a/fleet/task_group.go
+++ b/fleet/task_group.go
@@ -13,10 +13,11 @@
 	step, occurrence int
 	usesReserved     bool // reserved workers were considered
 	excludedWorkers  map[string]bool
+	releases         int // of the pool at that time
 }
 
-func (f *unplaceableStep) includes(t *task, usesReserved bool, excludedWorkers map[string]bool) bool {
-	if t.pos.Step != f.step || t.pos.Occurrence != f.occurrence || usesReserved && !f.usesReserved {
+func (f *unplaceableStep) includes(t *task, p *pool, usesReserved bool, excludedWorkers map[string]bool) bool {
+	if t.pos.Step != f.step || t.pos.Occurrence != f.occurrence || usesReserved && !f.usesReserved || f.releases != p.releases {
 		return false
 	}
 	for worker := range f.excludedWorkers {
@@ -35,10 +36,8 @@
 	usesReserved bool // the tasks have waited so long that they may use reserved workers
 	workers      []*placement.WorkerCapacity
 	request      placement.PoolTask
-	// onWorker is the number of tasks of the step on each worker, if it is
-	// limited.
-	onWorker map[*session]int
-	ranking  *placement.Ranking // nil until it is needed
+	ranking      *placement.Ranking // nil until it is needed
+	changes      int                // of the pool when the ranking was made
 }
 
 func (c *Controller) taskGroup(t *task, p *pool, j placement.WaitingJob, usesReserved bool, avoid map[string]bool) *taskGroup {
@@ -46,7 +45,7 @@
 	if usesReserved {
 		e.workers = p.allWorkers
 	}
-	e.request, e.onWorker = c.placementRequest(t, p, avoid)
+	e.request = c.placementRequest(t, p, avoid)
 	if !j.ExceedsShare {
 		e.request.Excluded = p.excludeOverShare(t, e.request.Excluded)
 	}
@@ -75,18 +74,19 @@
 	if j.ExceedsShare && !e.mayExceedShare(waitedMillis, ranBefore) {
 		return -1
 	}
-	if e.ranking == nil {
-		e.ranking = placement.Rank(e.workers, e.request)
+	if e.ranking == nil || e.changes != e.pool.changes {
+		e.ranking, e.changes = placement.Rank(e.workers, e.request), e.pool.changes
 	}
 	return e.ranking.Best()
 }
 
-// recordPlaced records that a task was placed on the best worker.
-func (e *taskGroup) recordPlaced(worker int) {
-	if e.onWorker != nil {
-		e.onWorker[e.pool.sessions[worker]]++
+// recordPlaced records that a task was placed on the best worker. If that was
+// not the only change since the workers were ranked, they are ranked again.
+func (e *taskGroup) recordPlaced() {
+	if e.changes+1 == e.pool.changes {
+		e.ranking.Update()
+		e.changes++
 	}
-	e.ranking.Update()
 }
 
 // excludedWorkers returns the workers on which the task may not run even if no
@@ -121,23 +121,46 @@
 	return avoided
 }
 
-// placementRequest returns the placement request of a task that avoids workers,
-// and the number of tasks of its step on each worker if that is limited.
-func (c *Controller) placementRequest(t *task, p *pool, avoid map[string]bool) (placement.PoolTask, map[*session]int) {
-	limit := t.step.MaxPerWorker
-	if limit == 0 && len(avoid) == 0 && len(t.refusedUntil) == 0 {
-		return placement.PoolTask{Step: t.step, InterferenceModel: c.interference}, nil
-	}
-	onWorker := make(map[*session]int)
-	first := t.workflow.spec.FirstTask(t.pos.Occurrence, t.pos.Step)
-	for _, other := range t.workflow.tasks[first : first+t.step.Count] {
-		if other.attempt != nil && other.attempt.phase != attemptEnded {
-			onWorker[other.attempt.session]++
-		}
+// placementRequest returns the placement request of a task that avoids workers.
+// Its exclusions follow the runs on the workers, so they hold for as long as the
+// pool is in use.
+func (c *Controller) placementRequest(t *task, p *pool, avoid map[string]bool) placement.PoolTask {
+	if t.step.MaxPerWorker == 0 && len(avoid) == 0 && len(t.refusedUntil) == 0 {
+		return placement.PoolTask{Step: t.step, InterferenceModel: c.interference}
 	}
 	return placement.PoolTask{Step: t.step, InterferenceModel: c.interference, Excluded: func(i int) bool {
 		s := p.sessions[i]
 		_, refused := t.refusedUntil[s.worker.ID]
-		return limit > 0 && onWorker[s] >= limit || avoid[s.worker.ID] || refused
-	}}, onWorker
+		return s.stepRuns.exceedLimit(t, 1) || avoid[s.worker.ID] || refused
+	}}
+}
+
+// stepKey identifies a step of one occurrence of a workflow.
+type stepKey struct {
+	workflow         string
+	occurrence, step int
+}
+
+// stepCounts are the numbers of runs on a worker by step, of the steps that
+// limit them.
+type stepCounts map[stepKey]int
+
+func (t *task) stepKey() stepKey {
+	return stepKey{t.workflow.spec.ID, t.pos.Occurrence, t.pos.Step}
+}
+
+func (n stepCounts) add(t *task, runs int) {
+	if t.step.MaxPerWorker == 0 {
+		return
+	}
+	k := t.stepKey()
+	if n[k] += runs; n[k] == 0 {
+		delete(n, k)
+	}
+}
+
+// exceedLimit reports whether further runs of the step of a task would exceed
+// its limit per worker.
+func (n stepCounts) exceedLimit(t *task, runs int) bool {
+	return t.step.MaxPerWorker > 0 && n[t.stepKey()]+runs > t.step.MaxPerWorker
 }
