apricotrouterd: catch signals before anything is read

Cause: watchSettings installed the handler, after the log had been read and all ports opened. Until then the default action of SIGHUP applied, which ends the process. The handler of SIGTERM came before the log, but after the settings; the process that a SIGTERM reached while it read its log opened its ports and drained them before it ended.

The same cause in apricotrouter dev: it waited for a signal of its own after its start, while the handler of the command-line tool took a SIGTERM during the start, which was lost. It now ends with the context of its command.

--- a/cmd/apricotrouterd/main.go
+++ b/cmd/apricotrouterd/main.go
@@ -24,7 +24,7 @@
 )
 
 func main() {
-	root := command()
+	root := command(catchSignals())
 	root.SetArgs(acceptSingleDash(os.Args[1:]))
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "apricotrouterd:", err)
@@ -44,22 +44,24 @@
 	return normalized
 }
 
-func command() *cobra.Command {
+func command(s *signals) *cobra.Command {
 	root := &cobra.Command{
 		Use: "apricotrouterd", Short: "Run one instance of apricotrouter.", Args: cobra.NoArgs,
 		SilenceUsage: true, SilenceErrors: true, Version: version.Version,
 	}
 	path := root.Flags().String("config", "/etc/apricotrouter/apricotrouterd.yaml", "settings file")
-	root.RunE = func(*cobra.Command, []string) error { return run(*path) }
+	root.RunE = func(*cobra.Command, []string) error { return run(*path, s) }
 	root.AddCommand(
-		nodeCommand("entry", "Take clients' calls and carry them to the leader.", platform.RunEntry),
-		nodeCommand("control", "Hold a replica of the log; as the leader, run workflows.", platform.RunControl),
+		nodeCommand("entry", "Take clients' calls and carry them to the leader.", s, platform.RunEntry),
+		nodeCommand("control", "Hold a replica of the log; as the leader, run workflows.", s, platform.RunControl),
 	)
 	return root
 }
 
 // nodeCommand returns the subcommand that runs a node of the platform with run.
-func nodeCommand(use, short string, run func(context.Context, *config.Node, *slog.Logger) error) *cobra.Command {
+func nodeCommand(
+	use, short string, s *signals, run func(context.Context, *config.Node, <-chan os.Signal, *slog.Logger) error,
+) *cobra.Command {
 	return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 		settings, err := platform.LoadSettings()
 		if err != nil {
@@ -77,35 +79,58 @@
 		logWriter := event.NewWriter(os.Stdout, event.DefaultBufferedLines)
 		defer logWriter.Close()
 		logger := daemon.NewLogger(settings.Log, logWriter)
-		return run(terminationContext(logger), settings, logger)
+		return run(s.terminationContext(logger), settings, s.hangup, logger)
 	}}
 }
 
+// signals are the signals of the process. Those that arrive before something
+// handles them are kept.
+type signals struct {
+	terminate, hangup chan os.Signal
+}
+
+// catchSignals replaces the default action of the signals, which is to end the
+// process at once. It comes before anything is read, because a start may take
+// long.
+func catchSignals() *signals {
+	s := &signals{terminate: make(chan os.Signal, 1), hangup: make(chan os.Signal, 1)}
+	signal.Notify(s.terminate, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.hangup, syscall.SIGHUP)
+	return s
+}
+
 // terminationContext returns a context that ends at the first SIGTERM or SIGINT.
 // Later signals are logged and ignored.
-func terminationContext(logger *slog.Logger) context.Context {
+func (s *signals) terminationContext(logger *slog.Logger) context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-signals
+		<-s.terminate
 		cancel()
-		for s := range signals {
-			event.Log(logger, event.SignalIgnored, slog.String("signal", s.String()))
+		for later := range s.terminate {
+			event.Log(logger, event.SignalIgnored, slog.String("signal", later.String()))
 		}
 	}()
 	return ctx
 }
 
-func run(path string) error {
+// ignoreHangups logs each SIGHUP.
+func (s *signals) ignoreHangups(logger *slog.Logger) {
+	for range s.hangup {
+		event.Log(logger, event.HangupIgnored)
+	}
+}
+
+func run(path string, s *signals) error {
 	cfg, err := config.Load(path)
 	if err != nil {
 		return err
 	}
 	logger := daemon.NewLogger(cfg.Log, os.Stderr)
+	ctx := s.terminationContext(logger)
+	go s.ignoreHangups(logger)
 	d, err := daemon.New(daemon.Options{Config: cfg, Logger: logger, Version: version.Version})
 	if err != nil {
 		return err
 	}
-	return d.Run(terminationContext(logger))
+	return d.Run(ctx)
 }
--- a/dev/command.go
+++ b/dev/command.go
@@ -1,12 +1,11 @@
 package dev
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -29,7 +28,7 @@
 each step and exits 0, or 1 with the reason.`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return run(cmd.OutOrStdout(), logger(cmd.ErrOrStderr(), verbose), once)
+			return run(cmd.Context(), cmd.OutOrStdout(), logger(cmd.ErrOrStderr(), verbose), once)
 		},
 	}
 	cmd.Flags().BoolVar(&once, "once", false, "run the demonstration and exit")
@@ -45,7 +44,7 @@
 	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))
 }
 
-func run(out io.Writer, l *slog.Logger, once bool) error {
+func run(ctx context.Context, out io.Writer, l *slog.Logger, once bool) error {
 	dir, err := os.MkdirTemp("", "apricotrouter-dev-")
 	if err != nil {
 		return err
@@ -58,7 +57,7 @@
 	if once {
 		err = newDemo(c, out).run()
 	} else {
-		err = serve(c, out)
+		err = serve(ctx, c, out)
 	}
 	if stopErr := c.Stop(); err == nil {
 		err = stopErr
@@ -67,8 +66,8 @@
 }
 
 // serve forms the group, registers the workers, prints the addresses and
-// waits for a signal.
-func serve(c *Cluster, out io.Writer) error {
+// waits until ctx ends.
+func serve(ctx context.Context, c *Cluster, out io.Writer) error {
 	d := newDemo(c, out)
 	for _, step := range []func() error{d.formGroup, d.registerWorkers} {
 		if err := step(); err != nil {
@@ -80,8 +79,6 @@
 		fmt.Fprintf(out, "entry-%d: callers http://%s  operators %s  admin http://%s\n", i+1, a.Entry, a.Operator, a.Admin)
 	}
 	fmt.Fprintf(out, "\nTry: apricotrouter --server %s status\nEnd with Ctrl-C.\n", c.Operators()[0])
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	<-signals
+	<-ctx.Done()
 	return nil
 }
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -24,4 +24,6 @@
 		"settings file can't be used", "The previous settings remain in effect. Correct the file; it is read again at intervals and on SIGHUP.")
 	ConnectionsNearLimit = define(710, "connections-near-limit", slog.LevelWarn,
 		"connections are near their limit", "On this instance, connections of this use beyond the limit wait or fail. Compare the open connections with their limit in the metrics; raise the limit of descriptors, or look for a peer that opens too many.")
+	HangupIgnored = define(711, "hangup-ignored", slog.LevelWarn,
+		"SIGHUP ignored", "This process reads its settings only when it starts. Restart it to apply a change.")
 )
