--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -54,6 +54,9 @@
 	Kind     fleet.EndKind
 	// Crashed is set if the worker crashed during the run.
 	Crashed bool
+	// EndUnreported is set if the worker crashed before it reported the end of
+	// the run.
+	EndUnreported bool
 	// LeaseExpired is set if the lease expired before the end of the run was
 	// acknowledged. The scheduler may have treated the run as lost.
 	LeaseExpired bool
@@ -82,6 +85,7 @@
 	ended           []fleet.RunEnd
 	highestFinished map[fleet.TaskPosition]uint64 // highest number of a stopped or ended run
 	sequence        uint64
+	reported        uint64             // sequence number of the last end in a report
 	unacknowledged  map[uint64]*Record // ended runs by sequence number of the end
 	records         []*Record
 	changed         chan struct{}
@@ -133,6 +137,9 @@
 		delete(w.running, k)
 		r.record.Ended, r.record.Crashed = time.Now(), true
 	}
+	for sequence, r := range w.unacknowledged {
+		r.EndUnreported = sequence > w.reported
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 	if w.opts.OnCrash != nil {
@@ -424,6 +431,7 @@
 	if w.crashed {
 		return nil, ErrNoResponse
 	}
+	w.reported = w.sequence
 	return w.report(), nil
 }
 
