fleet: a worker that was removed counts as crashed on each path

The removal recorded the run as not crashed.

Whether a crash counted depended on the path on which the leader learned of it. Two more of the kind, found by reading: a later leader took a lost run on a removed worker for not crashed, and of several running tasks on such a worker it counted the crash for the first only. All three now presume a crash unless the worker had drained. It counts towards the bound of five, but not as a crash under a task that ran alone, because the worker may only have been unreachable. Evidence that is still being committed is no longer replaced by that of the replicated state (by reading, no test).

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -53,6 +53,7 @@
 	loss            *workerLoss // of the worker, with this run on it
 	incarnation     int64       // of the worker, see state.PoolWorker.StartedAt
 	crashed         bool        // the worker has crashed
+	presumedCrashed bool        // as crashed, but the worker may only have been unreachable
 	leaseExpired    bool        // the lease of the worker expired
 	suspect         bool        // has to run alone
 	besideSuspect   bool        // another run on the worker had to run alone when it was lost
@@ -107,10 +108,11 @@
 	s := c.sessions[worker]
 	if s == nil {
 		s = c.openPlaceholder(worker)
+	}
+	if s.isPlaceholder() {
 		// An earlier leader removed the worker before it could record the end of
-		// the run. Unless the worker had drained, it was replaced after a crash.
-		_, drained := c.opts.Log.State().RemovedWorkers.Get(worker)
-		a.crashed = !drained
+		// the run.
+		a.presumeCrash(c, s)
 	}
 	s.add(a)
 }
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -67,19 +67,33 @@
 		task: t, run: Run{Workflow: t.workflow.spec.ID, Task: t.number, Number: l.Run}, phase: attemptEnded,
 		session: s, incarnation: l.WorkerStartedAt, leaseExpired: true,
 	}
-	if s.worker.StartedAt == l.WorkerStartedAt {
+	switch {
+	case s.isPlaceholder():
+		a.presumeCrash(c, s)
+	case s.worker.StartedAt == l.WorkerStartedAt:
 		s.expired = append(s.expired, a)
 		return
+	default:
+		a.crashed = l.WorkerStartedAt != 0 && s.worker.StartedAt > l.WorkerStartedAt
 	}
-	a.crashed = l.WorkerStartedAt != 0 && s.worker.StartedAt > l.WorkerStartedAt
 	c.resolveExpired([]*attempt{a})
 }
 
+// presumeCrash marks a run whose worker was removed before it was known what
+// became of it. Unless the worker had drained, it may have crashed.
+func (a *attempt) presumeCrash(c *Controller, s *session) {
+	drained := s.worker.Draining
+	if s.isPlaceholder() {
+		_, drained = c.opts.Log.State().RemovedWorkers.Get(s.worker.ID)
+	}
+	a.crashed, a.presumedCrashed = !drained, !drained
+}
+
 // judgeCrash adds to the end of a run what the crash of its worker means for
 // the task.
 func (c *Controller) judgeCrash(a *attempt, end *state.TaskEnd) {
 	t := a.task
-	crash := placement.WorkerCrash{WorkedMillis: a.workedFor().Milliseconds(), LongRunning: t.step.LongRunning, Unconfirmed: !a.confirmed()}
+	crash := placement.WorkerCrash{WorkedMillis: a.workedFor().Milliseconds(), LongRunning: t.step.LongRunning, Unconfirmed: !a.confirmed() || a.presumedCrashed}
 	if l := a.loss; l != nil {
 		crash.PoolWorkers, crash.LostTogether = l.poolWorkers, c.lostTogether(l)
 		crash.Isolated, crash.BesideSuspect = a.beside == 0, a.besideSuspect
@@ -98,6 +112,7 @@
 		slog.Int("unexplained", v.Evidence.Unexplained), slog.Int("isolated", v.Evidence.Isolated),
 		slog.Int("explained", v.Evidence.Explained), slog.Int64("longest_crash_ms", v.Evidence.LongestCrashMillis), slog.Bool("given_up", v.GiveUp))
 	t.setEvidence(c, v.Evidence)
+	t.uncommittedCrashes++
 	t.lostWith = nil
 	// After one explained crash the tasks of many workers restart, and need not
 	// avoid each other.
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -408,3 +408,58 @@
 	}
 	h.Expect(crashes).To(BeNumerically(">", 2))
 }
+
+// Guards against a crash that is not counted because the worker stayed away for
+// so long that it was removed before its next incarnation reported.
+func TestCrashIsCountedIfTheWorkerWasRemovedBeforeItReturned(t *testing.T) {
+	h := newHarness(t, func(o *fleet.Options) { o.Limits.Heartbeat = 100 * time.Millisecond })
+	r := h.addRestartingWorkers(1, pool.Options{RunTime: runForever})
+	h.submitAs(crashingID, small(1))
+	h.Eventually(func() int { return r.runsOf(crashingID) }, waitTimeout, "1ms").Should(Equal(1))
+	r.stop() // crashed workers do not restart
+	r.crashSome(0, 1)
+	registered := func() bool {
+		_, ok := h.log.State().PoolWorkers.Get("worker-0")
+		return ok
+	}
+	h.Eventually(registered, waitTimeout, "5ms").Should(BeFalse())
+	h.Eventually(func() []uint64 { return h.taskOf(crashingID).CrashedRuns }, waitTimeout, "5ms").Should(Equal([]uint64{1}))
+	h.Expect(h.taskOf(crashingID).LostRuns).To(BeEmpty())
+}
+
+// Guards against a crash that is not counted because the leader changed after
+// the lease of the worker had expired and the worker was replaced.
+func TestCrashAfterTheLeaseIsCountedIfTheLeaderChanged(t *testing.T) {
+	h := newHarness(t)
+	startedAt := time.Now().UnixMilli()
+	a := h.addWorker("a", pool.Options{RunTime: runForever, StartedAt: startedAt})
+	h.submitAs(crashingID, small(1))
+	h.Eventually(func() int { return running(a) }, waitTimeout, "1ms").Should(Equal(1))
+	a.SetUnreachable(true)
+	h.Eventually(func() []state.LostRun { return h.taskOf(crashingID).LostRuns }, waitTimeout, "5ms").Should(HaveLen(1))
+	h.log.SetLeadership(replica.Leadership{Leader: "other", Term: 1})
+	_, err := h.log.Propose(t.Context(), state.NewCommand(state.SetPoolWorkers{Removed: []state.PoolWorker{{ID: "a", StartedAt: startedAt}}}))
+	h.Expect(err).NotTo(HaveOccurred())
+	h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: 2, Self: true, Epoch: 2})
+	h.Eventually(func() []uint64 { return h.taskOf(crashingID).CrashedRuns }, waitTimeout, "5ms").Should(Equal([]uint64{1}))
+	h.Expect(h.taskOf(crashingID).LostRuns).To(BeEmpty())
+}
+
+// Guards against a crash that is counted for only one of the tasks on a worker
+// that an earlier leader removed.
+func TestCrashIsCountedForAllTasksOfARemovedWorker(t *testing.T) {
+	h := newHarness(t)
+	startedAt := time.Now().UnixMilli()
+	a := h.addWorker("a", pool.Options{RunTime: runForever, StartedAt: startedAt})
+	for i := range 3 {
+		h.submitAs(otherID(i), small(1))
+	}
+	h.Eventually(func() int { return running(a) }, waitTimeout, "1ms").Should(Equal(3))
+	h.log.SetLeadership(replica.Leadership{Leader: "other", Term: 1})
+	_, err := h.log.Propose(t.Context(), state.NewCommand(state.SetPoolWorkers{Removed: []state.PoolWorker{{ID: "a", StartedAt: startedAt}}}))
+	h.Expect(err).NotTo(HaveOccurred())
+	h.log.SetLeadership(replica.Leadership{Leader: "memory", Term: 2, Self: true, Epoch: 2})
+	for i := range 3 {
+		h.Eventually(func() []uint64 { return h.taskOf(otherID(i)).CrashedRuns }, waitTimeout, "5ms").Should(Equal([]uint64{1}))
+	}
+}
--- a/fleet/journal.go
+++ b/fleet/journal.go
@@ -96,6 +96,9 @@
 		c.closeWorkflow(f, w)
 		return
 	}
+	if e.Crash != state.CrashNone || e.Explained {
+		f.tasks[e.Task].uncommittedCrashes--
+	}
 	if t := f.tasks[e.Task]; t.endPending && e.Run >= t.run {
 		t.endPending = false
 		if w.Tasks[e.Task].Phase != state.TaskDone {
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -134,6 +134,9 @@
 	c.endAllAttempts(s, "the worker's lease ended")
 	s.polled = false
 	if now-s.lastHeartbeat > removeAfterHeartbeats*c.opts.Limits.Heartbeat {
+		for _, a := range s.expired {
+			a.presumeCrash(c, s)
+		}
 		c.closeSession(s, "it was silent and its lease ended")
 	}
 }
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -104,6 +104,10 @@
 	return s
 }
 
+// isPlaceholder reports whether the worker was no longer registered when the
+// session was opened.
+func (s *session) isPlaceholder() bool { return s.worker.Address == "" }
+
 func (s *session) key(a *attempt) runKey { return runKey{a.position(), a.run.Number} }
 
 func (s *session) add(a *attempt) {
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -60,6 +60,9 @@
 	endedAt      int64         // see state.WorkflowTask
 	moves        int           // number of times that the task was moved because it was slow
 	evidence     placement.CrashEvidence
+	// uncommittedCrashes is the number of crashes in evidence that the
+	// replicated state does not contain yet.
+	uncommittedCrashes int
 	// unresolved is the number of runs on workers that stopped responding and
 	// may have crashed.
 	unresolved int
@@ -125,10 +128,12 @@
 func (c *Controller) syncTask(t *task, r *state.WorkflowTask) {
 	t.run, t.failures, t.checkpoint, t.endedAt = r.Run, r.Failures, r.Checkpoint, r.EndedAt
 	t.workflow.begun = t.workflow.begun || r.Phase == state.TaskDone || r.Failures > 0 || r.EndedAt != 0 || r.Checkpoint != ""
-	t.setEvidence(c, placement.CrashEvidence{
-		Crashes: len(r.CrashedRuns), Unexplained: r.UnexplainedCrashes, Isolated: r.IsolatedCrashes,
-		Explained: len(r.ExplainedRuns), LongestCrashMillis: r.LongestCrash,
-	})
+	if t.uncommittedCrashes == 0 {
+		t.setEvidence(c, placement.CrashEvidence{
+			Crashes: len(r.CrashedRuns), Unexplained: r.UnexplainedCrashes, Isolated: r.IsolatedCrashes,
+			Explained: len(r.ExplainedRuns), LongestCrashMillis: r.LongestCrash,
+		})
+	}
 	t.unresolved = len(r.LostRuns)
 	if t.endPending {
 		return // this state precedes the entry that records the end
