--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -56,6 +56,21 @@
 	return w
 }
 
+// startedAt returns the start time of the last incarnation, in Unix milliseconds.
+func (r *restartedWorker) startedAt() int64 {
+	_, text, _ := strings.Cut(r.addresses[len(r.addresses)-1], ":")
+	startedAt, err := strconv.ParseInt(text, 10, 64)
+	r.Expect(err).NotTo(HaveOccurred())
+	return startedAt
+}
+
+// shrink reports a capacity of the last incarnation on which no task fits.
+func (r *restartedWorker) shrink() {
+	w := r.incarnations[len(r.incarnations)-1]
+	outcome := r.heartbeatWith("a", r.startedAt(), w, false, state.Resources{MilliCPU: 1, MemoryMiB: 1})
+	r.Expect(outcome).To(Equal(fleet.OutcomeDone))
+}
+
 func unreachable(w *pool.Worker) { w.SetUnreachable(true) }
 
 // changeLeader makes another instance the leader, and then this one again.
@@ -176,6 +191,29 @@
 	h.expectNoDuplicateRuns(first, second, b)
 }
 
+// Guards against a run that was settled with one incarnation of its worker, by a
+// stop or a poll, and is carried out by the next before its first poll.
+func TestStartSettledByOneIncarnationReachesTheNext(t *testing.T) {
+	for name, restarted := range map[string]bool{"stop acknowledged": false, "polled under a higher fence": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			r := startInDoubt(h, false)
+			settling := r.incarnations[0]
+			if restarted {
+				settling = r.restart(unreachable)
+			}
+			b := h.addWorker("b", pool.Options{RunTime: runForever})
+			r.shrink() // the task starts elsewhere
+			settling.SetUnreachable(false)
+			h.Eventually(func() int { return running(b) }, waitTimeout, "1ms").Should(Equal(1))
+			settling.Crash()
+			last := r.restart(unreachable)
+			r.incarnations[0].DeliverDelayedStartsTo(last)
+			h.Expect(running(last) + running(b)).To(BeNumerically("<=", 1))
+		})
+	}
+}
+
 // Guards against a task that waits for anything but the first response of the
 // next incarnation once its start can't be carried out any more.
 func TestTaskStartsAgainOnceItsStartIsKnownToBeVoid(t *testing.T) {
@@ -260,9 +298,7 @@
 	h := newHarness(t)
 	r := startInDoubt(h, false)
 	first := r.incarnations[0]
-	startedAt, err := strconv.ParseInt(strings.TrimPrefix(r.addresses[0], "a:"), 10, 64)
-	h.Expect(err).NotTo(HaveOccurred())
-	h.Expect(h.heartbeat("a", startedAt, first, true)).To(Equal(fleet.OutcomeDone))
+	h.Expect(h.heartbeat("a", r.startedAt(), first, true)).To(Equal(fleet.OutcomeDone))
 	second := r.restart()
 	h.Eventually(func() int { return running(second) }, waitTimeout, "1ms").Should(Equal(1))
 	h.Expect(h.taskOf(jobID).CrashedRuns).To(BeEmpty())
