Revert "placement: a task that may not start again is given up"

After two crashes beside the task at fault and three that it explained, the bound of five is reached.

--- a/placement/crash.go
+++ b/placement/crash.go
@@ -102,7 +102,6 @@
 	if (massLoss || crash.BesideSuspect) && crash.WorkedMillis >= minWorkedMillis {
 		v.Explained = true
 		v.Evidence.Explained++
-		v.GiveUp = !v.Evidence.MayStart(0) // it would wait for ever
 		return v
 	}
 	v.Kind = state.CrashMassLoss
--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -36,13 +36,6 @@
 			want:    placement.CrashVerdict{Kind: state.CrashIsolated, Evidence: placement.CrashEvidence{Crashes: 3, Unexplained: 3, Isolated: 1}},
 			isolate: true,
 		},
-		"explained, but no start is left": {
-			evidence: placement.CrashEvidence{Crashes: 4, Unexplained: 1}, crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 9, WorkedMillis: 250},
-			want: placement.CrashVerdict{
-				Explained: true, Evidence: placement.CrashEvidence{Crashes: 4, Unexplained: 1, Explained: 1, LongestCrashMillis: 250}, GiveUp: true,
-			},
-			isolate: true,
-		},
 		"isolated twice": {
 			evidence: placement.CrashEvidence{Crashes: 3, Unexplained: 3, Isolated: 1}, crash: placement.WorkerCrash{PoolWorkers: 60, Isolated: true},
 			want: placement.CrashVerdict{
