fleet: workers that a partition silences may be lost at the same moment

Cause: the time at which a loss was noticed was taken for the time of the loss, and a loss of many workers was looked for within 100 ms of it. Silent workers are noticed one after the other, as calls to them time out, so each crash behind a partition counted as an unexplained one under its tasks.

A silent worker was lost between its last response or heartbeat and the time at which it was noticed. Two losses may be of the same moment if these intervals overlap. A worker that closes its connections, as one does that its task crashes, is still lost at that moment.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -45,6 +45,7 @@
 // markResponsive records that the worker responds. Waiting tasks may be placed
 // on a worker that responds again.
 func (s *session) markResponsive(c *Controller) {
+	s.respondedAt = c.now()
 	if !s.unresponsive {
 		return
 	}
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -46,6 +46,7 @@
 	endsPending  bool // ended runs are being committed
 	nextPoll     time.Duration
 	lastPoll     time.Duration // when the last poll with a response began
+	respondedAt  time.Duration // when the worker last carried out a call
 	unresponsive bool
 	loss         *workerLoss   // set while the worker is unresponsive
 	expired      []*attempt    // runs that were given up when the lease expired
--- a/fleet/worker_loss.go
+++ b/fleet/worker_loss.go
@@ -17,11 +17,12 @@
 	lossRetention = 30 * time.Second
 )
 
-// workerLoss is the moment at which a worker stopped responding.
+// workerLoss is the loss of a worker that stopped responding.
 type workerLoss struct {
 	session *session
-	at      time.Duration
-	runs    int // runs on the worker that may have started
+	// at is when the loss was noticed. The worker was lost between since and at.
+	since, at time.Duration
+	runs      int // runs on the worker that may have started
 	// closed is set if the worker closed a connection, so that at is when it
 	// ended, rather than when a call timed out.
 	closed bool
@@ -40,7 +41,11 @@
 func (c *Controller) recordLoss(s *session, now time.Duration, cause error) {
 	c.losses = slices.DeleteFunc(c.losses, func(l *workerLoss) bool { return now-l.at > lossRetention })
 	closed := errors.Is(cause, io.EOF) || errors.Is(cause, syscall.ECONNRESET)
-	s.loss = &workerLoss{session: s, at: now, closed: closed, runs: s.startedRuns(), suspect: s.hasSuspectTask(), restarted: make(map[string]int)}
+	since := now
+	if !closed {
+		since = s.lastContact()
+	}
+	s.loss = &workerLoss{session: s, since: since, at: now, closed: closed, runs: s.startedRuns(), suspect: s.hasSuspectTask(), restarted: make(map[string]int)}
 	for _, other := range c.sessions {
 		if other.worker.Pool == s.worker.Pool {
 			s.loss.poolWorkers++
@@ -94,14 +99,25 @@
 	return false
 }
 
-// lostTogether returns the number of other workers of the pool that were lost
-// at the same moment. Workers of tasks that have to run alone do not count,
-// because these tasks may have crashed them.
+// lastContact returns when the worker last carried out a call or sent a
+// heartbeat.
+func (s *session) lastContact() time.Duration { return max(s.respondedAt, s.lastHeartbeat) }
+
+// coincides reports whether two workers may have been lost at the same moment.
+// Workers that a partition or a loss of power silences together are noticed one
+// after the other, as calls to them time out.
+func (l *workerLoss) coincides(other *workerLoss) bool {
+	return l.since <= other.at+lossWindow && other.since <= l.at+lossWindow
+}
+
+// lostTogether returns the number of other workers of the pool that may have
+// been lost at the same moment. Workers of tasks that have to run alone do not
+// count, because these tasks may have crashed them.
 func (c *Controller) lostTogether(l *workerLoss) int {
 	workers := make(map[string]bool) // several incarnations of a worker may be lost within the window
 	for _, other := range c.losses {
 		w := &other.session.worker
-		if w.ID != l.session.worker.ID && w.Pool == l.session.worker.Pool && !other.suspect && (other.at-l.at).Abs() <= lossWindow {
+		if w.ID != l.session.worker.ID && w.Pool == l.session.worker.Pool && !other.suspect && l.coincides(other) {
 			workers[w.ID] = true
 		}
 	}
