placement: explained crashes leave a task one start

Cause: explained crashes count towards the bound of five below which a task may start, but only an unexplained crash gives it up. A task whose last crash was explained reached the bound and waited for ever.

Explained crashes alone no longer use up the last start, since something else explains them. The next unexplained crash gives the task up, as before. The bound of five starts holds for tasks whose crashes nothing explains.

TestTaskThatIsNotGivenUpMayStart fails without the change, after three unexplained and two explained crashes.

--- a/placement/crash.go
+++ b/placement/crash.go
@@ -135,8 +135,11 @@
 }
 
 // MayStart reports whether the task may be started. unresolved is the number of
-// its runs on workers that stopped responding and may have crashed.
-func (e CrashEvidence) MayStart(unresolved int) bool { return e.counted()+unresolved < maxCrashes }
+// its runs on workers that stopped responding and may have crashed. Explained
+// crashes leave one start, because they do not give the task up.
+func (e CrashEvidence) MayStart(unresolved int) bool {
+	return max(e.Crashes, min(e.counted(), maxCrashes-1))+unresolved < maxCrashes
+}
 
 // Settled reports whether an isolated run has been at work so long that other
 // tasks may start beside it.
--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -173,6 +174,33 @@
 	}
 }
 
+// Guards against a task that is neither started nor given up. Load pattern:
+// workers crash one after the other, and then many at the same moment, under a
+// task without fault.
+func TestTaskThatIsNotGivenUpMayStart(t *testing.T) {
+	g := NewWithT(t)
+	crashes := map[string]placement.WorkerCrash{
+		"unexplained":    {PoolWorkers: 60, WorkedMillis: 600},
+		"mass loss":      {PoolWorkers: 60, LostTogether: 20},
+		"explained":      {PoolWorkers: 60, LostTogether: 20, WorkedMillis: 600},
+		"beside suspect": {PoolWorkers: 60, BesideSuspect: true, WorkedMillis: 600},
+	}
+	const longest = 6
+	var check func(e placement.CrashEvidence, history []string)
+	check = func(e placement.CrashEvidence, history []string) {
+		g.Expect(e.MayStart(0)).To(BeTrue(), "after %v", history)
+		if len(history) == longest {
+			return
+		}
+		for name, crash := range crashes {
+			if v := placement.JudgeCrash(e, crash); !v.GiveUp {
+				check(v.Evidence, append(slices.Clip(history), name))
+			}
+		}
+	}
+	check(placement.CrashEvidence{}, nil)
+}
+
 func TestChooseIsolated(t *testing.T) {
 	resources := state.Resources{MilliCPU: 4000, MemoryMiB: 4000}
 	worker := func(runs int, free int64) placement.IsolationWorker {
