--- a/event/fleet.go
+++ b/event/fleet.go
@@ -37,7 +37,7 @@
 	TaskRateChanged = define(826, "task-paced", slog.LevelInfo,
 		"changed the execution rate of a run", "A best-effort task, which uses idle CPU, is rate-limited to protect a serving task on the same worker, or returns to full speed.")
 	TaskCrashedWorker = define(830, "task-lost-in-crash", slog.LevelInfo,
-		"worker crashed with a run of a task", "What the crash means for the task. If many workers were lost at the same moment (`lost_together` of `pool`), that explains the crash, and it does not count at all if the run had been at work (`worked_ms`), as beside another task that has to run alone (`beside_suspect`). After two unexplained crashes, or three in all, the task runs alone on a worker (`beside` is 0); after two crashes under it alone, or five in all, it is given up and its workflow fails. A worker that neither answered the start nor reported the run (`confirmed` is false) counts only among the five. If tasks of one image are given up, check the image.")
+		"worker crashed with a run of a task", "What the crash means for the task. If many workers may have been lost at the same moment (`lost_together` of `pool`; a silent worker between its last response or heartbeat and the time at which it was noticed), that explains the crash, and it does not count at all if the run had been at work (`worked_ms`), as beside another task that has to run alone (`beside_suspect`). After two unexplained crashes, or three in all, the task runs alone on a worker (`beside` is 0); after two crashes under it alone, or five in all, it is given up and its workflow fails. A worker that neither answered the start nor reported the run (`confirmed` is false) counts only among the five. If tasks of one image are given up, check the image.")
 	InterferenceNotSaved = define(827, "pressures-not-saved", slog.LevelWarn,
 		"learned interference coefficients were not saved", "The next leader starts from older estimates. They are saved again within seconds; check the control group if it repeats.")
 	PoolCapacity = define(828, "pool-room", slog.LevelInfo,
@@ -47,7 +47,7 @@
 	WorkerRegistered = define(831, "worker-known", slog.LevelInfo,
 		"worker registered", "A new incarnation of a worker, or a change of the properties that it reported. Nothing to do.")
 	WorkerRemoved = define(832, "worker-gone", slog.LevelInfo,
-		"incarnation of a worker ended", "The worker shut down, was replaced by another incarnation, or its lease expired. Its `runs` are lost and start again. `lost_together` is the number of other workers of the pool that were lost at the same moment.")
+		"incarnation of a worker ended", "The worker shut down, was replaced by another incarnation, or its lease expired. Its `runs` are lost and start again. `lost_together` is the number of other workers of the pool that may have been lost at the same moment.")
 	WorkerUnresponsive = define(833, "worker-silent", slog.LevelWarn,
 		"worker is unresponsive", "No task is placed there. Its runs are lost once its lease has expired.")
 	WorkerResponsive = define(834, "worker-answers", slog.LevelInfo,
