--- a/fleet/worker_loss_test.go
+++ b/fleet/worker_loss_test.go
@@ -35,15 +35,15 @@
 // to its workers time out one after the other.
 func TestWorkersThatCrashBehindAPartitionAreLostTogether(t *testing.T) {
 	const (
-		workers      = 4
-		noticedAfter = 150 * time.Millisecond // after the worker before
+		workers   = 4
+		noticeGap = 150 * time.Millisecond // between one loss and the next
 	)
 	var partition atomic.Bool
 	h := newHarness(t, func(o *fleet.Options) {
 		dial, dialed := o.Dial, time.Duration(0)
 		o.Dial = func(w state.PoolWorker) fleet.Worker {
 			dialed++
-			return partitionedWorker{dial(w), &partition, dialed * noticedAfter}
+			return partitionedWorker{dial(w), &partition, dialed * noticeGap}
 		}
 	})
 	var lost []*restartedWorker
@@ -61,7 +61,7 @@
 	for _, r := range lost {
 		r.incarnations[0].Crash()
 	}
-	time.Sleep((workers + 1) * noticedAfter)
+	time.Sleep((workers + 1) * noticeGap)
 	partition.Store(false)
 	for _, r := range lost {
 		r.restart()
