conns: the test of bounded connections waits for their delivery

The test was wrong. A connection counts as open before Accept returns, so three may be open while the third has not reached the channel, whose length the test checked at once.

--- a/conns/budget_test.go
+++ b/conns/budget_test.go
@@ -70,6 +70,7 @@
 		defer func() { _ = c.Close() }()
 	}
 	g.Eventually(func() int { return b.Open(conns.Control) }, eventuallyTimeout).Should(Equal(3))
+	g.Eventually(func() int { return len(accepted) }, eventuallyTimeout).Should(Equal(3)) // they count as open before Accept returns
 	g.Consistently(func() int { return len(accepted) }, 100*time.Millisecond).Should(Equal(3))
 	g.Expect((<-accepted).Close()).To(Succeed())
 	g.Eventually(func() int { return len(accepted) }, eventuallyTimeout).Should(Equal(3))
