apricotrouterd: a signal received during the start ends the context at once

Cause: the signal waited in its channel, and the goroutine that cancels the context had not run yet when the instance checked the context.

Change: terminationContext takes a waiting signal before it returns. TestSignalBeforeTheContextEndsIt fails without the change and passes with it. The time from the kernel to the channel remains; nothing in the process can wait for it.

--- a/cmd/apricotrouterd/main.go
+++ b/cmd/apricotrouterd/main.go
@@ -100,12 +100,23 @@
 }
 
 // terminationContext returns a context that ends at the first SIGTERM or SIGINT.
-// Later signals are logged and ignored.
+// Later signals are logged and ignored. If a signal has been received before, the
+// context has already ended when terminationContext returns, so that nothing is
+// started that would be stopped at once.
 func (s *signals) terminationContext(logger *slog.Logger) context.Context {
 	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		<-s.terminate
+	terminated := false
+	select {
+	case <-s.terminate:
+		terminated = true
 		cancel()
+	default:
+	}
+	go func() {
+		if !terminated {
+			<-s.terminate
+			cancel()
+		}
 		for later := range s.terminate {
 			event.Log(logger, event.SignalIgnored, slog.String("signal", later.String()))
 		}
