fleet: learned run times for the remaining path, demand and stragglers

Cause: the order of waiting workflows, the batch reservation and the search for stragglers relied on declared run times, which are 0.57 (p10) to 7.8 (p99) times too short on a pool with waiting work.

Change: the leader observes completed runs, with what resumed, rate-limited and slow runs say about the whole task, and estimates from them; for one term, in memory. The objective stays as declared, and without 8 observed runs so does everything else. The safety factor of 1.25 for declared run times doesn't apply to observed ones. Events 815 and 844 and four metrics show what was believed; docs/design/runtimes.md has the reasons.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -24,6 +24,8 @@
 		"workflow ended", "The workflow completed, failed or was cancelled. The fields give its duration and its objective.")
 	WorkflowMissedObjective = define(814, "workflow-late", slog.LevelInfo,
 		"workflow missed its objective", "Logged once by each leader that finds the workflow late and not ended: how many tasks are done, running and waiting for a worker, and the longest wait. If tasks wait, see `pool-room`; if they run, look for slow workers.")
+	WorkflowEstimated = define(815, "workflow-estimated", slog.LevelInfo,
+		"learned run times of a workflow", "Once for each workflow and leader, if runs of its queue have been observed: the declared critical path (`declared_path_ms`) and the learned one (`path_ms`), which decides the order of waiting workflows, and for the widest step the declared and learned run time of a task, the expected longest of its tasks (`longest_ms`), the weight of the recent runs on which this is based, and how far it follows the declaration (`trust`, 1 for fully). The objective follows the declaration alone. Nothing to do; if both differ much, correct the declared run times of the queue.")
 	TaskPlaced = define(821, "task-placed", slog.LevelInfo,
 		"task placed", "A run of a task was recorded for a worker and is sent to it.")
 	FleetStartRefused = define(822, "fleet-start-refused", slog.LevelInfo,
@@ -70,6 +72,8 @@
 		"evacuation of an availability zone changed", "No task is started on the workers of an evacuated zone.")
 	CapacityReserved = define(843, "capacity-reserved", slog.LevelInfo,
 		"setting capacity aside for a serving task", "The task has lost its run. It starts on this worker unless another has room, once enough batch tasks have ended there. Nothing to do unless the same task repeats.")
+	RunTimesChanged = define(844, "run-times-changed", slog.LevelInfo,
+		"run times of an image have changed", "Recent runs differ clearly from the learned distribution, as after the release of another version of the image; it was learned anew from them. `ratio` is the geometric mean of actual over declared run times. At most one line per second; all changes are counted in the metrics. If it follows a release, check that the declared run times still hold.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
 		"refused heartbeat", "The report could not be decoded or names no usable worker. Check its sender.")
 )
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -302,7 +302,7 @@
 		c.avoid(a)
 		c.reserveAfterFailure(a)
 	case state.OutcomeDone:
-		a.task.workflow.recordDuration(a, c.now())
+		c.recordRunTime(a)
 		if !a.task.step.Gang && !a.task.step.LongRunning && a.task.attempt == a {
 			// Starts that depend on this end are recorded in the same log entry
 			// or a later one.
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -24,6 +24,11 @@
 	late        *prometheus.CounterVec
 	processors  *prometheus.GaugeVec
 	waiting     *prometheus.GaugeVec
+
+	runTimes       *prometheus.CounterVec
+	runTimeRatio   *prometheus.HistogramVec
+	runTimeChanges prometheus.Counter
+	runTimeKeys    prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -79,9 +84,23 @@
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "apricotrouter_fleet_waiting_tasks", Help: "Tasks that waited for a worker after the last round of placement, by pool and kind.",
 		}, []string{"pool", "kind"}),
+		runTimes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_completed_runs_total", Help: "Runs that completed their task, by what their duration says about the task's run time.",
+		}, []string{"kind"}),
+		runTimeRatio: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "apricotrouter_fleet_run_time_ratio", Help: "Run times of tasks at full speed, as a share of the declared and of the median learned run time.",
+			Buckets: []float64{0.25, 0.5, 0.7, 0.8, 0.9, 1, 1.1, 1.25, 1.5, 2, 3, 5, 8},
+		}, []string{"against"}),
+		runTimeChanges: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_run_time_changes_total", Help: "Abrupt changes of the run times of an image.",
+		}),
+		runTimeKeys: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_run_time_distributions", Help: "Distributions of run times that the leader has learned.",
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting)
+		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting,
+			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys)
 	}
 	return m
 }
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -162,7 +162,7 @@
 		}
 		kinds := waiting[f.spec.Pool]
 		largestFree := occupancies[f.spec.Pool].largestFree
-		job := waitingJob(f, now)
+		job := c.waitingJob(f, now)
 		expired := job.Expired(wall)
 		for _, t := range f.tasks {
 			if t.phase != taskReady {
--- a/fleet/rate.go
+++ b/fleet/rate.go
@@ -54,6 +54,8 @@
 	// rate.
 	rateUnknown     bool
 	rateSetAt       time.Duration // time of the last rate change
+	reduced         time.Duration // time lost by reduced execution rates before that
+	reducedAtFirst  time.Duration // time lost until the first report
 	rateCallPending bool
 	overTarget      bool // tail latency of a serving task exceeded its target at the last report
 	overTargetSince time.Duration
@@ -66,7 +68,7 @@
 
 // recordStatus records a worker's report about a run.
 func (c *Controller) recordStatus(a *attempt, r *RunStatus) {
-	a.runStats.recordProgress(r.Progress, c.now())
+	a.runStats.recordProgress(r.Progress, a.startedAt, c.now())
 	a.runStats.measure = r.Measure
 }
 
@@ -276,6 +278,7 @@
 		return
 	}
 	old := a.runStats.rate
+	a.runStats.reduced = a.runStats.reducedTime(a.startedAt, c.now())
 	unknown := a.runStats.rateUnknown
 	a.runStats.rate, a.runStats.rateSetAt, a.runStats.rateCallPending, a.runStats.rateUnknown = rate, c.now(), true, false
 	event.Log(c.opts.Logger, event.TaskRateChanged, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
--- /dev/null
+++ b/fleet/runtimes.go
@@ -0,0 +1,244 @@
+package fleet
+
+import (
+	"log/slog"
+	"math"
+	"time"
+
+	"apricotrouter/event"
+	"apricotrouter/runtimes"
+	"apricotrouter/state"
+)
+
+const (
+	// usualQuantile is the quantile of run times that a task is expected not to
+	// exceed on another worker. Above it, a task may itself take long.
+	usualQuantile = 0.75
+	// longQuantile is the quantile of run times that few tasks exceed.
+	longQuantile = 0.9
+	// minProjectedProgress is the progress in percent from which the end of a run
+	// is projected from its own speed. Reports are rounded to a percent.
+	minProjectedProgress = 20
+	// maxProgressAge is the age of the last progress up to which the end of a run
+	// is projected from its own speed. A run that is older has stalled.
+	maxProgressAge = pollWait + pollWait/2
+	// runTimesChangedInterval is the minimum interval between log entries about
+	// changes of run times.
+	runTimesChangedInterval = time.Second
+)
+
+// runTimeKey returns the key of the run times of a step's tasks.
+func runTimeKey(queue string, s *state.WorkflowStep) runtimes.Key {
+	return runtimes.Key{Queue: queue, Image: s.Image, Size: runtimes.SizeRange(s.Size.MilliCPU)}
+}
+
+// estimate returns the run time of a task of the step at full speed, corrected
+// by the tasks of the step that have been done.
+func (c *Controller) estimate(f *workflow, step int) runtimes.Estimate {
+	s := &f.spec.Steps[step]
+	e := c.runTimes.Estimate(runTimeKey(f.queue, s), s.EstimateMillis)
+	n := f.completedRuns[step]
+	if n == 0 {
+		return e
+	}
+	return e.Given(n, math.Exp(f.completedLogs[step]/float64(n)))
+}
+
+// remainingMillis returns the estimated remaining duration of the critical
+// path, and whether it is based on observed run times.
+func (c *Controller) remainingMillis(f *workflow) (millis int64, observed bool) {
+	now := c.now()
+	estimates := make([]runtimes.Estimate, len(f.spec.Steps))
+	left := make([]remainingStep, len(f.spec.Steps))
+	for i := range f.spec.Steps {
+		estimates[i] = c.estimate(f, i)
+	}
+	for _, t := range f.tasks {
+		if t.phase != taskDone {
+			left[t.pos.Step].add(t, estimates[t.pos.Step], now)
+			observed = observed || estimates[t.pos.Step].Runs() > 0
+		}
+	}
+	return criticalPath(f.spec, func(step int) int64 { return left[step].millis(estimates[step]) }), observed
+}
+
+// remainingStep is what remains of a step: the longest time that a run needs,
+// and the tasks of which nothing more than their step is known. They have begun
+// up to begunPercent.
+type remainingStep struct {
+	longest      int64
+	tasks        int
+	begun        int
+	begunPercent int
+}
+
+func (r *remainingStep) add(t *task, e runtimes.Estimate, now time.Duration) {
+	switch {
+	case t.step.LongRunning:
+		r.longest = max(r.longest, t.step.EstimateMillis)
+	case t.attempt == nil:
+		r.tasks++
+	case e.Runs() == 0:
+		r.longest = max(r.longest, t.step.EstimateMillis*int64(fullRate-t.attempt.runStats.progress)/fullRate)
+	default:
+		if left, ok := t.attempt.runStats.projectedMillis(now); ok {
+			r.longest = max(r.longest, left)
+			return
+		}
+		progress := t.attempt.runStats.progress
+		if r.begun == 0 || progress < r.begunPercent {
+			r.begunPercent = progress
+		}
+		r.begun++
+	}
+}
+
+func (r *remainingStep) millis(e runtimes.Estimate) int64 {
+	longest := r.longest
+	if r.tasks > 0 {
+		if e.Runs() == 0 {
+			return max(longest, e.Declared())
+		}
+		longest = max(longest, e.LargestOf(r.tasks))
+	}
+	if r.begun > 0 {
+		longest = max(longest, e.LargestOf(r.begun)*int64(fullRate-r.begunPercent)/fullRate)
+	}
+	return longest
+}
+
+// projectedMillis returns the remaining time of a run, from its own speed, and
+// whether its progress shows it.
+func (m *runStats) projectedMillis(now time.Duration) (int64, bool) {
+	done, took, age := m.progress-m.firstProgress, m.lastProgressAt-m.firstReportAt, now-m.lastProgressAt
+	if !m.reported || done < minProjectedProgress || took <= 0 || age > maxProgressAge {
+		return 0, false
+	}
+	left := took*time.Duration(fullProgress-m.progress)/time.Duration(done) - age
+	return max(0, left).Milliseconds(), true
+}
+
+// reducedTime returns how much of the time since the start of a run was lost by
+// reduced execution rates.
+func (m *runStats) reducedTime(startedAt, now time.Duration) time.Duration {
+	since := now - max(startedAt, m.rateSetAt)
+	return m.reduced + max(0, since)*time.Duration(fullRate-m.rate)/fullRate
+}
+
+// Kinds of completed runs, by what their duration says about the run time of
+// the task.
+const (
+	runWhole    = "whole"
+	runResumed  = "resumed"
+	runReduced  = "paced"
+	runSlow     = "slow-worker"
+	runNotUsed  = "not-used"
+	runAdopted  = "adopted"
+	minReduced  = 50 * time.Millisecond // reductions below it don't matter
+	againstPlan = "declared"
+	againstSeen = "learned"
+)
+
+// recordRunTime learns from a run that completed its task.
+func (c *Controller) recordRunTime(a *attempt) {
+	t, f, now := a.task, a.task.workflow, c.now()
+	if t.step.LongRunning {
+		return
+	}
+	if a.adopted { // its start and its execution rate are not known
+		c.metrics.runTimes.WithLabelValues(runAdopted).Inc()
+		return
+	}
+	m := &a.runStats
+	kind := runWhole
+	run := runtimes.FullRun{Millis: (now - a.startedAt).Milliseconds(), Slowdown: c.workerSpeeds.Slowdown(a.session.worker.ID, now.Milliseconds())}
+	reduced := m.reducedTime(a.startedAt, now)
+	if t.checkpoint != "" {
+		// The progress at the start is not known, but that at the first report is.
+		kind = runResumed
+		run.Millis, run.DonePercent = (now - m.firstReportAt).Milliseconds(), m.firstProgress
+		reduced -= m.reducedAtFirst
+		if !m.reported {
+			run.Millis = 0
+		}
+	}
+	if reduced >= minReduced {
+		kind, run.ReducedMillis = runReduced, reduced.Milliseconds()
+	}
+	if run.Slowdown > 1 {
+		kind = runSlow
+	}
+	actual, ok := run.ActualMillis()
+	if !ok {
+		c.metrics.runTimes.WithLabelValues(runNotUsed).Inc()
+		return
+	}
+	c.metrics.runTimes.WithLabelValues(kind).Inc()
+	c.learnRunTime(a, actual, run.Slowdown, now)
+	step := t.pos.Step
+	f.completedRuns[step]++
+	f.completedLogs[step] += math.Log(float64(actual))
+}
+
+// learnRunTime updates the learned run times and the speed of the worker. actual
+// is the run time in milliseconds without the slowdown of the worker.
+func (c *Controller) learnRunTime(a *attempt, actual int64, slowdown float64, now time.Duration) {
+	t, f := a.task, a.task.workflow
+	declared, key := t.step.EstimateMillis, runTimeKey(f.queue, t.step)
+	if declared <= 0 {
+		return
+	}
+	// The tasks of the step that ended before tell more about a worker than other
+	// steps do.
+	expected := c.estimate(f, t.pos.Step)
+	median := expected.Quantile(0.5)
+	c.metrics.runTimeRatio.WithLabelValues(againstPlan).Observe(float64(actual) / float64(declared))
+	if expected.Runs() > 0 && median > 0 {
+		c.metrics.runTimeRatio.WithLabelValues(againstSeen).Observe(float64(actual) / float64(median))
+		c.workerSpeeds.Observe(a.session.worker.ID, slowdown*float64(actual)/float64(median), now.Milliseconds())
+	}
+	change := c.runTimes.Observe(key, f.stepNumber(t), declared, actual, now.Milliseconds())
+	c.metrics.runTimeKeys.Set(float64(c.runTimes.Len()))
+	if change == nil {
+		return
+	}
+	c.metrics.runTimeChanges.Inc()
+	if now < c.nextRunTimesLog {
+		return
+	}
+	c.nextRunTimesLog = now + runTimesChangedInterval
+	event.Log(c.opts.Logger, event.RunTimesChanged, slog.String("queue", key.Queue), slog.String("image", key.Image),
+		slog.Int64("milli_cpu", t.step.Size.MilliCPU), slog.Float64("ratio_before", change.Before), slog.Float64("ratio", change.After),
+		slog.String("workflow", f.spec.ID), slog.Int("step", t.pos.Step))
+}
+
+// stepNumber returns a number that identifies a step of one occurrence.
+func (f *workflow) stepNumber(t *task) uint64 {
+	const stepBits = 32
+	return f.number<<stepBits | uint64(t.pos.Occurrence*len(f.spec.Steps)+t.pos.Step)
+}
+
+// logEstimate logs what the run times of a new workflow are thought to be,
+// unless only the declared ones are known.
+func (c *Controller) logEstimate(f *workflow) {
+	widest, learned := -1, false
+	for i := range f.spec.Steps {
+		s := &f.spec.Steps[i]
+		learned = learned || !s.LongRunning && c.estimate(f, i).Runs() > 0
+		if widest < 0 || s.Count > f.spec.Steps[widest].Count {
+			widest = i
+		}
+	}
+	if !learned {
+		return
+	}
+	s, e := &f.spec.Steps[widest], c.estimate(f, widest)
+	path, _ := c.remainingMillis(f)
+	event.Log(c.opts.Logger, event.WorkflowEstimated, slog.String("workflow", f.spec.ID), slog.String("queue", f.queue),
+		slog.Int64("objective_ms", f.deadline-f.submittedAt), slog.Int64("declared_path_ms", criticalPathMillis(f.spec)),
+		slog.Int64("path_ms", path),
+		slog.Group("widest", slog.Int("step", widest), slog.String("image", s.Image), slog.Int("tasks", s.Count),
+			slog.Int64("declared_ms", s.EstimateMillis), slog.Int64("mean_ms", e.Mean()), slog.Int64("p50_ms", e.Quantile(0.5)),
+			slog.Int64("p90_ms", e.Quantile(longQuantile)), slog.Int64("longest_ms", e.LargestOf(s.Count)),
+			slog.Float64("runs", math.Round(e.Runs())), slog.Float64("trust", e.Trust())))
+}
--- a/fleet/straggler.go
+++ b/fleet/straggler.go
@@ -28,9 +28,10 @@
 )
 
 // recordProgress records the reported progress of a run.
-func (m *runStats) recordProgress(progress int, now time.Duration) {
+func (m *runStats) recordProgress(progress int, startedAt, now time.Duration) {
 	if !m.reported {
 		m.reported, m.firstProgress, m.firstReportAt, m.lastProgressAt = true, progress, now, now
+		m.reducedAtFirst = m.reducedTime(startedAt, now)
 	}
 	if progress != m.progress {
 		m.lastProgressAt, m.stallCounted = now, false
@@ -83,12 +84,12 @@
 	}
 }
 
-// runProgress returns the progress and speed of a run. Completed runs of the
-// same step correct the estimate.
+// runProgress returns the progress and speed of a run.
 func (c *Controller) runProgress(a *attempt, now time.Duration) placement.RunProgress {
 	m := &a.runStats
+	e := c.estimate(a.task.workflow, a.task.pos.Step)
 	p := placement.RunProgress{
-		EstimateMillis: a.task.workflow.estimate(a.task.pos.Step), Progress: m.progress, InitialProgress: m.firstProgress,
+		EstimateMillis: e.Quantile(usualQuantile), LongMillis: e.Quantile(longQuantile), Progress: m.progress, InitialProgress: m.firstProgress,
 		ObservedMillis: (now - m.firstReportAt).Milliseconds(), UnchangedMillis: (now - m.lastProgressAt).Milliseconds(),
 		RatePercent: m.rate, RestartMillis: restartDelay.Milliseconds(),
 	}
@@ -109,21 +110,3 @@
 	}
 	a.task.avoid[a.session.worker.ID] = true
 }
-
-// estimate returns the duration of a task of the step in milliseconds: the
-// estimate, or the average of completed runs if it is longer.
-func (f *workflow) estimate(step int) int64 {
-	e := f.spec.Steps[step].EstimateMillis
-	if n := f.completedRuns[step]; n > 0 {
-		e = max(e, f.completedMillis[step]/n)
-	}
-	return e
-}
-
-// recordDuration records the duration of a run that completed a whole task.
-func (f *workflow) recordDuration(a *attempt, now time.Duration) {
-	if a.runStats.firstProgress == 0 && a.task.checkpoint == "" {
-		f.completedRuns[a.task.pos.Step]++
-		f.completedMillis[a.task.pos.Step] += (now - a.startedAt).Milliseconds()
-	}
-}
--- a/fleet/waiting.go
+++ b/fleet/waiting.go
@@ -17,7 +17,7 @@
 	for _, f := range c.workflows {
 		c.unblockTasks(f)
 		if f.readyTasks > 0 {
-			j := waitingJob(f, now)
+			j := c.waitingJob(f, now)
 			waiting = append(waiting, j)
 			if restart := j; f.restartWaits() {
 				restart.Restart = true
@@ -34,12 +34,13 @@
 
 // waitingJob returns what decides about the order of a workflow with ready
 // tasks.
-func waitingJob(f *workflow, now time.Duration) placement.WaitingJob {
+func (c *Controller) waitingJob(f *workflow, now time.Duration) placement.WaitingJob {
 	serving, waited := f.servingWait(now)
+	remaining, observed := c.remainingMillis(f)
 	return placement.WaitingJob{
 		Serving: serving, WaitedMillis: waited.Milliseconds(),
 		ID: f.spec.ID, Priority: f.spec.Priority, Deadline: f.deadline,
-		LateDeadline: f.submittedAt + lateFactor*(f.deadline-f.submittedAt), RemainingMillis: f.remainingMillis(),
+		LateDeadline: f.submittedAt + lateFactor*(f.deadline-f.submittedAt), RemainingMillis: remaining, Observed: observed,
 	}
 }
 
@@ -64,20 +65,3 @@
 // restarts reports whether the next run of the task replaces one that a serving
 // task has lost.
 func (t *task) restarts() bool { return t.step.LongRunning && t.ranBefore() }
-
-// remainingMillis returns the estimated remaining duration of the critical
-// path.
-func (f *workflow) remainingMillis() int64 {
-	remaining := make([]int64, len(f.spec.Steps))
-	for _, t := range f.tasks {
-		if t.phase == taskDone {
-			continue
-		}
-		left := t.step.EstimateMillis
-		if t.attempt != nil && !t.step.LongRunning {
-			left = left * int64(fullRate-t.attempt.runStats.progress) / fullRate
-		}
-		remaining[t.pos.Step] = max(remaining[t.pos.Step], left)
-	}
-	return criticalPath(f.spec, func(step int) int64 { return remaining[step] })
-}
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -23,9 +23,11 @@
 	checkBlocked bool    // blocked tasks may have become ready
 	begun        bool    // a run of a task is known to have started
 	late         bool    // was logged as late
-	// completedRuns and completedMillis are the number and the total duration
-	// of runs that completed a whole task, by step.
-	completedRuns, completedMillis []int64
+	number       uint64  // of the workflows that this process has opened
+	// completedRuns is the number of runs that completed a task, by step, and
+	// completedLogs the sum of the logarithms of their run times in milliseconds.
+	completedRuns []int
+	completedLogs []float64
 	// loads are the load filters of the serving tasks, by step.
 	loads []placement.Load
 }
@@ -95,7 +97,9 @@
 	spec := &w.Spec
 	f := &workflow{spec: spec, queue: spec.Queue, submittedAt: w.SubmittedAt}
 	f.deadline = w.SubmittedAt + objectiveMillis(spec)
-	f.completedRuns, f.completedMillis = make([]int64, len(spec.Steps)), make([]int64, len(spec.Steps))
+	f.completedRuns, f.completedLogs = make([]int, len(spec.Steps)), make([]float64, len(spec.Steps))
+	c.openedWorkflows++
+	f.number = c.openedWorkflows
 	f.loads = make([]placement.Load, len(spec.Steps))
 	f.checkBlocked = true
 	f.openTasks = make([][]int, max(1, spec.Occurrences))
@@ -121,6 +125,7 @@
 		}
 	}
 	c.unblockTasks(f)
+	c.logEstimate(f)
 	c.dirty = true
 }
 
--- a/placement/job_order.go
+++ b/placement/job_order.go
@@ -14,6 +14,9 @@
 	Deadline, LateDeadline int64
 	// RemainingMillis is the length of the critical path of the remaining work.
 	RemainingMillis int64
+	// Observed is set if RemainingMillis is based on observed run times rather
+	// than declared ones.
+	Observed bool
 	// Serving is set for jobs that run until they are stopped. For these,
 	// WaitedMillis is how long the task that has waited longest has waited.
 	Serving      bool
@@ -58,8 +61,9 @@
 	orderExpired
 )
 
-// remainingTimeFactor is the safety factor for the estimated remaining time.
-// Estimates are imprecise, and best-effort tasks share idle CPU.
+// remainingTimeFactor is the safety factor for the remaining time by declared run
+// times. They are imprecise, and best-effort tasks share idle CPU; observed run
+// times include both.
 const remainingTimeFactor = 1.25
 
 // OrderJobs sorts jobs by the order in which they are placed. In a burst, no
@@ -81,7 +85,10 @@
 func (j *WaitingJob) Expired(now int64) bool { return j.orderClass(now) == orderExpired }
 
 func (j *WaitingJob) orderClass(now int64) orderClass {
-	end := now + int64(float64(j.RemainingMillis)*remainingTimeFactor)
+	end := now + j.RemainingMillis
+	if !j.Observed {
+		end = now + int64(float64(j.RemainingMillis)*remainingTimeFactor)
+	}
 	switch {
 	case j.Restart && j.Starved():
 		return orderRestart
--- a/placement/job_order_test.go
+++ b/placement/job_order_test.go
@@ -183,3 +183,15 @@
 	}
 	g.Expect(order).To(Equal([]string{"within", "in time", "late", "beyond", "hopeless"}))
 }
+
+// Guards against workflows that are taken for late because the safety factor for
+// declared run times is applied to observed ones, which need none.
+func TestObservedRemainingTimeNeedsNoFactor(t *testing.T) {
+	g := NewWithT(t)
+	declared := placement.WaitingJob{ID: "declared", Deadline: 100, LateDeadline: 1100, RemainingMillis: 1000}
+	observed := declared
+	observed.ID, observed.Observed = "observed", true
+	g.Expect(declared.Expired(0)).To(BeTrue())
+	g.Expect(observed.Expired(0)).To(BeFalse())
+	g.Expect(observed.Expired(101)).To(BeTrue())
+}
--- a/placement/straggler.go
+++ b/placement/straggler.go
@@ -2,8 +2,10 @@
 
 // RunProgress is the progress of a run, as reported by its worker.
 type RunProgress struct {
-	// EstimateMillis is the estimated duration of the whole task at full speed.
-	EstimateMillis int64
+	// EstimateMillis is the duration of the whole task at full speed that it is
+	// expected not to exceed on another worker. LongMillis is the duration that
+	// few tasks of its kind exceed.
+	EstimateMillis, LongMillis int64
 	// Progress is the current progress. InitialProgress is the progress at the
 	// first report of the run, ObservedMillis earlier. Both are in percent.
 	Progress, InitialProgress int
@@ -25,7 +27,7 @@
 	// evaluated. Reports arrive about every second.
 	minObservedMillis = 900
 	// A run is stalled if its progress has not changed for minUnchangedMillis
-	// and for maxUnchangedFraction of its estimate. The fraction is needed
+	// and for maxUnchangedFraction of its longest duration. The fraction is needed
 	// because one percent of a long task takes long.
 	minUnchangedMillis   = 1500
 	maxUnchangedFraction = 0.15
@@ -40,7 +42,7 @@
 // Stalled reports whether a run makes no progress. Tasks may hang on a worker
 // that otherwise appears healthy.
 func Stalled(r RunProgress) bool {
-	return r.RatePercent > 0 && r.Progress < fullRate && float64(r.UnchangedMillis) > max(minUnchangedMillis, maxUnchangedFraction*float64(r.EstimateMillis))
+	return r.RatePercent > 0 && r.Progress < fullRate && float64(r.UnchangedMillis) > max(minUnchangedMillis, maxUnchangedFraction*float64(max(r.EstimateMillis, r.LongMillis)))
 }
 
 // IsStraggler reports whether a run should be restarted on another worker
--- a/runtimes/distribution.go
+++ b/runtimes/distribution.go
@@ -1,6 +1,9 @@
 package runtimes
 
-import "math"
+import (
+	"math"
+	"sort"
+)
 
 const (
 	// halfLifeRuns and halfLifeMillis are the number of runs and the time after
@@ -13,6 +16,7 @@
 	binsPerDoubling = 32
 	maxDoublings    = 6
 	bins            = 2*maxDoublings*binsPerDoubling + 1
+	declaredBin     = maxDoublings * binsPerDoubling // of the ratio 1
 	// declaredRuns is the weight of the declared run time, in runs.
 	declaredRuns = 2.0
 	// slopeDeviation is the prior standard deviation of slope around 1. Evidence
@@ -64,6 +68,32 @@
 	steps    [rememberedSteps]stepDeviation
 	nextStep int
 	change   changeTest
+	summary  summary
+}
+
+// summary is what estimates need of a distribution. Thousands of waiting tasks
+// share it until the next run ends.
+type summary struct {
+	valid              bool
+	slope, correlation float64
+	below              [bins]float64 // sum of the weights up to and including a bin
+}
+
+// summarised returns the current summary.
+func (d *distribution) summarised() *summary {
+	s := &d.summary
+	if s.valid {
+		return s
+	}
+	s.valid, s.correlation, s.slope = true, d.correlation(), d.slope()
+	sum := 0.0
+	for i, w := range d.weights {
+		if sum += float64(w); i == declaredBin {
+			sum += declaredRuns * d.scale
+		}
+		s.below[i] = sum
+	}
+	return s
 }
 
 // stepDeviation is the deviation of the last run of a step.
@@ -106,7 +136,7 @@
 		return declared
 	}
 	mean := d.x / d.total
-	return mean + d.slope()*(declared-mean)
+	return mean + d.summarised().slope*(declared-mean)
 }
 
 // meanLog returns the mean of the logarithm of the ratio.
@@ -151,10 +181,11 @@
 func (d *distribution) record(s sample, now int64) {
 	d.scale *= math.Exp2(float64(max(0, now-d.at))/halfLifeMillis + 1.0/halfLifeRuns)
 	d.at = max(d.at, now)
+	logRatio := s.actual - d.base(s.declared)
+	d.summary.valid = false
 	if d.scale > maxScale {
 		d.rescale()
 	}
-	logRatio := s.actual - d.base(s.declared)
 	d.recordStep(s.step, logRatio)
 	w := d.scale
 	d.weights[binOf(logRatio)] += float32(w)
@@ -217,25 +248,17 @@
 // logQuantile returns the logarithm of a quantile of the ratio. Within a bin,
 // runs are assumed to be spread evenly.
 func (d *distribution) logQuantile(q float64) float64 {
-	prior := declaredRuns * d.scale
-	remaining := min(1, max(0, q)) * (d.total + prior)
-	const declaredBin = maxDoublings * binsPerDoubling
-	last := 0
-	for i := range d.weights {
-		w := float64(d.weights[i])
-		if i == declaredBin {
-			w += prior
-		}
-		if w <= 0 {
-			continue
-		}
-		last = i
-		if remaining <= w {
-			return binLog(i, remaining/w)
-		}
-		remaining -= w
+	below := &d.summarised().below
+	rank := min(1, max(0, q)) * below[bins-1]
+	bin := sort.Search(bins-1, func(i int) bool { return below[i] >= rank })
+	before := 0.0
+	if bin > 0 {
+		before = below[bin-1]
+	}
+	if below[bin] <= before {
+		return binLog(bin, 0)
 	}
-	return binLog(last, 1)
+	return binLog(bin, (rank-before)/(below[bin]-before))
 }
 
 // binLog returns the logarithm of the ratio at a fraction of a bin.
@@ -245,9 +268,10 @@
 
 // rank returns the share of recent runs with a lower ratio.
 func (d *distribution) rank(logRatio float64) float64 {
-	below, bin := 0.0, binOf(logRatio)
-	for _, w := range d.weights[:bin] {
-		below += float64(w)
+	s, bin := d.summarised(), binOf(logRatio)
+	at, declared := float64(d.weights[bin]), declaredRuns*d.scale
+	if bin < declaredBin {
+		declared = 0
 	}
-	return (below + float64(d.weights[bin])/2) / d.total
+	return (s.below[bin] - declared - at/2) / d.total
 }
--- a/runtimes/estimate.go
+++ b/runtimes/estimate.go
@@ -16,13 +16,16 @@
 // means that it is the declared run time.
 func (e Estimate) Runs() float64 { return e.runs }
 
+// Declared returns the declared run time in milliseconds.
+func (e Estimate) Declared() int64 { return millis(e.declared) }
+
 // Trust returns how far the estimate follows the declared run time: 1 means
 // that it is proportional to it, 0 that it ignores it.
 func (e Estimate) Trust() float64 {
 	if e.d == nil {
 		return 1
 	}
-	return e.d.slope()
+	return e.d.summarised().slope
 }
 
 // Mean returns the expected run time in milliseconds.
@@ -55,7 +58,7 @@
 	if e.d == nil || n <= 0 {
 		return millis(e.base)
 	}
-	independent := 1 + float64(n-1)*(1-e.d.correlation())
+	independent := 1 + float64(n-1)*(1-e.d.summarised().correlation)
 	return e.Quantile(math.Exp2(-1 / independent))
 }
 
@@ -69,7 +72,7 @@
 		e.base = max(e.base, meanMillis)
 		return e
 	}
-	correlation := e.d.correlation()
+	correlation := e.d.summarised().correlation
 	weight := float64(n) * correlation / (1 + float64(n-1)*correlation)
 	e.shift += weight * (math.Log(meanMillis/e.base) - e.d.meanLog())
 	e.spread = math.Sqrt(max(0, 1-correlation*weight))
--- a/runtimes/model.go
+++ b/runtimes/model.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// maxKeys bounds the number of distributions. Each takes about 4 KB, so that
+	// maxKeys bounds the number of distributions. Each takes about 6 KB, so that
 	// all of them stay below 2% of the memory of the smallest control instance.
-	maxKeys = 1024
+	maxKeys = 512
 	// minRuns is the weight of recent runs from which a distribution is used.
 	// With fewer, a single run that takes seven times as long would double the
 	// mean.
--- a/runtimes/replay_test.go
+++ b/runtimes/replay_test.go
@@ -340,7 +340,7 @@
 	for i := range 5000 {
 		m.Observe(runtimes.Key{Queue: "q", Image: fmt.Sprint(i)}, uint64(i), 1000, 1000, int64(i))
 	}
-	g.Expect(m.Len()).To(BeNumerically("<=", 1024))
+	g.Expect(m.Len()).To(BeNumerically("<=", 512))
 }
 
 // Guards against input that is not a run time, and against sums that overflow
