placement: wide steps go to workers that have proved fast

Cause: a worker at a third of the speed of others may answer and report as healthy. It got as many tasks as others, and a step ends with its slowest task.

Change: the leader compares the run times of each worker's tasks with their estimates, before the end for runs that take twice the median. The speed is part of a worker's score for tasks that end, with twice the weight for wide steps. Event 845 and a counter show workers that were found to be slow.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -74,6 +74,8 @@
 		"setting capacity aside for a serving task", "The task has lost its run. It starts on this worker unless another has room, once enough batch tasks have ended there. Nothing to do unless the same task repeats.")
 	RunTimesChanged = define(844, "run-times-changed", slog.LevelInfo,
 		"run times of an image have changed", "Recent runs differ clearly from the learned distribution, as after the release of another version of the image; it was learned anew from them. `ratio` is the geometric mean of actual over declared run times. At most one line per second; all changes are counted in the metrics. If it follows a release, check that the declared run times still hold.")
+	WorkerSpeedChanged = define(845, "worker-speed-changed", slog.LevelInfo,
+		"worker is slow, or no longer slow", "By the run times of several of its tasks compared with those on other workers (`slowdown`, 1 if not slow; `run_ratio` of the last run to the median). Tasks that end go there last. At most one line per second; all changes are counted in the metrics. If a worker remains slow, check its machine.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
 		"refused heartbeat", "The report could not be decoded or names no usable worker. Check its sender.")
 )
--- a/fleet/batch_reservation.go
+++ b/fleet/batch_reservation.go
@@ -29,7 +29,7 @@
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
 		if kindOf(s) == kindBatch {
-			t := placement.ArrivalTasks{MilliCPU: s.Size.MilliCPU, Work: int64(s.Count) * s.Size.MilliCPU * c.runTimes.Estimate(runTimeKey(spec.Queue, s), s.EstimateMillis).Mean()}
+			t := placement.ArrivalTasks{MilliCPU: s.Size.MilliCPU, Work: int64(s.Count) * s.Size.MilliCPU * c.learned.model.Estimate(runTimeKey(spec.Queue, s), s.EstimateMillis).Mean()}
 			a.Tasks = append(a.Tasks, t)
 			work += t.Work
 		}
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -15,7 +15,6 @@
 	"apricotrouter/event"
 	"apricotrouter/placement"
 	"apricotrouter/replica"
-	"apricotrouter/runtimes"
 	"apricotrouter/state"
 )
 
@@ -78,42 +77,38 @@
 	term uint64 // in which the controller is active
 	// generation changes on each activation and deactivation. Responses to
 	// calls of an earlier generation are discarded.
-	generation    uint64
-	fence         uint64 // of this activation
-	fenceSequence uint64 // low bits of the highest fence of the term
-	active        bool
-	activatedAt   time.Duration // time of the last activation
-	adopted       bool          // workflows of an earlier leader were found then
-	nextSync      time.Duration
-	nextPass      time.Duration // earliest time of the next placement pass
-	nextReport    time.Duration // of the occupancy of pools
-	dirty         bool          // a change may allow a task to start
-	workflows     map[string]*workflow
-	sessions      map[string]*session // by worker id
-	sorted        []*session          // by worker id; nil after a change of sessions
-	closing       map[*session]bool   // closed sessions with starts in flight
-	losses        []*workerLoss       // within lossRetention
-	suspects      map[*task]bool      // open tasks that have to run alone
-	held          []*session          // kept for tasks that have to run alone
-	reserved      map[*task]bool      // tasks with capacity set aside
-	pollDue       map[*session]bool   // sessions to poll after this step, if necessary
-	journal       journal
-	interference  *placement.InterferenceModel
-	poolDemand    map[string]*poolDemand // by pool
-	runTimes      *runtimes.Model
-	workerSpeeds  *runtimes.Workers
-	// openedWorkflows is the number of workflows that this process has opened.
-	openedWorkflows uint64
-	nextRunTimesLog time.Duration      // earliest time of the next log entry about a change
-	imageUse        map[string]float64 // by image; scratch space of updateResources
-	startRoundTrip  roundTripEstimator // of start calls
-	calls           callQueue          // to workers
-	callPool        *callPool
-	panicTimes      recentPanics
-	unsentCalls     int           // calls that failed locally since the last log entry about them
-	nextUnsentLog   time.Duration // earliest time of the next log entry about them
-	saving          bool          // the interference model is being committed
-	nextSave        time.Duration
+	generation     uint64
+	fence          uint64 // of this activation
+	fenceSequence  uint64 // low bits of the highest fence of the term
+	active         bool
+	activatedAt    time.Duration // time of the last activation
+	adopted        bool          // workflows of an earlier leader were found then
+	nextSync       time.Duration
+	nextPass       time.Duration // earliest time of the next placement pass
+	nextReport     time.Duration // of the occupancy of pools
+	dirty          bool          // a change may allow a task to start
+	workflows      map[string]*workflow
+	sessions       map[string]*session // by worker id
+	sorted         []*session          // by worker id; nil after a change of sessions
+	closing        map[*session]bool   // closed sessions with starts in flight
+	losses         []*workerLoss       // within lossRetention
+	suspects       map[*task]bool      // open tasks that have to run alone
+	held           []*session          // kept for tasks that have to run alone
+	reserved       map[*task]bool      // tasks with capacity set aside
+	pollDue        map[*session]bool   // sessions to poll after this step, if necessary
+	journal        journal
+	interference   *placement.InterferenceModel
+	poolDemand     map[string]*poolDemand // by pool
+	learned        learned
+	imageUse       map[string]float64 // by image; scratch space of updateResources
+	startRoundTrip roundTripEstimator // of start calls
+	calls          callQueue          // to workers
+	callPool       *callPool
+	panicTimes     recentPanics
+	unsentCalls    int           // calls that failed locally since the last log entry about them
+	nextUnsentLog  time.Duration // earliest time of the next log entry about them
+	saving         bool          // the interference model is being committed
+	nextSave       time.Duration
 }
 
 // inboxSize is the capacity of the inbox. Senders block when it is full.
@@ -126,7 +121,7 @@
 	}
 	return &Controller{
 		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), inbox: make(chan func(), inboxSize), done: make(chan struct{}),
-		runTimes: runtimes.NewModel(), workerSpeeds: runtimes.NewWorkers(),
+		learned:      newLearned(),
 		interference: placement.NewInterferenceModel(), calls: callQueue{limit: o.Limits.Calls},
 		imageUse: make(map[string]float64), callPool: newCallPool(),
 	}
@@ -294,7 +289,7 @@
 	c.generation++
 	if l.Term != c.term {
 		c.fenceSequence = 0
-		c.runTimes, c.workerSpeeds = runtimes.NewModel(), runtimes.NewWorkers()
+		c.learned = newLearned()
 	}
 	c.active, c.term = true, l.Term
 	c.fence = c.nextFence()
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -29,6 +29,7 @@
 	runTimeRatio   *prometheus.HistogramVec
 	runTimeChanges prometheus.Counter
 	runTimeKeys    prometheus.Gauge
+	slowWorkers    prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -94,13 +95,16 @@
 		runTimeChanges: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "apricotrouter_fleet_run_time_changes_total", Help: "Abrupt changes of the run times of an image.",
 		}),
+		slowWorkers: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_worker_speed_changes_total", Help: "Workers that were found to be slow, or no longer slow, by the run times of their tasks.",
+		}),
 		runTimeKeys: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "apricotrouter_fleet_run_time_distributions", Help: "Distributions of run times that the leader has learned.",
 		}),
 	}
 	if r != nil {
 		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting,
-			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys)
+			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers)
 	}
 	return m
 }
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -169,6 +169,7 @@
 	*r = placement.WorkerCapacity{
 		Zone: s.worker.Zone, Labels: s.worker.Labels, Capacity: s.worker.Capacity, Free: s.free(),
 		IdleCPU: s.worker.Capacity.MilliCPU, ServingGroups: r.ServingGroups[:0],
+		Slowdown: c.learned.workers.Factor(s.worker.ID, c.now().Milliseconds()),
 	}
 	clear(c.imageUse)
 	servingTasks := 0
--- a/fleet/rate.go
+++ b/fleet/rate.go
@@ -48,6 +48,7 @@
 	firstReportAt  time.Duration // time of the first report
 	lastProgressAt time.Duration // time of the last observed change of progress
 	stallCounted   bool          // the stall of this run was counted against its worker
+	speedObserved  bool          // the run has been counted in the speed of its worker
 	measure        int64         // tail latency in milliseconds, or CPU use in thousandths
 	rate           int           // last requested execution rate in percent
 	// rateUnknown is set while an earlier leader may have requested another
--- a/fleet/runtimes.go
+++ b/fleet/runtimes.go
@@ -27,6 +27,20 @@
 	runTimesChangedInterval = time.Second
 )
 
+// learned is what the leader has learned from completed runs in its term.
+type learned struct {
+	model   *runtimes.Model
+	workers *runtimes.Workers
+	opened  uint64 // number of workflows that were opened
+	// nextChangeLog and nextWorkerLog are the earliest times of the next log
+	// entries about a change of run times and about the speed of a worker.
+	nextChangeLog, nextWorkerLog time.Duration
+}
+
+func newLearned() learned {
+	return learned{model: runtimes.NewModel(), workers: runtimes.NewWorkers()}
+}
+
 // runTimeKey returns the key of the run times of a step's tasks.
 func runTimeKey(queue string, s *state.WorkflowStep) runtimes.Key {
 	return runtimes.Key{Queue: queue, Image: s.Image, Size: runtimes.SizeRange(s.Size.MilliCPU)}
@@ -36,7 +50,7 @@
 // by the tasks of the step that have been done.
 func (c *Controller) estimate(f *workflow, step int) runtimes.Estimate {
 	s := &f.spec.Steps[step]
-	e := c.runTimes.Estimate(runTimeKey(f.queue, s), s.EstimateMillis)
+	e := c.learned.model.Estimate(runTimeKey(f.queue, s), s.EstimateMillis)
 	n := f.completedRuns[step]
 	if n == 0 {
 		return e
@@ -151,7 +165,7 @@
 	}
 	m := &a.runStats
 	kind := runWhole
-	run := runtimes.FullRun{Millis: (now - a.startedAt).Milliseconds(), Slowdown: c.workerSpeeds.Slowdown(a.session.worker.ID, now.Milliseconds())}
+	run := runtimes.FullRun{Millis: (now - a.startedAt).Milliseconds(), Slowdown: c.learned.workers.Slowdown(a.session.worker.ID, now.Milliseconds())}
 	reduced := m.reducedTime(a.startedAt, now)
 	if t.checkpoint != "" {
 		// The progress at the start is not known, but that at the first report is.
@@ -195,23 +209,79 @@
 	c.metrics.runTimeRatio.WithLabelValues(againstPlan).Observe(float64(actual) / float64(declared))
 	if expected.Runs() > 0 && median > 0 {
 		c.metrics.runTimeRatio.WithLabelValues(againstSeen).Observe(float64(actual) / float64(median))
-		c.workerSpeeds.Observe(a.session.worker.ID, slowdown*float64(actual)/float64(median), now.Milliseconds())
+		c.observeSpeed(a, slowdown*float64(actual)/float64(median), now)
 	}
-	change := c.runTimes.Observe(key, f.stepNumber(t), declared, actual, now.Milliseconds())
-	c.metrics.runTimeKeys.Set(float64(c.runTimes.Len()))
+	change := c.learned.model.Observe(key, f.stepNumber(t), declared, actual, now.Milliseconds())
+	c.metrics.runTimeKeys.Set(float64(c.learned.model.Len()))
 	if change == nil {
 		return
 	}
 	c.metrics.runTimeChanges.Inc()
-	if now < c.nextRunTimesLog {
+	if now < c.learned.nextChangeLog {
 		return
 	}
-	c.nextRunTimesLog = now + runTimesChangedInterval
+	c.learned.nextChangeLog = now + runTimesChangedInterval
 	event.Log(c.opts.Logger, event.RunTimesChanged, slog.String("queue", key.Queue), slog.String("image", key.Image),
 		slog.Int64("milli_cpu", t.step.Size.MilliCPU), slog.Float64("ratio_before", change.Before), slog.Float64("ratio", change.After),
 		slog.String("workflow", f.spec.ID), slog.Int("step", t.pos.Step))
 }
 
+const (
+	// slowRunFactor is how many times longer than the median a run has to take
+	// for its worker to be judged before it ends. Slow runs are moved and then
+	// never complete.
+	slowRunFactor = 2.0
+	// slowWorkersLogInterval is the minimum interval between log entries about
+	// slow workers.
+	slowWorkersLogInterval = time.Second
+)
+
+// observeSlowRun judges the speed of a worker by the progress of a run that
+// takes much longer than usual. Such workers may appear healthy otherwise.
+func (c *Controller) observeSlowRun(a *attempt, now time.Duration) {
+	m := &a.runStats
+	if m.speedObserved || a.adopted || m.rate != fullRate || m.reduced > 0 {
+		return
+	}
+	e := c.estimate(a.task.workflow, a.task.pos.Step)
+	median := float64(e.Quantile(0.5))
+	if e.Runs() == 0 || median <= 0 {
+		return
+	}
+	took := float64((now - m.firstReportAt).Milliseconds())
+	if done := m.progress - m.firstProgress; done >= minProjectedProgress {
+		took = float64((m.lastProgressAt - m.firstReportAt).Milliseconds()) * fullProgress / float64(done)
+	} else if took < float64(e.Quantile(longQuantile)) {
+		return // a run of a long task makes little progress at first
+	}
+	if ratio := took / median; ratio >= slowRunFactor {
+		c.observeSpeed(a, ratio, now)
+	}
+}
+
+// observeSpeed counts a run in the speed of its worker, once.
+func (c *Controller) observeSpeed(a *attempt, ratio float64, now time.Duration) {
+	if a.runStats.speedObserved {
+		return
+	}
+	a.runStats.speedObserved = true
+	id, at := a.session.worker.ID, now.Milliseconds()
+	before := c.learned.workers.Slowdown(id, at)
+	c.learned.workers.Observe(id, ratio, at)
+	after := c.learned.workers.Slowdown(id, at)
+	if (before > 1) == (after > 1) {
+		return
+	}
+	c.metrics.slowWorkers.Inc()
+	if now < c.learned.nextWorkerLog {
+		return
+	}
+	c.learned.nextWorkerLog = now + slowWorkersLogInterval
+	event.Log(c.opts.Logger, event.WorkerSpeedChanged, slog.String("worker", id), slog.Float64("slowdown_before", before),
+		slog.Float64("slowdown", after), slog.Float64("run_ratio", ratio), slog.String("workflow", a.run.Workflow),
+		slog.Int("task", a.run.Task), slog.Uint64("run", a.run.Number))
+}
+
 // stepNumber returns a number that identifies a step of one occurrence.
 func (f *workflow) stepNumber(t *task) uint64 {
 	const stepBits = 32
--- a/fleet/runtimes_internal_test.go
+++ b/fleet/runtimes_internal_test.go
@@ -180,15 +180,50 @@
 			}
 			if run.want == 0 {
 				g.Expect(f.completedRuns[0]).To(BeZero())
-				g.Expect(c.runTimes.Len()).To(BeZero())
+				g.Expect(c.learned.model.Len()).To(BeZero())
 				return
 			}
-			e := c.runTimes.Estimate(runTimeKey("q", &f.spec.Steps[0]), 1000)
+			e := c.learned.model.Estimate(runTimeKey("q", &f.spec.Steps[0]), 1000)
 			g.Expect(e.Quantile(0.5)).To(BeNumerically("~", run.want, 40))
 		})
 	}
 }
 
+// Guards against a worker at a third of the speed of others that keeps getting
+// tasks because its runs are moved before they end, and against one slow run
+// that counts with each of its reports.
+func TestSlowWorkerIsFoundByProgress(t *testing.T) {
+	g := NewWithT(t)
+	c, clock := newIdleController()
+	c.sessions, c.closing, c.pollDue = make(map[string]*session), make(map[*session]bool), make(map[*session]bool)
+	step := state.WorkflowStep{Count: 10, Size: state.Resources{MilliCPU: 1000}, EstimateMillis: 1000, Image: "i"}
+	learnTestRuns(c, clock, step, 100, time.Second)
+	slow := newSession(state.PoolWorker{ID: "slow", Capacity: state.Resources{MilliCPU: 10_000}}, unreachableWorker{})
+	f := openTestWorkflow(c, "w", step)
+	for i, task := range f.tasks {
+		a := startTestRun(c, task)
+		a.session = slow
+		a.runStats.recordProgress(0, a.startedAt, c.now())
+		for percent := 0; percent <= 60; percent += 20 { // a third of the speed
+			a.runStats.recordProgress(percent, a.startedAt, c.now())
+			c.observeSlowRun(a, c.now())
+			clock.Advance(600 * time.Millisecond)
+		}
+		switch i {
+		case 0:
+			g.Expect(c.learned.workers.Slowdown("slow", c.now().Milliseconds())).To(BeEquivalentTo(1), "one run")
+		case 9:
+			g.Expect(c.learned.workers.Slowdown("slow", c.now().Milliseconds())).To(BeNumerically("~", 2.3, 0.4))
+		}
+	}
+	c.updateResources(slow)
+	g.Expect(slow.resources.Slowdown).To(BeNumerically(">", 1.5))
+	g.Expect(c.learned.workers.Slowdown("w", c.now().Milliseconds())).To(BeEquivalentTo(1), "ordinary worker")
+
+	c.closeSession(slow, "test")
+	g.Expect(c.learned.workers.Factor("slow", c.now().Milliseconds())).To(BeEquivalentTo(1), "after a restart")
+}
+
 // BenchmarkWaitingJobs measures what a placement pass spends on the workflows
 // that wait: 10,000 tasks in workflows of two steps of ten, with learned run
 // times.
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -176,7 +176,7 @@
 	s.expired = nil
 	c.closing[s] = true
 	c.closeCalls(s)
-	c.workerSpeeds.Forget(s.worker.ID)
+	c.learned.workers.Forget(s.worker.ID)
 	if c.sessions[s.worker.ID] == s {
 		delete(c.sessions, s.worker.ID)
 		c.sorted = nil
--- a/fleet/straggler.go
+++ b/fleet/straggler.go
@@ -62,6 +62,7 @@
 			}
 			continue
 		}
+		c.observeSlowRun(a, now)
 		p := c.runProgress(a, now)
 		if placement.Stalled(p) && !a.runStats.stallCounted {
 			stalled = append(stalled, a)
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -98,8 +98,8 @@
 	f := &workflow{spec: spec, queue: spec.Queue, submittedAt: w.SubmittedAt}
 	f.deadline = w.SubmittedAt + objectiveMillis(spec)
 	f.completedRuns, f.completedLogs = make([]int, len(spec.Steps)), make([]float64, len(spec.Steps))
-	c.openedWorkflows++
-	f.number = c.openedWorkflows
+	c.learned.opened++
+	f.number = c.learned.opened
 	f.loads = make([]placement.Load, len(spec.Steps))
 	f.checkBlocked = true
 	f.openTasks = make([][]int, max(1, spec.Occurrences))
--- a/placement/worker_choice.go
+++ b/placement/worker_choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 
 	"apricotrouter/state"
@@ -23,6 +24,9 @@
 	// number of best-effort tasks.
 	ServingGroups []ServingGroup
 	BestEffort    int
+	// Slowdown is how many times longer tasks take on the worker than on others,
+	// less than 1 for a fast one; 0 if unknown.
+	Slowdown float64
 }
 
 // ServingGroup is a group of serving tasks with the same image on one worker.
@@ -249,6 +253,18 @@
 	remoteWeight            = 4.0 // of a worker that is not in the rack of the step's data
 	memoryWeight            = 0.5 // of the memory in use
 	unusedAcceleratorWeight = 2.0 // of a worker with accelerators, for a task that needs none
+	// slowdownWeight is the weight of the logarithm of a worker's slowdown, for a
+	// wide step. A worker at a third of the speed then comes after others until
+	// best-effort tasks have overcommitted these by about half, which slows their
+	// tasks down less.
+	slowdownWeight = 1.5
+	// wideStep is the number of tasks from which a step counts as wide, and
+	// narrowShare the share of slowdownWeight for a single task. A step ends with
+	// its slowest task.
+	wideStep    = 10
+	narrowShare = 0.5
+	// minSlowdown is the factor below which workers differ by chance.
+	minSlowdown = 1.25
 
 	// maxUtilisationExcess is the utilisation by which a new task may push a
 	// serving task over its limit. With any excess, the execution rate of the
@@ -265,6 +281,9 @@
 	} else {
 		score += fractionOf(r.Free.MilliCPU-s.Size.MilliCPU, r.Capacity.MilliCPU)
 	}
+	if !s.LongRunning {
+		score += slowdownScore(r.Slowdown, s.Count)
+	}
 	if len(r.ServingGroups) == 0 && !hasTailTarget(s) {
 		score += noServerWeight
 	}
@@ -288,6 +307,20 @@
 	return score
 }
 
+// slowdownScore returns what the speed of a worker adds to its score for a step
+// with the number of tasks.
+//
+// Load pattern: some workers run at a third of the speed of others, although
+// they appear healthy. Most wide steps have a task on one of them and take three
+// times as long.
+func slowdownScore(slowdown float64, tasks int) float64 {
+	if slowdown <= 0 || slowdown < minSlowdown && slowdown > 1/minSlowdown {
+		return 0
+	}
+	width := float64(min(tasks, wideStep)-1) / (wideStep - 1)
+	return slowdownWeight * (narrowShare + (1-narrowShare)*max(0, width)) * math.Log(slowdown)
+}
+
 // hasTailTarget reports whether the tasks of a step have a target for their
 // tail latency.
 func hasTailTarget(s *state.WorkflowStep) bool { return s.LongRunning && s.TailMillis > 0 }
