--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -99,9 +99,10 @@
 	journal        journal
 	interference   *placement.InterferenceModel
 	poolDemand     map[string]*poolDemand // by pool
-	imageUse       map[string]float64     // by image; scratch space of updateResources
-	startRoundTrip roundTripEstimator     // of start calls
-	calls          callQueue              // to workers
+	learned        learned
+	imageUse       map[string]float64 // by image; scratch space of updateResources
+	startRoundTrip roundTripEstimator // of start calls
+	calls          callQueue          // to workers
 	callPool       *callPool
 	panicTimes     recentPanics
 	unsentCalls    int           // calls that failed locally since the last log entry about them
@@ -120,6 +121,7 @@
 	}
 	return &Controller{
 		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), inbox: make(chan func(), inboxSize), done: make(chan struct{}),
+		learned:      newLearned(),
 		interference: placement.NewInterferenceModel(), calls: callQueue{limit: o.Limits.Calls},
 		imageUse: make(map[string]float64), callPool: newCallPool(),
 	}
@@ -287,6 +289,7 @@
 	c.generation++
 	if l.Term != c.term {
 		c.fenceSequence = 0
+		c.learned = newLearned()
 	}
 	c.active, c.term = true, l.Term
 	c.fence = c.nextFence()
