admission: order by value per work left where more work waits than fits

Cause: OrderJobs ordered all workflows that could still meet their objective by deadline. It did not tell workflows in progress from new ones or small from large, and placed useless urgent work before useful less urgent work.

Change: package admission orders the workflows of a pool in which more work waits than fits. Useless work comes last, whatever its priority. Within a priority, large workflows come first up to 0.65 of the rate at which their queue is served, then workflows in progress that can end in time, then all others by value per work left. Where everything fits, the order is as before. Event 861 and the gauge apricotrouter_fleet_pool_short show a shortage.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -70,6 +70,8 @@
 		"evacuation of an availability zone changed", "No task is started on the workers of an evacuated zone.")
 	CapacityReserved = define(843, "capacity-reserved", slog.LevelInfo,
 		"setting capacity aside for a serving task", "The task has lost its run. It starts on this worker unless another has room, once enough batch tasks have ended there. Nothing to do unless the same task repeats.")
+	PoolShort = define(861, "pool-short", slog.LevelInfo,
+		"shortage of a pool began or ended", "While `short` is true, more work waits than fits: useless work comes last, workflows in progress and those with the highest value per work left come first. The fields give what waits and what is free. If it persists, the pool is too small for the demand.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
 		"refused heartbeat", "The report could not be decoded or names no usable worker. Check its sender.")
 )
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -88,6 +88,7 @@
 		t.workflow.readyTasks--
 	}
 	t.phase, t.attempt = taskOnWorker, a
+	c.recordBegun(t.workflow)
 	s.add(a)
 	c.journal.starts = append(c.journal.starts, startRecord{a, state.TaskStart{
 		Workflow: a.run.Workflow, Task: t.number, Run: number, Worker: s.worker.ID, WorkerStartedAt: s.worker.StartedAt,
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"apricotrouter/admission"
 	"apricotrouter/event"
 	"apricotrouter/placement"
 	"apricotrouter/replica"
@@ -98,10 +99,12 @@
 	pollDue        map[*session]bool   // sessions to poll after this step, if necessary
 	journal        journal
 	interference   *placement.InterferenceModel
-	poolDemand     map[string]*poolDemand // by pool
-	imageUse       map[string]float64     // by image; scratch space of updateResources
-	startRoundTrip roundTripEstimator     // of start calls
-	calls          callQueue              // to workers
+	poolDemand     map[string]*poolDemand           // by pool
+	queues         map[string]*admission.QueueStats // by queue
+	shortPools     map[string]time.Duration         // pools in which more work waited than fitted, with the last time
+	imageUse       map[string]float64               // by image; scratch space of updateResources
+	startRoundTrip roundTripEstimator               // of start calls
+	calls          callQueue                        // to workers
 	callPool       *callPool
 	panicTimes     recentPanics
 	unsentCalls    int           // calls that failed locally since the last log entry about them
@@ -298,6 +301,7 @@
 	c.pollDue = make(map[*session]bool)
 	c.journal = journal{}
 	c.poolDemand = make(map[string]*poolDemand)
+	c.queues, c.shortPools = make(map[string]*admission.QueueStats), make(map[string]time.Duration)
 	c.dirty = true
 	s := c.opts.Log.State()
 	c.adopted = s.Workflows.Len() > 0
@@ -326,6 +330,7 @@
 	}
 	c.workflows, c.sessions, c.closing = nil, nil, nil
 	c.waitingWorkflows.Store(nil)
+	c.metrics.short.Reset()
 	event.Log(c.opts.Logger, event.FleetLeaderStopped, slog.Uint64("fence", c.fence), slog.String("reason", reason))
 }
 
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -24,6 +24,7 @@
 	late        *prometheus.CounterVec
 	processors  *prometheus.GaugeVec
 	waiting     *prometheus.GaugeVec
+	short       *prometheus.GaugeVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -79,9 +80,12 @@
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "apricotrouter_fleet_waiting_tasks", Help: "Tasks that waited for a worker after the last round of placement, by pool and kind.",
 		}, []string{"pool", "kind"}),
+		short: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_pool_short", Help: "1 while more work waits in a pool than fits, else 0.",
+		}, []string{"pool"}),
 	}
 	if r != nil {
-		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting)
+		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting, m.short)
 	}
 	return m
 }
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -2,7 +2,8 @@
 
 import "apricotrouter/placement"
 
-// schedule places ready tasks: queues by priority, then workflows by deadline.
+// schedule places ready tasks: queues by priority, then workflows by deadline or,
+// where more work waits than fits, by value.
 func (c *Controller) schedule() {
 	now := c.now()
 	waiting := c.waitingJobs()
@@ -16,6 +17,7 @@
 		return
 	}
 	c.placeReserved(pools)
+	c.rankJobs(now, waiting, pools)
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
 	for _, j := range waiting {
 		pool := c.workflows[j.ID].spec.Pool
--- a/fleet/waiting.go
+++ b/fleet/waiting.go
@@ -39,7 +39,7 @@
 	return placement.WaitingJob{
 		Serving: serving, WaitedMillis: waited.Milliseconds(),
 		ID: f.spec.ID, Priority: f.spec.Priority, Deadline: f.deadline,
-		LateDeadline: f.submittedAt + lateFactor*(f.deadline-f.submittedAt), RemainingMillis: f.remainingMillis(),
+		LateDeadline: f.lateDeadline(), RemainingMillis: f.remainingMillis(),
 	}
 }
 
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"apricotrouter/admission"
 	"apricotrouter/event"
 	"apricotrouter/placement"
 	"apricotrouter/state"
@@ -17,12 +18,17 @@
 	submittedAt int64 // Unix milliseconds
 	// deadline is the end of the workflow's objective, in Unix milliseconds.
 	deadline     int64
+	work         float64 // estimated work of all tasks of one occurrence
 	tasks        []*task
 	openTasks    [][]int // unfinished tasks, by occurrence and step
 	readyTasks   int     // tasks that wait for a worker
 	checkBlocked bool    // blocked tasks may have become ready
 	begun        bool    // a run of a task is known to have started
 	late         bool    // was logged as late
+	// inProgress is set while the workflow counts as started in the statistics
+	// of its queue, with size.
+	inProgress bool
+	size       admission.Size
 	// completedRuns and completedMillis are the number and the total duration
 	// of runs that completed a whole task, by step.
 	completedRuns, completedMillis []int64
@@ -93,7 +99,7 @@
 // their workers until these have been polled.
 func (c *Controller) openWorkflow(w *state.Workflow) {
 	spec := &w.Spec
-	f := &workflow{spec: spec, queue: spec.Queue, submittedAt: w.SubmittedAt}
+	f := &workflow{spec: spec, queue: spec.Queue, submittedAt: w.SubmittedAt, work: estimatedWork(spec)}
 	f.deadline = w.SubmittedAt + objectiveMillis(spec)
 	f.completedRuns, f.completedMillis = make([]int64, len(spec.Steps)), make([]int64, len(spec.Steps))
 	f.loads = make([]placement.Load, len(spec.Steps))
@@ -114,12 +120,18 @@
 	if spec.Occurrences == 0 {
 		c.addBatchDemand(spec, w.SubmittedAt)
 	}
+	if f.ends() {
+		c.queueStats(f.queue).Arrived(w.SubmittedAt, f.work)
+	}
 	for n := range w.Tasks {
 		c.syncTask(f.tasks[n], &w.Tasks[n])
 		for _, l := range w.Tasks[n].LostRuns {
 			c.adoptLostRun(f.tasks[n], l)
 		}
 	}
+	if w.Phase == state.WorkflowActive {
+		c.recordBegun(f)
+	}
 	c.unblockTasks(f)
 	c.dirty = true
 }
@@ -244,6 +256,7 @@
 		}
 	}
 	c.dirty = true
+	c.recordEnded(f, w != nil && w.Phase == state.WorkflowCompleted && w.EndedAt <= f.lateDeadline())
 	if w == nil {
 		return
 	}
--- a/placement/job_order.go
+++ b/placement/job_order.go
@@ -24,6 +24,9 @@
 	// Restart is set when only those tasks of a serving job are considered that
 	// ran before.
 	Restart bool
+	// Rank is the place of the job, from 1, in the order of admission.Order among
+	// the jobs of a pool in which more work waits than fits; otherwise 0.
+	Rank int
 }
 
 // maxServingWait is how long tasks of serving jobs wait for free capacity in
@@ -66,12 +69,22 @@
 // order meets the objectives of all jobs. Within a priority, jobs that can
 // still meet their objective therefore come first, those with the earliest
 // deadline at the head. Jobs that can no longer meet it do not delay others and
-// get the remaining capacity. Serving jobs that lost tasks are not delayed by a
+// get the remaining capacity. Jobs with a rank are placed in the order of their
+// ranks instead, and after all others, whatever their priority, if their result
+// can no longer be of use. Serving jobs that lost tasks are not delayed by a
 // continuous stream of jobs with an objective, nor, where serving tasks fill
 // the pool, by tasks that never ran: these would keep the freed capacity.
 func OrderJobs(now int64, jobs []WaitingJob) {
 	slices.SortFunc(jobs, func(a, b WaitingJob) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.orderClass(now), b.orderClass(now)),
+		aClass, bClass := a.orderClass(now), b.orderClass(now)
+		aUseless, bUseless := a.Rank > 0 && aClass == orderExpired, b.Rank > 0 && bClass == orderExpired
+		if aUseless != bUseless {
+			if bUseless {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(aClass, bClass), cmp.Compare(a.Rank, b.Rank),
 			cmp.Compare(a.Deadline, b.Deadline), cmp.Compare(a.ID, b.ID))
 	})
 }
@@ -91,6 +104,8 @@
 		return orderBeyondShare
 	case j.Serving || end <= j.Deadline:
 		return orderOnTime
+	case end <= j.LateDeadline && j.Rank > 0:
+		return orderOnTime // the rank accounts for the delay
 	case end <= j.LateDeadline:
 		return orderLate
 	}
--- a/placement/job_order_test.go
+++ b/placement/job_order_test.go
@@ -183,3 +183,22 @@
 	}
 	g.Expect(order).To(Equal([]string{"within", "in time", "late", "beyond", "hopeless"}))
 }
+
+// Guards against useless jobs that precede jobs of other priorities in a pool
+// with too little capacity, and against ranks that don't decide.
+func TestRankedJobs(t *testing.T) {
+	g := NewWithT(t)
+	jobs := []placement.WaitingJob{
+		{ID: "useless", Rank: 5, Priority: 0, Deadline: -900, LateDeadline: -800, RemainingMillis: 10},
+		{ID: "second", Rank: 2, Priority: 2, Deadline: 5000, LateDeadline: 9000, RemainingMillis: 10},
+		{ID: "late, first", Rank: 1, Priority: 2, Deadline: -900, LateDeadline: 9000, RemainingMillis: 10},
+		{ID: "restart", Priority: 2, Serving: true, Restart: true, WaitedMillis: 1000},
+		{ID: "urgent", Rank: 3, Priority: 0, Deadline: 5000, LateDeadline: 9000, RemainingMillis: 10},
+	}
+	placement.OrderJobs(0, jobs)
+	var order []string
+	for _, j := range jobs {
+		order = append(order, j.ID)
+	}
+	g.Expect(order).To(Equal([]string{"urgent", "restart", "late, first", "second", "useless"}))
+}
