--- a/event/fleet.go
+++ b/event/fleet.go
@@ -76,6 +76,8 @@
 		"run times of an image have changed", "Recent runs differ clearly from the learned distribution, as after the release of another version of the image; it was learned anew from them. `ratio` is the geometric mean of actual over declared run times. At most one line per second; all changes are counted in the metrics. If it follows a release, check that the declared run times still hold.")
 	WorkerSpeedChanged = define(845, "worker-speed-changed", slog.LevelInfo,
 		"worker is slow, or no longer slow", "By the run times of several of its tasks compared with those on other workers (`slowdown`, 1 if not slow; `run_ratio` of the last run to the median). Tasks that end go there last. At most one line per second; all changes are counted in the metrics. If a worker remains slow, check its machine.")
+	PoolShort = define(861, "pool-short", slog.LevelInfo,
+		"shortage of a pool began or ended", "While `short` is true, more work waits than fits: useless work comes last, workflows in progress and those with the highest value per work left come first. The fields give what waits and what is free. If it persists, the pool is too small for the demand.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
 		"refused heartbeat", "The report could not be decoded or names no usable worker. Check its sender.")
 )
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -24,6 +24,7 @@
 	late        *prometheus.CounterVec
 	processors  *prometheus.GaugeVec
 	waiting     *prometheus.GaugeVec
+	short       *prometheus.GaugeVec
 
 	runTimes       *prometheus.CounterVec
 	runTimeRatio   *prometheus.HistogramVec
@@ -101,10 +102,13 @@
 		runTimeKeys: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "apricotrouter_fleet_run_time_distributions", Help: "Distributions of run times that the leader has learned.",
 		}),
+		short: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_pool_short", Help: "1 while more work waits in a pool than fits, else 0.",
+		}, []string{"pool"}),
 	}
 	if r != nil {
 		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting,
-			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers)
+			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers, m.short)
 	}
 	return m
 }
--- a/fleet/waiting.go
+++ b/fleet/waiting.go
@@ -40,7 +40,7 @@
 	return placement.WaitingJob{
 		Serving: serving, WaitedMillis: waited.Milliseconds(),
 		ID: f.spec.ID, Priority: f.spec.Priority, Deadline: f.deadline,
-		LateDeadline: f.submittedAt + lateFactor*(f.deadline-f.submittedAt), RemainingMillis: remaining, Observed: observed,
+		LateDeadline: f.lateDeadline(), RemainingMillis: remaining, Observed: observed,
 	}
 }
 
