placement: the loss of many workers does not explain the crash of a young suspect

A suspect's crash at the moment at which a newer workflow crashed eight workers was explained by that loss and did not count.

For a task that has to run alone, something else explains a crash only if the run had been at work for 2 s. TestStartsOfCrashingTaskAreBoundedWhateverCoincides draws 20,000 histories and failed before. Two rows of TestJudgeCrash expected the fault for suspects; rows before and after 2 s replace them.

--- a/placement/crash.go
+++ b/placement/crash.go
@@ -99,7 +99,7 @@
 	v.Evidence.LongestCrashMillis = max(e.LongestCrashMillis, crash.WorkedMillis)
 	lost := crash.LostTogether + 1
 	massLoss := lost >= minMassLoss && lost*100 >= crash.PoolWorkers*massLossPercent
-	if (massLoss || crash.BesideSuspect) && crash.WorkedMillis >= minWorkedMillis {
+	if (massLoss || crash.BesideSuspect) && crash.WorkedMillis >= e.minExplainedMillis() {
 		v.Explained = true
 		v.Evidence.Explained++
 		return v
@@ -118,6 +118,18 @@
 	return v
 }
 
+// minExplainedMillis returns how long a run must have been at work for something
+// else to explain its end. Tasks that crash their workers usually do so within
+// settledMillis. A suspect that is lost within that time counts, because new
+// tasks of the same kind, which are not suspect yet, may have caused the loss of
+// the other workers.
+func (e CrashEvidence) minExplainedMillis() int64 {
+	if e.NeedsIsolation() {
+		return settledMillis
+	}
+	return minWorkedMillis
+}
+
 // refutedBy reports whether a run that was at work for so long shows that the
 // task does not crash its workers.
 func (e CrashEvidence) refutedBy(workedMillis int64) bool {
--- a/placement/crash_test.go
+++ b/placement/crash_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -65,9 +66,22 @@
 			want:  placement.CrashVerdict{Kind: state.CrashMassLoss, Evidence: placement.CrashEvidence{Crashes: 1, LongestCrashMillis: 100}},
 		},
 		"many workers lost, run at work": {
-			evidence: suspect, crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 5, WorkedMillis: 250},
+			evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1}, crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 5, WorkedMillis: 250},
 			want: placement.CrashVerdict{
-				Explained: true, Evidence: placement.CrashEvidence{Crashes: 2, Unexplained: 2, Explained: 1, LongestCrashMillis: 250},
+				Explained: true, Evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1, Explained: 1, LongestCrashMillis: 250},
+			},
+		},
+		"many workers lost, suspect that had just started": {
+			evidence: suspect, crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 8, WorkedMillis: 1999, Isolated: true},
+			want: placement.CrashVerdict{
+				Kind: state.CrashMassLoss, Evidence: placement.CrashEvidence{Crashes: 3, Unexplained: 2, LongestCrashMillis: 1999},
+			},
+			isolate: true,
+		},
+		"many workers lost, suspect at work": {
+			evidence: suspect, crash: placement.WorkerCrash{PoolWorkers: 60, LostTogether: 5, WorkedMillis: 2000, Isolated: true},
+			want: placement.CrashVerdict{
+				Explained: true, Evidence: placement.CrashEvidence{Crashes: 2, Unexplained: 2, Explained: 1, LongestCrashMillis: 2000},
 			},
 			isolate: true,
 		},
@@ -76,9 +90,15 @@
 			want:  placement.CrashVerdict{Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1, LongestCrashMillis: 100}},
 		},
 		"run at work beside a suspect": {
+			evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1}, crash: placement.WorkerCrash{PoolWorkers: 60, BesideSuspect: true, WorkedMillis: 250},
+			want: placement.CrashVerdict{
+				Explained: true, Evidence: placement.CrashEvidence{Crashes: 1, Unexplained: 1, Explained: 1, LongestCrashMillis: 250},
+			},
+		},
+		"run beside a suspect, known to have crashed after its task became suspect": {
 			evidence: suspect, crash: placement.WorkerCrash{PoolWorkers: 60, BesideSuspect: true, WorkedMillis: 250},
 			want: placement.CrashVerdict{
-				Explained: true, Evidence: placement.CrashEvidence{Crashes: 2, Unexplained: 2, Explained: 1, LongestCrashMillis: 250},
+				Kind: state.CrashUnexplained, Evidence: placement.CrashEvidence{Crashes: 3, Unexplained: 3, LongestCrashMillis: 250},
 			},
 			isolate: true,
 		},
@@ -162,6 +182,48 @@
 	}
 }
 
+// Guards against a sixth start of a task that crashes each worker within two
+// seconds. Load pattern: its crashes coincide at random with those of other tasks
+// and with losses of racks, workers stop responding before they are known to have
+// crashed, and some starts are not confirmed.
+func TestStartsOfCrashingTaskAreBoundedWhateverCoincides(t *testing.T) {
+	g := NewWithT(t)
+	const histories, maxStarts = 20_000, 5
+	random := rand.New(rand.NewPCG(10, 47))
+	for range histories {
+		e, starts, unresolved := placement.CrashEvidence{}, 0, 0
+		var history []placement.WorkerCrash
+		for e.MayStart(unresolved) && starts <= maxStarts {
+			starts++
+			suspect := e.NeedsIsolation()
+			crash := placement.WorkerCrash{
+				PoolWorkers: []int{8, 48, 890}[random.IntN(3)], LostTogether: random.IntN(3) * random.IntN(100),
+				Isolated: suspect && random.IntN(4) > 0, BesideSuspect: !suspect && random.IntN(3) == 0,
+				Unconfirmed: random.IntN(5) == 0, WorkedMillis: random.Int64N(2000), LongRunning: random.IntN(2) == 0,
+			}
+			history = append(history, crash)
+			if random.IntN(5) == 0 && unresolved == 0 {
+				unresolved++ // the lease expires; the crash becomes known later
+				continue
+			}
+			v := placement.JudgeCrash(e, crash)
+			if e = v.Evidence; v.GiveUp {
+				break
+			}
+			if unresolved > 0 {
+				unresolved--
+				late := crash
+				late.Unconfirmed, late.Isolated = true, false
+				if v = placement.JudgeCrash(e, late); v.GiveUp {
+					break
+				}
+				e = v.Evidence
+			}
+		}
+		g.Expect(starts).To(BeNumerically("<=", maxStarts), "%+v", history)
+	}
+}
+
 // Load pattern: the same rack fails again and again under a task without fault.
 func TestTaskIsNotGivenUpForLossesOfManyWorkers(t *testing.T) {
 	g := NewWithT(t)
