placement, fleet: worker and execution rate of a start are one decision

Cause: scoreOn rejected a worker if a best-effort task at full speed would push a serving task over its limit, although ExecutionRates could slow the task down. At the first poll after a start, the rate was also raised on the estimate alone, and after a rate change without a response the lower rate could be assumed although the higher one was in force.

Change: StartRate and MinStartRate choose the worker and the rate together, and the rate is requested right after the start. Workers for full speed still come first. After 1.5 s (12 s while more than half of the pool is reserved) one task of a workflow without runs starts at the lowest rate whatever the model says, except beside a serving task that is measured over its target. A rate is not raised until the last change is measured.

The two fleet tests fail if tasks only start at the full rate.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -25,7 +25,7 @@
 	WorkflowMissedObjective = define(814, "workflow-late", slog.LevelInfo,
 		"workflow missed its objective", "Logged once by each leader that finds the workflow late and not ended: how many tasks are done, running and waiting for a worker, and the longest wait. If tasks wait, see `pool-room`; if they run, look for slow workers.")
 	TaskPlaced = define(821, "task-placed", slog.LevelInfo,
-		"task placed", "A run of a task was recorded for a worker and is sent to it.")
+		"task placed", "A run of a task was recorded for a worker and is sent to it. `pace` is the execution rate at which it starts, in percent: a best-effort task starts below 100 where its image interferes with the serving tasks of every worker.")
 	FleetStartRefused = define(822, "fleet-start-refused", slog.LevelInfo,
 		"worker refused a start", "The run did not start and the task waits for another worker. Check the worker if it repeats.")
 	TaskStartUnknown = define(823, "task-start-unknown", slog.LevelWarn,
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -82,7 +82,7 @@
 	a := &attempt{
 		task: t, session: s, phase: attemptRecording,
 		run:         Run{Workflow: t.workflow.spec.ID, Task: t.number, Number: number},
-		incarnation: s.worker.StartedAt, runStats: runStats{rate: fullRate},
+		incarnation: s.worker.StartedAt, runStats: runStats{rate: fullRate, startRate: fullRate},
 	}
 	if t.phase == taskReady {
 		t.workflow.readyTasks--
@@ -102,7 +102,7 @@
 	a := &attempt{
 		task: t, phase: attemptUnknown, startDecidedAt: c.now(), startedAt: c.now(), adopted: true, mayHaveStarted: true,
 		run:         Run{Workflow: t.workflow.spec.ID, Task: t.number, Number: t.run},
-		incarnation: incarnation, runStats: runStats{rate: fullRate, rateUnknown: true},
+		incarnation: incarnation, runStats: runStats{rate: fullRate, startRate: fullRate, rateUnknown: true},
 	}
 	t.phase, t.attempt = taskOnWorker, a
 	s := c.sessions[worker]
@@ -150,7 +150,7 @@
 	event.Log(c.opts.Logger, event.TaskPlaced, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
 		slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID), slog.Uint64("fence", a.fence),
 		slog.String("queue", a.task.workflow.queue), slog.String("image", a.task.step.Image), slog.Int64("late_in_ms", a.task.workflow.deadline-c.opts.Clock.Now().UnixMilli()),
-		slog.Int64("waited_ms", (a.startedAt-a.task.waitingSince).Milliseconds()))
+		slog.Int64("waited_ms", (a.startedAt-a.task.waitingSince).Milliseconds()), slog.Int("pace", a.runStats.rate))
 	var err error
 	return &workerCall{
 		timeout: c.startRoundTrip.timeout(),
@@ -181,6 +181,7 @@
 		if a.stopping {
 			a.phase = attemptStopping
 		}
+		c.sendStartRate(a)
 		return
 	}
 	if neverSent, _ := unsent(err); neverSent {
--- a/fleet/batch_reservation.go
+++ b/fleet/batch_reservation.go
@@ -82,15 +82,18 @@
 	}
 }
 
-// book reserves resources of a worker for a task.
-func (p *pool) book(worker int, t placement.PoolTask) {
+// book reserves resources of a worker for a task and returns the execution rate
+// at which the task starts there.
+func (p *pool) book(worker int, t placement.PoolTask) int {
 	if t.Step.LongRunning {
 		for _, s := range p.shares {
 			s.Reserve(p.allWorkers[worker], t.Step.Size.MilliCPU)
 		}
 	}
+	rate := placement.StartRate(p.allWorkers[worker], t)
 	p.allWorkers[worker].Reserve(t)
 	p.changes++
+	return rate
 }
 
 // observeIdle records, once per placement pass, the capacity that useful batch
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -272,6 +272,7 @@
 		}
 		if a.phase == attemptUnknown && !a.stopping || a.phase == attemptStarting {
 			a.phase = attemptRunning
+			c.sendStartRate(a)
 		}
 		if a.stopping && a.phase != attemptStarting {
 			c.sendStop(a)
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -34,6 +34,9 @@
 	// in this pass, because batch tasks leave the CPU idle.
 	idleCapacity int
 	idleObserved bool
+	// halfIdleState caches halfIdle: 0 if it is not known, 1 if false, 2 if
+	// true.
+	halfIdleState int8
 	// aside has the worker, by index, of each waiting task whose capacity has
 	// been set aside in this pass.
 	aside map[*task]int
@@ -61,6 +64,7 @@
 	// priority and overShare of a serving task decide about its share.
 	priority                int
 	overShare, usesReserved bool
+	minRate                 int // lowest execution rate at which the task starts
 }
 
 func classOf(s *state.WorkflowStep, j placement.WaitingJob) placementClass {
@@ -82,6 +86,21 @@
 	return ok && smallest.FitsIn(s.Size)
 }
 
+// halfIdle reports whether at most half of the CPU of the pool is reserved.
+func (p *pool) halfIdle() bool {
+	if p.halfIdleState == 0 {
+		capacity, free := int64(0), int64(0)
+		for _, r := range p.allWorkers {
+			capacity, free = capacity+r.Capacity.MilliCPU, free+r.Free.MilliCPU
+		}
+		p.halfIdleState = 1
+		if 2*free >= capacity && capacity > 0 {
+			p.halfIdleState = 2
+		}
+	}
+	return p.halfIdleState == 2
+}
+
 // reserve reserves a worker for a serving task that has waited too long. It
 // selects the worker with the most free CPU among those on which the task fits
 // once batch tasks end. Other overdue tasks may still use the worker if they
@@ -196,6 +215,7 @@
 	for _, a := range s.attempts {
 		if a.task.step.LongRunning && a.task.step.TailMillis > 0 {
 			r.AddServingTask(a.task.step.Image, c.headroom(a, c.imageUse))
+			r.OverTarget = r.OverTarget || a.runStats.overTarget
 		}
 	}
 }
--- a/fleet/rate.go
+++ b/fleet/rate.go
@@ -49,7 +49,10 @@
 	lastProgressAt time.Duration // time of the last observed change of progress
 	stallCounted   bool          // the stall of this run was counted against its worker
 	measure        int64         // tail latency in milliseconds, or CPU use in thousandths
-	rate           int           // last requested execution rate in percent
+	// rate is the last requested execution rate in percent. Before the run is
+	// known to have started, it is requested right after the start.
+	rate      int
+	startRate int // rate at which the run was placed
 	// rateUnknown is set while an earlier leader may have requested another
 	// rate.
 	rateUnknown     bool
@@ -231,14 +234,17 @@
 	}
 	colocated := make([]placement.CoLocatedTask, len(bestEffort))
 	for i, a := range bestEffort {
-		colocated[i] = placement.CoLocatedTask{Image: a.task.step.Image, Use: s.cpuShare(a.task.step.Size.MilliCPU), Percent: a.runStats.rate}
+		colocated[i] = placement.CoLocatedTask{
+			Image: a.task.step.Image, Use: s.cpuShare(a.task.step.Size.MilliCPU), Percent: a.runStats.rate,
+			Settling: now-max(a.startedAt, a.runStats.rateSetAt) < c.settleTime(),
+		}
 	}
 	for i, rate := range placement.ExecutionRates(c.interference, servers, colocated) {
 		a := bestEffort[i]
 		if rate == a.runStats.rate && !a.runStats.rateUnknown {
 			continue
 		}
-		if rate < moveBelowRate && a.task.step.Checkpoints && a.runStats.progress < maxMoveProgress &&
+		if rate < moveBelowRate && a.runStats.startRate >= moveBelowRate && a.task.step.Checkpoints && a.runStats.progress < maxMoveProgress &&
 			c.maxInterference(a, servingTasks) >= minMoveInterference {
 			c.stop(a, "it disturbs a serving task")
 			continue
@@ -249,7 +255,8 @@
 
 const (
 	// moveBelowRate is the execution rate in percent below which a run with a
-	// checkpoint is moved to another worker instead.
+	// checkpoint is moved to another worker instead, unless it was placed at such
+	// a rate: there was no better worker.
 	moveBelowRate = 40
 	// maxMoveProgress is the progress in percent from which a run is no longer
 	// moved.
@@ -269,13 +276,30 @@
 	return highest
 }
 
-// setRate sends a new execution rate to the worker. If the call fails, the
-// previous rate is assumed and the next report leads to a new decision.
+// startAt sets the execution rate at which a placed run starts.
+func (m *runStats) startAt(rate int) { m.rate, m.startRate = rate, rate }
+
+// sendStartRate sends the rate at which a run was placed once the run has
+// started: workers start every run at the full rate. The call belongs to the
+// start, so it precedes other calls in the same way.
+func (c *Controller) sendStartRate(a *attempt) {
+	if m := &a.runStats; !a.adopted && !a.stopping && m.rate < fullRate && !m.rateCallPending {
+		c.requestRate(a, fullRate, m.rate, callStart)
+	}
+}
+
+// setRate sends a new execution rate to the worker. If the call fails, the next
+// report leads to a new decision.
 func (c *Controller) setRate(a *attempt, rate int) {
-	if a.runStats.rateCallPending {
-		return
+	if !a.runStats.rateCallPending {
+		c.requestRate(a, a.runStats.rate, rate, callSetRate)
 	}
-	old := a.runStats.rate
+}
+
+// requestRate changes the execution rate of a run from old to rate. After a call
+// without a response either of them may be in force; the higher one is assumed,
+// because serving tasks must not be harmed by a rate that is not known.
+func (c *Controller) requestRate(a *attempt, old, rate int, class callClass) {
 	unknown := a.runStats.rateUnknown
 	a.runStats.rate, a.runStats.rateSetAt, a.runStats.rateCallPending, a.runStats.rateUnknown = rate, c.now(), true, false
 	event.Log(c.opts.Logger, event.TaskRateChanged, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
@@ -283,7 +307,7 @@
 		slog.Int("before", old), slog.String("image", a.task.step.Image))
 	s := a.session
 	call := SetRateCall{Run: a.run, Position: a.position(), Fence: s.fence, Percent: rate}
-	c.call(callSetRate, func() *workerCall {
+	c.call(class, func() *workerCall {
 		if a.phase == attemptEnded {
 			return nil
 		}
@@ -293,8 +317,13 @@
 			send:    func(ctx context.Context) { err = s.api.SetRate(ctx, call) },
 			done: func() {
 				a.runStats.rateCallPending = false
-				if err != nil {
+				neverSent, _ := unsent(err)
+				switch {
+				case err == nil:
+				case neverSent || refusal(err) != 0:
 					a.runStats.rate, a.runStats.rateUnknown = old, unknown
+				default:
+					a.runStats.rate, a.runStats.rateUnknown = max(old, rate), true
 				}
 			},
 		}
--- a/fleet/rate_internal_test.go
+++ b/fleet/rate_internal_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -107,3 +108,77 @@
 	c.dirty = false
 	g.Expect(c.passDue()).To(BeFalse(), "no change since the last pass")
 }
+
+// rateWorker answers changes of the execution rate with an error, if it has one.
+type rateWorker struct {
+	unreachableWorker
+	err   error
+	rates chan int
+}
+
+func (w rateWorker) SetRate(_ context.Context, c SetRateCall) error {
+	w.rates <- c.Percent
+	return w.err
+}
+
+// awaitRateCall runs the controller's work until a change of the rate of the run
+// has been answered.
+func awaitRateCall(g *WithT, c *Controller, a *attempt) {
+	for a.runStats.rateCallPending {
+		var f func()
+		g.Eventually(c.inbox, 5*time.Second).Should(Receive(&f))
+		f()
+	}
+}
+
+// Guards against serving tasks that are harmed by a run that works faster than
+// the leader assumes: after a call without a response, either rate may be in
+// force. A call that had no effect leaves the previous rate.
+func TestHigherRateIsAssumedIfARateIsNotKnown(t *testing.T) {
+	for name, c := range map[string]struct {
+		err              error
+		before, rate     int
+		assumed          int
+		unknownAfterward bool
+	}{
+		"increase, no response": {context.DeadlineExceeded, 30, 80, 80, true},
+		"decrease, no response": {context.DeadlineExceeded, 80, 30, 80, true},
+		"increase, refused":     {&RefusedError{Reason: RefusedFence}, 30, 80, 30, false},
+		"decrease, not sent":    {&NotSentError{Err: context.DeadlineExceeded}, 80, 30, 80, false},
+		"increase":              {nil, 30, 80, 80, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			controller, s, _, a := newInterferingTasks(t, clockwork.NewFakeClock())
+			defer controller.callPool.close()
+			s.api = rateWorker{err: c.err, rates: make(chan int, 1)}
+			a.runStats.rate = c.before
+			controller.setRate(a, c.rate)
+			awaitRateCall(g, controller, a)
+			g.Expect(a.runStats.rate).To(Equal(c.assumed))
+			g.Expect(a.runStats.rateUnknown).To(Equal(c.unknownAfterward))
+		})
+	}
+}
+
+// Guards against a run that starts at the full rate although it was placed at a
+// lower one, and against a low rate that is assumed after its call had no
+// effect.
+func TestStartRateIsSentAfterTheStart(t *testing.T) {
+	g := NewWithT(t)
+	c, s, _, a := newInterferingTasks(t, clockwork.NewFakeClock())
+	defer c.callPool.close()
+	rates := make(chan int, 1)
+	s.api = rateWorker{rates: rates}
+	a.phase = attemptStarting
+	a.runStats.startAt(40)
+	c.handleStartResponse(a, c.now(), nil)
+	g.Eventually(rates, 5*time.Second).Should(Receive(Equal(40)))
+	awaitRateCall(g, c, a)
+	g.Expect(a.runStats.rate).To(Equal(40))
+
+	s.api = rateWorker{rates: rates, err: &RefusedError{Reason: RefusedFence}}
+	c.sendStartRate(a)
+	awaitRateCall(g, c, a)
+	g.Expect(a.runStats.rate).To(Equal(fullRate))
+}
--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -78,8 +78,8 @@
 		}
 	}
 	c.dropReservation(t)
-	p.book(worker, request)
-	c.place(t, p.sessions[worker], number)
+	rate := p.book(worker, request)
+	c.place(t, p.sessions[worker], number).runStats.startAt(rate)
 }
 
 // placeReserved starts the tasks for which enough of their capacity has become
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -58,7 +58,8 @@
 		waited := (c.now() - t.waitingSince).Milliseconds()
 		usesReserved := j.ExceedsShare && placement.RestartOverdue(waited, t.ranBefore()) ||
 			j.Starved() && t.step.LongRunning && placement.Overdue(waited)
-		if unplaceable.includes(t, p, usesReserved, excludedWorkers) {
+		minRate := c.minStartRate(t, p)
+		if unplaceable.includes(t, p, usesReserved, minRate, excludedWorkers) {
 			if j.Restart {
 				c.returnToReserved(t, p)
 			}
@@ -73,8 +74,8 @@
 			continue
 		}
 		class := classOf(t.step, j)
-		class.usesReserved = usesReserved
-		if !group.includes(t) || group.usesReserved != usesReserved {
+		class.usesReserved, class.minRate = usesReserved, minRate
+		if !group.includes(t) || group.usesReserved != usesReserved || group.request.MinStartRate != minRate {
 			group = c.taskGroup(t, p, j, usesReserved, avoided)
 		}
 		i := -1
@@ -97,7 +98,7 @@
 				p.reserve(group.request)
 			}
 			if !j.ExceedsShare && len(t.refusedUntil) == 0 { // other tasks of the step may still fit
-				unplaceable = unplaceableStep{t.pos.Step, t.pos.Occurrence, usesReserved, excludedWorkers, p.releases}
+				unplaceable = unplaceableStep{t.pos.Step, t.pos.Occurrence, usesReserved, minRate, excludedWorkers, p.releases}
 			}
 			continue
 		}
--- /dev/null
+++ b/fleet/start_rate_test.go
@@ -0,0 +1,60 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"apricotrouter/fleet"
+	"apricotrouter/placement"
+	"apricotrouter/standin/pool"
+	"apricotrouter/state"
+)
+
+// callerLimit is the time after which users count a workflow as lost if nothing
+// of it has run while there is capacity.
+const callerLimit = 3 * time.Second
+
+// newInterferenceHarness returns a harness whose model has learned a coefficient
+// of image "l" on image "s", and a worker with a serving task of image "s".
+func newInterferenceHarness(t *testing.T, coefficient float64) (*harness, *pool.Worker) {
+	h := newHarness(t, func(o *fleet.Options) {
+		o.Limits.RateDelay, o.Limits.MaxOverTarget = 100*time.Millisecond, 4*time.Second
+		_, err := o.Log.Propose(t.Context(), state.NewCommand(state.SetInterference{Images: []state.ServingImage{{
+			Image: "s", MinTailMillis: 10, Load: 0.4, Interference: []state.ImageInterference{{BestEffort: "l", Value: coefficient}},
+		}}}))
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	})
+	w := h.addWorker("w", pool.Options{RunTime: runForever, Measure: func(p fleet.TaskPosition) int64 {
+		if p.Workflow == jobID {
+			return 17 // a utilisation of 0.41 at a floor of 10
+		}
+		return 0
+	}})
+	h.Expect(h.submit(step(1, untilStopped, func(s *state.WorkflowStep) { s.Image, s.TailMillis = "s", 50 }))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() int { return running(w) }, waitTimeout, "5ms").Should(Equal(1))
+	return h, w
+}
+
+func bestEffort(s *state.WorkflowStep) { s.BestEffort, s.Image, s.EstimateMillis = true, "l", 1000 }
+
+// Guards against a best-effort task that never starts while each worker has a
+// serving task that its image interferes with at full speed, and against a run
+// that stays at the full rate until the first report about it (review/8). At a
+// third of full speed the task fits.
+func TestTaskStartsAtTheRateThatFits(t *testing.T) {
+	h, w := newInterferenceHarness(t, 3)
+	h.submitAs("a000000000000001", step(1, bestEffort))
+	h.Eventually(func() int { return running(w) }, callerLimit, "5ms").Should(Equal(2))
+	h.Eventually(w.LowestRate, 100*time.Millisecond, "5ms").Should(BeNumerically("<=", 50))
+}
+
+// Guards against a wait without a bound where the model expects no rate to fit.
+func TestTaskStartsAtTheLowestRateAfterABoundedWait(t *testing.T) {
+	h, w := newInterferenceHarness(t, 60)
+	h.submitAs("a000000000000001", step(3, bestEffort))
+	h.Eventually(func() int { return running(w) }, callerLimit, "5ms").Should(Equal(2))
+	h.Eventually(w.LowestRate, 100*time.Millisecond, "5ms").Should(BeNumerically("<=", placement.MinStartRate(placement.StartWait{HalfIdle: true, WaitedMillis: callerLimit.Milliseconds()})))
+	h.Consistently(func() int { return running(w) }, time.Second, "5ms").Should(Equal(2), "one task of a workflow")
+}
--- a/fleet/task_group.go
+++ b/fleet/task_group.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"apricotrouter/placement"
 )
@@ -12,12 +13,13 @@
 type unplaceableStep struct {
 	step, occurrence int
 	usesReserved     bool // reserved workers were considered
+	minRate          int  // lowest execution rate at which the task would have started
 	excludedWorkers  map[string]bool
 	releases         int // of the pool at that time
 }
 
-func (f *unplaceableStep) includes(t *task, p *pool, usesReserved bool, excludedWorkers map[string]bool) bool {
-	if t.pos.Step != f.step || t.pos.Occurrence != f.occurrence || usesReserved && !f.usesReserved || f.releases != p.releases {
+func (f *unplaceableStep) includes(t *task, p *pool, usesReserved bool, minRate int, excludedWorkers map[string]bool) bool {
+	if minRate < f.minRate || t.pos.Step != f.step || t.pos.Occurrence != f.occurrence || usesReserved && !f.usesReserved || f.releases != p.releases {
 		return false
 	}
 	for worker := range f.excludedWorkers {
@@ -126,15 +128,28 @@
 // pool is in use.
 func (c *Controller) placementRequest(t *task, p *pool, avoid map[string]bool) placement.PoolTask {
 	if t.step.MaxPerWorker == 0 && len(avoid) == 0 && len(t.refusedUntil) == 0 {
-		return placement.PoolTask{Step: t.step, InterferenceModel: c.interference}
+		return placement.PoolTask{Step: t.step, InterferenceModel: c.interference, MinStartRate: c.minStartRate(t, p)}
 	}
-	return placement.PoolTask{Step: t.step, InterferenceModel: c.interference, Excluded: func(i int) bool {
+	return placement.PoolTask{Step: t.step, InterferenceModel: c.interference, MinStartRate: c.minStartRate(t, p), Excluded: func(i int) bool {
 		s := p.sessions[i]
 		_, refused := t.refusedUntil[s.worker.ID]
 		return s.stepRuns.exceedLimit(t, 1) || avoid[s.worker.ID] || refused
 	}}
 }
 
+// minStartRate returns the lowest execution rate at which a task starts rather
+// than waits, in percent.
+func (c *Controller) minStartRate(t *task, p *pool) int {
+	if !t.step.BestEffort || c.interference == nil {
+		return fullRate
+	}
+	f := t.workflow
+	return placement.MinStartRate(placement.StartWait{
+		WaitedMillis: c.waited(t), EstimateMillis: f.estimate(t.pos.Step), HalfIdle: p.halfIdle(),
+		HasRuns: slices.ContainsFunc(f.tasks, func(t *task) bool { return t.phase == taskOnWorker }),
+	})
+}
+
 // stepKey identifies a step of one occurrence of a workflow.
 type stepKey struct {
 	workflow         string
--- a/placement/rate.go
+++ b/placement/rate.go
@@ -20,6 +20,9 @@
 	Image   string
 	Use     float64 // fraction of the worker's processors at full speed
 	Percent int     // current execution rate
+	// Settling is set if the measurements do not show the effect of the start,
+	// or of the last change of the rate, yet.
+	Settling bool
 }
 
 const (
@@ -88,7 +91,8 @@
 }
 
 // increaseRates raises execution rates, starting with the tasks that have the
-// smallest interference coefficients.
+// smallest interference coefficients. A rate whose effect is not measured yet is
+// not raised: it would follow the estimate alone, twice.
 func increaseRates(p *InterferenceModel, servingTasks []ServingTask, tasks []CoLocatedTask, rates []int) {
 	order := make([]int, len(tasks))
 	for i := range order {
@@ -105,7 +109,7 @@
 	added := make([]float64, len(servingTasks))
 	for _, i := range order {
 		step := min(maxRateIncrease, fullRate-rates[i])
-		if step <= 0 {
+		if step <= 0 || tasks[i].Settling {
 			continue
 		}
 		for j, s := range servingTasks {
--- /dev/null
+++ b/placement/start_rate.go
@@ -0,0 +1,107 @@
+package placement
+
+// Load pattern: every worker has a serving task with which the image of the
+// waiting best-effort tasks interferes, so that none of them fits at full speed.
+// At a lower execution rate they would run. The worker and the rate at which a
+// task starts there are therefore one decision. An estimate of the interference
+// may be wrong and is only corrected by a run, so a task that has waited for
+// long starts at the lowest rate, whatever the estimate says.
+
+const (
+	// probeWait is how long a best-effort task waits, in milliseconds, until it
+	// may start at the lowest rate although the model expects a serving task to
+	// exceed its limit. Users count a workflow as lost if nothing of it has run
+	// for 3 s while there is capacity. A placement pass, the commit of the start
+	// and its call take the rest of that time.
+	probeWait = 1500
+	// busyProbeWait replaces probeWait while more than half of the CPU of the
+	// pool is reserved. Tasks then wait for capacity, mostly, and one that
+	// starts at the lowest rate may miss a better worker.
+	busyProbeWait = 12_000
+	// startRateStep is the granularity of MinStartRate, in percent, and its
+	// lowest result other than minRate. Tasks with the same result share the
+	// search for a worker.
+	startRateStep = 25
+	// reducedRateWeight is the weight, in the score of a worker, of the part of
+	// full speed that a task lacks there. It exceeds all other terms of the
+	// score, so that a worker for the full rate precedes all others.
+	reducedRateWeight = 10.0
+)
+
+// StartWait describes the wait of a best-effort task.
+type StartWait struct {
+	WaitedMillis   int64
+	EstimateMillis int64 // duration of the task at the full rate
+	HasRuns        bool  // other tasks of its workflow are running
+	// HalfIdle is set if at most half of the CPU of the pool is reserved.
+	HalfIdle bool
+}
+
+// MinStartRate returns the lowest execution rate, in percent, at which a
+// best-effort task should start rather than wait. Where a task has waited, it is
+// likely to wait as long again for a worker on which it can run at the full
+// rate, so a start at a lower rate is of use if the task then ends earlier than
+// after that wait. The result is minRate if the task may start on a worker where
+// the model expects a serving task to exceed its limit: one task of a workflow,
+// after a bounded wait.
+func MinStartRate(w StartWait) int {
+	probe := int64(busyProbeWait)
+	if w.HalfIdle {
+		probe = probeWait
+	}
+	if !w.HasRuns && w.WaitedMillis >= probe {
+		return minRate
+	}
+	waited, estimate := max(0, w.WaitedMillis), max(1, w.EstimateMillis)
+	steps := (fullRate*estimate + startRateStep*(estimate+waited) - 1) / (startRateStep * (estimate + waited))
+	return int(min(fullRate, steps*startRateStep))
+}
+
+// StartRate returns the execution rate, in percent, at which a task starts on a
+// worker, or 0 if interference forbids that. Only best-effort tasks start below
+// the full rate.
+func StartRate(r *WorkerCapacity, t PoolTask) int {
+	if !t.Step.BestEffort || t.InterferenceModel == nil {
+		return fullRate
+	}
+	fit, _ := interferenceFit(r, fractionOf(t.Step.Size.MilliCPU, r.Capacity.MilliCPU), t.interferenceCoefficients())
+	return t.startRate(r, fit)
+}
+
+// startRate returns the execution rate, in percent, at which a best-effort task
+// starts on a worker where the fraction fit of its full speed fits, or 0.
+func (t *PoolTask) startRate(r *WorkerCapacity, fit float64) int {
+	switch rate := int(fit * fullRate); {
+	case rate >= fullRate:
+		return fullRate
+	case t.MinStartRate == 0:
+		return 0
+	case rate >= t.MinStartRate:
+		return rate
+	case t.MinStartRate == minRate && !r.OverTarget:
+		return minRate
+	}
+	return 0
+}
+
+// interferenceFit returns the part of full speed, at most 1, at which the load
+// of a new task fits into the headroom of all serving tasks of the worker,
+// including interferenceSafetyFactor, and the maximum utilisation that it adds
+// to one of them at full speed. Below 0, a serving task exceeds its limit
+// without it.
+func interferenceFit(r *WorkerCapacity, use float64, coefficients InterferenceCoefficients) (fit, added float64) {
+	fit = 1
+	for i := range r.ServingGroups {
+		s := &r.ServingGroups[i]
+		increase := coefficients.Coefficient(s.Image) * use
+		added = max(added, increase)
+		switch required := interferenceSafetyFactor * increase; {
+		case required <= s.Headroom:
+		case required <= 0:
+			fit = min(fit, 0)
+		default:
+			fit = min(fit, max(-1, s.Headroom/required))
+		}
+	}
+	return fit, added
+}
--- a/placement/worker_choice.go
+++ b/placement/worker_choice.go
@@ -23,6 +23,9 @@
 	// number of best-effort tasks.
 	ServingGroups []ServingGroup
 	BestEffort    int
+	// OverTarget is set if the measured tail latency of a serving task exceeds
+	// its target.
+	OverTarget bool
 }
 
 // ServingGroup is a group of serving tasks with the same image on one worker.
@@ -51,6 +54,10 @@
 	// InterferenceModel is the interference model, or nil if interference is
 	// not considered.
 	InterferenceModel *InterferenceModel
+	// MinStartRate is the lowest execution rate at which a best-effort task may
+	// start, in percent, see MinStartRate. 0 means that it starts only at the
+	// full rate.
+	MinStartRate int
 	// Excluded reports whether the task must not be placed on the worker with
 	// the index, because the limit of tasks per worker is reached or a run
 	// failed there.
@@ -91,11 +98,14 @@
 	}
 	score = workerScore(r, t.Step)
 	if t.Step.BestEffort && t.InterferenceModel != nil {
-		excess, added := utilisationIncrease(r, fractionOf(t.Step.Size.MilliCPU, r.Capacity.MilliCPU), coefficients)
-		if excess > maxUtilisationExcess {
+		fit, added := interferenceFit(r, fractionOf(t.Step.Size.MilliCPU, r.Capacity.MilliCPU), coefficients)
+		if t.startRate(r, fit) == 0 {
 			return 0, false
 		}
 		score += interferenceWeight * added
+		if fit < 1 {
+			score += reducedRateWeight * (2 - fit)
+		}
 	}
 	return score, true
 }
@@ -224,18 +234,6 @@
 	return !s.BestEffort || r.IdleCPU >= s.Size.MilliCPU/maxCPUOvercommit || r.BestEffort == 0
 }
 
-// utilisationIncrease returns the maximum excess over the headroom that a new
-// task causes at any serving task of the worker, including
-// interferenceSafetyFactor, and the maximum utilisation that it adds to one.
-func utilisationIncrease(r *WorkerCapacity, use float64, coefficients InterferenceCoefficients) (excess, added float64) {
-	for i := range r.ServingGroups {
-		increase := coefficients.Coefficient(r.ServingGroups[i].Image) * use
-		added = max(added, increase)
-		excess = max(excess, interferenceSafetyFactor*increase-r.ServingGroups[i].Headroom)
-	}
-	return excess, added
-}
-
 const (
 	// maxCPUOvercommit is the maximum ratio of the CPU of a new best-effort
 	// task to the idle CPU of a worker that already runs best-effort tasks.
@@ -249,11 +247,6 @@
 	remoteWeight            = 4.0 // of a worker that is not in the rack of the step's data
 	memoryWeight            = 0.5 // of the memory in use
 	unusedAcceleratorWeight = 2.0 // of a worker with accelerators, for a task that needs none
-
-	// maxUtilisationExcess is the utilisation by which a new task may push a
-	// serving task over its limit. With any excess, the execution rate of the
-	// new task would be reduced again at once.
-	maxUtilisationExcess = 0.0
 )
 
 // workerScore returns the score of a worker for a task, without interference.
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -241,6 +241,9 @@
 	return all
 }
 
+// LowestRate returns the lowest execution rate of any running run, in percent.
+func (w *Worker) LowestRate() int { return slices.Min(append(w.ExecutionRates(), 100)) }
+
 // Clock returns the time of the worker's clock in milliseconds, which starts at 0.
 func (w *Worker) Clock() int64 { return time.Since(w.started).Milliseconds() }
 
