placement: paused tasks are probed and unobserved estimates age

Cause: only a run corrects an estimate that is too high. A task that had started at the lowest rate was paused at the first poll, before any measurement showed its effect, and stayed paused while the model expected a serving task to exceed its limit. A certain estimate hardly learns from a run at 10 percent.

Change: a task at the lowest rate continues until its effect is measured, and a paused one runs at that rate for one measurement every 3 s, one task of a worker at a time and never while a serving task is measured over its target. A coefficient that was not observed for 3 s gains variance, so that it is as uncertain as that of an unknown pair after half a minute.

--- a/fleet/rate.go
+++ b/fleet/rate.go
@@ -230,7 +230,7 @@
 		if a.runStats.overTargetFor(now) >= c.pauseAfter() {
 			limit = 0 // overrides the estimates
 		}
-		servers[i] = placement.ServingTask{Image: step.Image, Utilisation: load, Limit: limit}
+		servers[i] = placement.ServingTask{Image: step.Image, Utilisation: load, Limit: limit, OverTarget: a.runStats.overTarget}
 	}
 	colocated := make([]placement.CoLocatedTask, len(bestEffort))
 	for i, a := range bestEffort {
@@ -238,6 +238,9 @@
 			Image: a.task.step.Image, Use: s.cpuShare(a.task.step.Size.MilliCPU), Percent: a.runStats.rate,
 			Settling: now-max(a.startedAt, a.runStats.rateSetAt) < c.settleTime(),
 		}
+		if a.runStats.rate == 0 {
+			colocated[i].PausedMillis = (now - a.runStats.rateSetAt).Milliseconds()
+		}
 	}
 	for i, rate := range placement.ExecutionRates(c.interference, servers, colocated) {
 		a := bestEffort[i]
--- a/placement/covariance.go
+++ b/placement/covariance.go
@@ -8,6 +8,7 @@
 	images   []string
 	rows     map[string]int // by image
 	lastUsed []uint64       // number of the observation in which the image was last seen
+	workedAt []int64        // time of the last observation in which the image used CPU; 0 if there was none
 	values   [][]float64
 	// evicted lists the images that were replaced during the last observation.
 	evicted          []string
@@ -22,6 +23,17 @@
 	// minVariance is a lower bound that allows an estimate to follow a slow
 	// change.
 	minVariance = 0.0025
+	// staleAfterMillis is the time without an observation after which a
+	// coefficient becomes less certain. While tasks of an image run, there are
+	// several observations in that time.
+	staleAfterMillis = 3000
+	// staleVariance is the variance that a coefficient which is not observed
+	// gains per second. After half a minute it is as uncertain as that of an
+	// unknown pair: interference changes with the work of both images.
+	staleVariance = 0.02
+	// minObservedUse is the fraction of the processors from which the use of an
+	// image tells something about its coefficient.
+	minObservedUse = 1e-3
 )
 
 func newErrorCovariance() *errorCovariance { return &errorCovariance{rows: make(map[string]int)} }
@@ -33,7 +45,7 @@
 	}
 	i := len(c.images)
 	if i < maxBestEffortImages {
-		c.images, c.lastUsed = append(c.images, image), append(c.lastUsed, 0)
+		c.images, c.lastUsed, c.workedAt = append(c.images, image), append(c.lastUsed, 0), append(c.workedAt, 0)
 		for j := range c.values {
 			c.values[j] = append(c.values[j], 0)
 		}
@@ -42,7 +54,7 @@
 		i = c.leastRecentlyUsed()
 		delete(c.rows, c.images[i])
 		c.evicted = append(c.evicted, c.images[i])
-		c.images[i] = image
+		c.images[i], c.workedAt[i] = image, 0
 		for j := range c.values {
 			c.values[i][j], c.values[j][i] = 0, 0
 		}
@@ -62,16 +74,31 @@
 	return least
 }
 
+// age increases the variance of a coefficient that was not observed for a time.
+// The estimate may be wrong by now, and one that is too high is only corrected
+// by rare and slow runs, which carry little weight if it counts as certain.
+func (c *errorCovariance) age(i int, atMillis int64) {
+	if last := c.workedAt[i]; last > 0 && atMillis-last > staleAfterMillis {
+		aged := c.values[i][i] + staleVariance*float64(atMillis-last)/1000
+		c.values[i][i] = max(c.values[i][i], min(priorDeviation*priorDeviation, aged))
+	}
+	c.workedAt[i] = max(c.workedAt[i], atMillis)
+}
+
 // observe updates the covariance with one observation of the sum of the
-// coefficients, weighted by uses. otherVariance is the part of the variance
+// coefficients at a time, weighted by uses. otherVariance is the part of the variance
 // that is not caused by interference. It returns the variance of the
 // observation and the covariance of each image's coefficient with the
 // observation. The slice is valid until the next call.
-func (c *errorCovariance) observe(uses map[string]float64, otherVariance float64) (variance float64, crossCovariances []float64) {
+func (c *errorCovariance) observe(atMillis int64, uses map[string]float64, otherVariance float64) (variance float64, crossCovariances []float64) {
 	c.observations++
 	c.evicted = c.evicted[:0]
-	for image := range uses {
-		c.lastUsed[c.row(image)] = c.observations
+	for image, use := range uses {
+		i := c.row(image)
+		c.lastUsed[i] = c.observations
+		if use >= minObservedUse {
+			c.age(i, atMillis)
+		}
 	}
 	crossCovariances = append(c.crossCovariances[:0], make([]float64, len(c.images))...)
 	c.crossCovariances = crossCovariances
--- a/placement/interference_model.go
+++ b/placement/interference_model.go
@@ -203,7 +203,7 @@
 		p.covariance[s.Image] = covariance
 	}
 	noise := tailNoise + changeNoise*s.Changing
-	variance, crossCovariances := covariance.observe(s.Uses, noise*noise+load.levelVar)
+	variance, crossCovariances := covariance.observe(s.AtMillis, s.Uses, noise*noise+load.levelVar)
 	for i, image := range covariance.images {
 		if change := crossCovariances[i] / variance * residual; math.Abs(change) >= minCoefficientChange {
 			p.setCoefficient(s.Image, image, p.Coefficient(s.Image, image)+change)
--- a/placement/rate.go
+++ b/placement/rate.go
@@ -13,6 +13,8 @@
 	// at the current execution rates. Limit is the highest utilisation at which
 	// the task meets its target.
 	Utilisation, Limit float64
+	// OverTarget is set if the measured tail latency exceeds the target.
+	OverTarget bool
 }
 
 // CoLocatedTask is a best-effort task on the same worker as serving tasks.
@@ -23,6 +25,8 @@
 	// Settling is set if the measurements do not show the effect of the start,
 	// or of the last change of the rate, yet.
 	Settling bool
+	// PausedMillis is how long the task has been paused.
+	PausedMillis int64
 }
 
 const (
@@ -37,6 +41,10 @@
 	// slower task would occupy its capacity with hardly any progress.
 	minRate  = 10
 	fullRate = 100
+	// probePause is how long a task is paused, in milliseconds, until it runs at
+	// minRate for one measurement although the model expects a serving task to
+	// exceed its limit. Only a run corrects an estimate that is too high.
+	probePause = 3000
 )
 
 // ExecutionRates returns the execution rate of each co-located task, in
@@ -44,7 +52,9 @@
 // tasks with the largest interference coefficient on that serving task are
 // slowed first, by as much as the model requires. The order matters because
 // some pairs of images interfere far more than others. If no serving task is
-// expected to exceed its limit, rates are increased in steps.
+// expected to exceed its limit, rates are increased in steps. While no serving
+// task is measured over its target, one task runs at minRate from time to time,
+// whatever the model expects.
 func ExecutionRates(p *InterferenceModel, servingTasks []ServingTask, tasks []CoLocatedTask) []int {
 	rates := make([]int, len(tasks))
 	for i, n := range tasks {
@@ -64,9 +74,33 @@
 	if !overLimit {
 		increaseRates(p, servingTasks, tasks, rates)
 	}
+	probe(servingTasks, tasks, rates)
 	return rates
 }
 
+// probe lets the task that is measured at minRate continue until its effect is
+// measured. If there is none, it resumes the task that has been paused for
+// longest, if for probePause.
+func probe(servingTasks []ServingTask, tasks []CoLocatedTask, rates []int) {
+	if slices.ContainsFunc(servingTasks, func(s ServingTask) bool { return s.OverTarget }) {
+		return
+	}
+	longest := -1
+	for i, n := range tasks {
+		switch {
+		case rates[i] > 0:
+		case n.Percent == minRate && n.Settling:
+			rates[i] = minRate
+			return
+		case n.Percent == 0 && n.PausedMillis >= probePause && (longest < 0 || n.PausedMillis > tasks[longest].PausedMillis):
+			longest = i
+		}
+	}
+	if longest >= 0 {
+		rates[longest] = minRate
+	}
+}
+
 // reduceRates lowers the rates of the tasks with the largest interference
 // coefficients until the excess utilisation is removed.
 func reduceRates(p *InterferenceModel, s ServingTask, excess float64, tasks []CoLocatedTask, rates []int) {
--- a/placement/start_rate_test.go
+++ b/placement/start_rate_test.go
@@ -117,6 +117,13 @@
 	percentMillis int64 // work done, in percent of full speed times milliseconds
 }
 
+func pausedMillis(r *replayedRun, now int64) int64 {
+	if r.requested > 0 {
+		return 0
+	}
+	return now - r.rateSetAt
+}
+
 // run plays the replay in steps of 50 ms. Workers are polled every 700 ms, their
 // measurements cover 500 ms, and a rate takes effect after 100 ms.
 func (p *startReplay) run() replayResult {
@@ -199,7 +206,7 @@
 					changing += use
 				}
 				here = append(here, r)
-				tasks = append(tasks, placement.CoLocatedTask{Image: "l", Use: use, Percent: r.requested, Settling: settling})
+				tasks = append(tasks, placement.CoLocatedTask{Image: "l", Use: use, Percent: r.requested, Settling: settling, PausedMillis: pausedMillis(r, now)})
 			}
 			tail := tailOf(s)
 			p.model.Observe(&s.load, placement.TailSample{Image: "s", AtMillis: now - window/2, TailMillis: tail, TargetMillis: target, Uses: uses, Changing: changing})
@@ -216,7 +223,7 @@
 			for _, n := range tasks {
 				u += p.model.Coefficient("s", "l") * n.Use * float64(n.Percent) / 100
 			}
-			for j, rate := range placement.ExecutionRates(p.model, []placement.ServingTask{{Image: "s", Utilisation: u, Limit: limit}}, tasks) {
+			for j, rate := range placement.ExecutionRates(p.model, []placement.ServingTask{{Image: "s", Utilisation: u, Limit: limit, OverTarget: s.overSince > 0}}, tasks) {
 				if rate != here[j].requested {
 					here[j].requested, here[j].rateInForceAt, here[j].rateSetAt = rate, now+delay, now
 				}
@@ -287,3 +294,61 @@
 	g.Expect(now.longestWait).To(BeNumerically("<=", 2000))
 	g.Expect(now.overTarget).To(BeNumerically("<", 4000))
 }
+
+// Guards against an estimate that keeps a pair apart after the interference has
+// ended, because only a run corrects it and rare runs at a low rate carry little
+// weight. Load pattern: an idle pool; the interference of an image with all
+// serving tasks ends while none of its tasks runs.
+func TestEstimateIsCorrectedAfterInterferenceHasEnded(t *testing.T) {
+	g := NewWithT(t)
+	p := startReplay{
+		model: knownPair(8), actual: 0.2, ownLoad: 0.4, estimate: 3000, workers: 4, duration: 60_000, taskCPU: 8000, workerCPU: 64_000,
+	}
+	p.arrivals = []int64{1000}
+	for i := range int64(8) {
+		p.arrivals = append(p.arrivals, 35_000+1000*i)
+	}
+	p.fullRate = true
+	previous := p
+	previous.model = knownPair(8)
+	before := previous.run()
+	p.fullRate = false
+	now := p.run()
+	coefficient := p.model.Coefficient("s", "l")
+	t.Logf("previous: %+v, now: %+v, coefficient %.2f", before, now, coefficient)
+	g.Expect(before.done).To(BeZero(), "the replay shows the fault")
+	g.Expect(now.done).To(Equal(9))
+	g.Expect(now.longestWait).To(BeNumerically("<=", 2000))
+	g.Expect(now.overTarget).To(BeNumerically("<", 4000))
+	g.Expect(coefficient).To(BeNumerically("<", 4), "the pair fits at the full rate again")
+}
+
+// Guards against a task that is paused for good, because the model expects a
+// serving task to exceed its limit and sees no run that could correct it.
+func TestPausedTaskIsProbed(t *testing.T) {
+	serving := func(over bool) []placement.ServingTask {
+		return []placement.ServingTask{{Image: "s", Utilisation: 0.8, Limit: 0.7, OverTarget: over}}
+	}
+	paused := func(millis int64) placement.CoLocatedTask {
+		return placement.CoLocatedTask{Image: "l", Use: 0.3, PausedMillis: millis}
+	}
+	probed := placement.CoLocatedTask{Image: "l", Use: 0.3, Percent: 10, Settling: true}
+	measured := placement.CoLocatedTask{Image: "l", Use: 0.3, Percent: 10}
+	for name, c := range map[string]struct {
+		over  bool
+		tasks []placement.CoLocatedTask
+		want  []int
+	}{
+		"not yet":                       {false, []placement.CoLocatedTask{paused(2900)}, []int{0}},
+		"after a bounded pause":         {false, []placement.CoLocatedTask{paused(3000)}, []int{10}},
+		"one at a time, longest first":  {false, []placement.CoLocatedTask{paused(3000), paused(4000)}, []int{0, 10}},
+		"until it is measured":          {false, []placement.CoLocatedTask{paused(5000), probed}, []int{0, 10}},
+		"no longer than that":           {false, []placement.CoLocatedTask{measured}, []int{0}},
+		"not while over the target":     {true, []placement.CoLocatedTask{paused(9000)}, []int{0}},
+		"ends if it exceeds the target": {true, []placement.CoLocatedTask{probed}, []int{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(placement.ExecutionRates(knownPair(4), serving(c.over), c.tasks)).To(Equal(c.want))
+		})
+	}
+}
