placement, fleet: the batch reservation follows present demand

Change: placement.PresentDemand tracks the CPU of the batch tasks that run or wait and bounds the reservation: to 1.5 times the highest demand of the last 10 s, and for serving tasks that ran before to the highest of the last 2 s. Nothing is bounded until the demand has been observed for that long.

TestRestartDoesNotWaitForAbsentBatchTasks fails without the change.

--- a/fleet/batch_reservation.go
+++ b/fleet/batch_reservation.go
@@ -10,6 +10,7 @@
 	serving      int64 // CPU of all serving tasks, in thousandths of a processor
 	batch        placement.BatchDemand
 	idleCapacity placement.IdleCapacity
+	present      placement.PresentDemand
 }
 
 func (c *Controller) demandOf(pool string) *poolDemand {
@@ -49,31 +50,66 @@
 	}
 }
 
+// observeDemand records the CPU of the batch tasks of each pool that run or wait
+// and can still be of use.
+func (c *Controller) observeDemand(pools map[string]*pool, waiting []placement.WaitingJob) {
+	wall := c.opts.Clock.Now().UnixMilli()
+	present := make(map[string]int64, len(pools))
+	for i := range waiting {
+		j := &waiting[i]
+		f := c.workflows[j.ID]
+		p := pools[f.spec.Pool]
+		if p == nil || j.Restart || j.ExceedsShare || j.Expired(wall) {
+			continue
+		}
+		for _, t := range f.tasks {
+			if t.phase == taskReady && kindOf(t.step) == kindBatch && t.step.Size.MilliCPU <= p.largestCPU {
+				present[f.spec.Pool] += t.step.Size.MilliCPU
+			}
+		}
+	}
+	for name, p := range pools {
+		for _, w := range p.allWorkers {
+			present[name] += w.Batch.MilliCPU
+		}
+		c.demandOf(name).present.Observe(wall, present[name])
+	}
+}
+
+// shareKey identifies the batch reservation that bounds a serving task.
+type shareKey struct {
+	priority int
+	restart  bool // the task ran before
+}
+
+func (t *task) shareKey() shareKey { return shareKey{t.workflow.spec.Priority, t.restarts()} }
+
 // ensureShare computes, once per placement pass, how much of a pool serving
 // tasks of a priority may reserve.
 func (c *Controller) ensureShare(name string, p *pool, priority int) {
-	if p.shares[priority] != nil {
+	if p.shares[shareKey{priority, false}] != nil {
 		return
 	}
-	capacity, largest := int64(0), int64(0)
+	capacity := int64(0)
 	for _, r := range p.workers {
 		capacity += r.Capacity.MilliCPU
-		largest = max(largest, r.Capacity.MilliCPU)
 	}
 	a := c.demandOf(name)
 	wall := c.opts.Clock.Now().UnixMilli()
-	demand := a.batch.Of(wall, wall-(c.now()-c.activatedAt).Milliseconds(), priority, largest)
+	demand := a.batch.Of(wall, wall-(c.now()-c.activatedAt).Milliseconds(), priority, p.largestCPU)
 	batch := int64(0)
 	if len(demand) > 0 {
 		batch = demand[0].Mean
 	}
-	p.shares[priority] = placement.NewBatchReservation(p.workers, placement.BatchReservationSize(capacity, batch, a.serving), demand)
+	reserved := placement.BatchReservationSize(capacity, batch, a.serving)
+	p.shares[shareKey{priority, false}] = placement.NewBatchReservation(p.workers, a.present.Reservation(wall, reserved), demand)
+	p.shares[shareKey{priority, true}] = placement.NewBatchReservation(p.workers, a.present.RestartReservation(wall, reserved), demand)
 }
 
 // excludeOverShare also excludes workers on which a serving task would use CPU
 // reserved for batch tasks.
 func (p *pool) excludeOverShare(t *task, excluded func(int) bool) func(int) bool {
-	share := p.shares[t.workflow.spec.Priority]
+	share := p.shares[t.shareKey()]
 	if !t.step.LongRunning || share == nil {
 		return excluded
 	}
@@ -112,7 +148,7 @@
 		for _, t := range f.tasks {
 			if t.phase == taskReady && t.step.LongRunning && (smallest == nil || t.step.Size.MilliCPU < smallest.Size.MilliCPU) {
 				smallest = t.step
-				if share := p.shares[f.spec.Priority]; share != nil {
+				if share := p.shares[shareKey{f.spec.Priority, false}]; share != nil {
 					burstCPU = share.BurstCPU()
 				}
 			}
--- a/fleet/batch_reservation_test.go
+++ b/fleet/batch_reservation_test.go
@@ -224,3 +224,39 @@
 	h.submitAs("a000000000000002", step(1))
 	h.Eventually(func() state.WorkflowPhase { return h.phaseOf("a000000000000002") }, "2s", "10ms").Should(Equal(state.WorkflowCompleted))
 }
+
+// Guards against a serving task that has lost its run and waits for seconds
+// beside free capacity, because it is reserved for batch tasks that have ended
+// long before their declared time, and none waits.
+func TestRestartDoesNotWaitForAbsentBatchTasks(t *testing.T) {
+	h := newHarness(t)
+	const ranFor, restartGoal = 4 * time.Second, time.Second
+	options := pool.Options{
+		RunTime: func(p fleet.TaskPosition, number uint64) time.Duration {
+			switch {
+			case p.Workflow[0] == 'a':
+				return 20 * time.Millisecond
+			case number == 1:
+				return ranFor
+			}
+			return 0
+		},
+		Fails: func(p fleet.TaskPosition, number uint64) bool { return p.Workflow[0] != 'a' && number == 1 },
+	}
+	workers := []*pool.Worker{h.addWorker("w0", options), h.addWorker("w1", options)}
+	runs := func() (all []pool.Record) {
+		for _, w := range workers {
+			for _, r := range w.Records() {
+				if r.Position.Workflow == jobID {
+					all = append(all, r)
+				}
+			}
+		}
+		return all
+	}
+	h.Expect(h.submit(step(1, untilStopped))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(runs, waitTimeout, "5ms").Should(HaveLen(1))
+	h.submitAs("a000000000000001", step(2, withCPU(3500), withEstimate(time.Minute)))
+	h.Eventually(func() bool { return !runs()[0].Ended.IsZero() }, 2*ranFor, "5ms").Should(BeTrue())
+	h.Eventually(runs, restartGoal, "5ms").Should(HaveLen(2))
+}
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -107,7 +107,7 @@
 		return
 	}
 	request := c.placementRequest(t, p, c.excludedWorkers(t, p))
-	share := p.shares[t.workflow.spec.Priority]
+	share := p.shares[t.shareKey()]
 	var batchFree, batchReserved, batchUnit int64
 	if share != nil {
 		batchFree, batchReserved, batchUnit = share.Available()
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -19,6 +19,7 @@
 	workers  []*placement.WorkerCapacity
 	// allWorkers includes the reserved workers, which are nil in workers.
 	allWorkers []*placement.WorkerCapacity
+	largestCPU int64 // CPU of the largest worker, in thousandths of a processor
 	// smallestUnplaced has, by class, the smallest task that could not be
 	// placed in this pass. Larger tasks of the class can't be placed either.
 	smallestUnplaced map[placementClass]state.Resources
@@ -28,8 +29,8 @@
 	// reservedInPass are all workers, by index, that were reserved in this
 	// pass.
 	reservedInPass map[int]bool
-	// shares are the batch reservations by priority.
-	shares map[int]*placement.BatchReservation
+	// shares are the batch reservations that bound the serving tasks.
+	shares map[shareKey]*placement.BatchReservation
 	// idleCapacity is the number of serving tasks that may exceed their share
 	// in this pass, because batch tasks leave the CPU idle.
 	idleCapacity int
@@ -51,7 +52,7 @@
 	return &pool{
 		sessions: make([]*session, 0, size), workers: make([]*placement.WorkerCapacity, 0, size),
 		smallestUnplaced: make(map[placementClass]state.Resources), reserved: make(map[int]bool), reservedInPass: make(map[int]bool),
-		shares: make(map[int]*placement.BatchReservation), aside: make(map[*task]int),
+		shares: make(map[shareKey]*placement.BatchReservation), aside: make(map[*task]int),
 	}
 }
 
@@ -61,8 +62,8 @@
 	kind       taskKind
 	bestEffort bool
 	image      string // of a best-effort task; decides which serving tasks it interferes with
-	// priority and overShare of a serving task decide about its share.
-	priority                int
+	// share and overShare of a serving task decide about its share.
+	share                   shareKey
 	overShare, usesReserved bool
 	minRate                 int // lowest execution rate at which the task starts
 }
@@ -73,7 +74,7 @@
 		class.image = s.Image
 	}
 	if s.LongRunning {
-		class.priority, class.overShare = j.Priority, j.ExceedsShare
+		class.share, class.overShare = shareKey{j.Priority, j.Restart}, j.ExceedsShare
 	}
 	return class
 }
@@ -166,6 +167,7 @@
 		p.sessions = append(p.sessions, w)
 		p.workers = append(p.workers, &w.resources)
 		p.allWorkers = append(p.allWorkers, &w.resources)
+		p.largestCPU = max(p.largestCPU, w.worker.Capacity.MilliCPU)
 	}
 	return all
 }
--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -171,7 +171,7 @@
 		return false
 	}
 	c.ensureShare(t.workflow.spec.Pool, p, t.workflow.spec.Priority)
-	return !p.shares[t.workflow.spec.Priority].Admits(p.workers[worker], t.step.Size.MilliCPU)
+	return !p.shares[t.shareKey()].Admits(p.workers[worker], t.step.Size.MilliCPU)
 }
 
 // asideCapacity is capacity of a worker, by index, that is set aside for a task.
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -12,6 +12,7 @@
 	c.placeSuspects(now)
 	pools := c.pools(now)
 	defer c.reportOccupancy(pools)
+	c.observeDemand(pools, waiting)
 	if len(waiting) == 0 {
 		return
 	}
