--- a/event/fleet.go
+++ b/event/fleet.go
@@ -27,7 +27,7 @@
 	WorkflowEstimated = define(815, "workflow-estimated", slog.LevelInfo,
 		"learned run times of a workflow", "Once for each workflow and leader, if runs of its queue have been observed: the declared critical path (`declared_path_ms`) and the learned one (`path_ms`), which decides the order of waiting workflows, and for the widest step the declared and learned run time of a task, the expected longest of its tasks (`longest_ms`), the weight of the recent runs on which this is based, and how far it follows the declaration (`trust`, 1 for fully). The objective follows the declaration alone. Nothing to do; if both differ much, correct the declared run times of the queue.")
 	TaskPlaced = define(821, "task-placed", slog.LevelInfo,
-		"task placed", "A run of a task was recorded for a worker and is sent to it.")
+		"task placed", "A run of a task was recorded for a worker and is sent to it. `pace` is the execution rate at which it starts, in percent: a best-effort task starts below 100 where its image interferes with the serving tasks of every worker.")
 	FleetStartRefused = define(822, "fleet-start-refused", slog.LevelInfo,
 		"worker refused a start", "The run did not start and the task waits for another worker. Check the worker if it repeats.")
 	TaskStartUnknown = define(823, "task-start-unknown", slog.LevelWarn,
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -19,6 +19,7 @@
 	workers  []*placement.WorkerCapacity
 	// allWorkers includes the reserved workers, which are nil in workers.
 	allWorkers []*placement.WorkerCapacity
+	largestCPU int64 // CPU of the largest worker, in thousandths of a processor
 	// smallestUnplaced has, by class, the smallest task that could not be
 	// placed in this pass. Larger tasks of the class can't be placed either.
 	smallestUnplaced map[placementClass]state.Resources
@@ -28,12 +29,15 @@
 	// reservedInPass are all workers, by index, that were reserved in this
 	// pass.
 	reservedInPass map[int]bool
-	// shares are the batch reservations by priority.
-	shares map[int]*placement.BatchReservation
+	// shares are the batch reservations that bound the serving tasks.
+	shares map[shareKey]*placement.BatchReservation
 	// idleCapacity is the number of serving tasks that may exceed their share
 	// in this pass, because batch tasks leave the CPU idle.
 	idleCapacity int
 	idleObserved bool
+	// halfIdleState caches halfIdle: 0 if it is not known, 1 if false, 2 if
+	// true.
+	halfIdleState int8
 	// aside has the worker, by index, of each waiting task whose capacity has
 	// been set aside in this pass.
 	aside map[*task]int
@@ -48,7 +52,7 @@
 	return &pool{
 		sessions: make([]*session, 0, size), workers: make([]*placement.WorkerCapacity, 0, size),
 		smallestUnplaced: make(map[placementClass]state.Resources), reserved: make(map[int]bool), reservedInPass: make(map[int]bool),
-		shares: make(map[int]*placement.BatchReservation), aside: make(map[*task]int),
+		shares: make(map[shareKey]*placement.BatchReservation), aside: make(map[*task]int),
 	}
 }
 
@@ -58,9 +62,10 @@
 	kind       taskKind
 	bestEffort bool
 	image      string // of a best-effort task; decides which serving tasks it interferes with
-	// priority and overShare of a serving task decide about its share.
-	priority                int
+	// share and overShare of a serving task decide about its share.
+	share                   shareKey
 	overShare, usesReserved bool
+	minRate                 int // lowest execution rate at which the task starts
 }
 
 func classOf(s *state.WorkflowStep, j placement.WaitingJob) placementClass {
@@ -69,7 +74,7 @@
 		class.image = s.Image
 	}
 	if s.LongRunning {
-		class.priority, class.overShare = j.Priority, j.ExceedsShare
+		class.share, class.overShare = shareKey{j.Priority, j.Restart}, j.ExceedsShare
 	}
 	return class
 }
@@ -82,6 +87,21 @@
 	return ok && smallest.FitsIn(s.Size)
 }
 
+// halfIdle reports whether at most half of the CPU of the pool is reserved.
+func (p *pool) halfIdle() bool {
+	if p.halfIdleState == 0 {
+		capacity, free := int64(0), int64(0)
+		for _, r := range p.allWorkers {
+			capacity, free = capacity+r.Capacity.MilliCPU, free+r.Free.MilliCPU
+		}
+		p.halfIdleState = 1
+		if 2*free >= capacity && capacity > 0 {
+			p.halfIdleState = 2
+		}
+	}
+	return p.halfIdleState == 2
+}
+
 // reserve reserves a worker for a serving task that has waited too long. It
 // selects the worker with the most free CPU among those on which the task fits
 // once batch tasks end. Other overdue tasks may still use the worker if they
@@ -147,6 +167,7 @@
 		p.sessions = append(p.sessions, w)
 		p.workers = append(p.workers, &w.resources)
 		p.allWorkers = append(p.allWorkers, &w.resources)
+		p.largestCPU = max(p.largestCPU, w.worker.Capacity.MilliCPU)
 	}
 	return all
 }
@@ -197,6 +218,7 @@
 	for _, a := range s.attempts {
 		if a.task.step.LongRunning && a.task.step.TailMillis > 0 {
 			r.AddServingTask(a.task.step.Image, c.headroom(a, c.imageUse))
+			r.OverTarget = r.OverTarget || a.runStats.overTarget
 		}
 	}
 }
--- a/placement/worker_choice.go
+++ b/placement/worker_choice.go
@@ -27,6 +27,9 @@
 	// Slowdown is how many times longer tasks take on the worker than on others,
 	// less than 1 for a fast one; 0 if unknown.
 	Slowdown float64
+	// OverTarget is set if the measured tail latency of a serving task exceeds
+	// its target.
+	OverTarget bool
 }
 
 // ServingGroup is a group of serving tasks with the same image on one worker.
@@ -55,6 +58,10 @@
 	// InterferenceModel is the interference model, or nil if interference is
 	// not considered.
 	InterferenceModel *InterferenceModel
+	// MinStartRate is the lowest execution rate at which a best-effort task may
+	// start, in percent, see MinStartRate. 0 means that it starts only at the
+	// full rate.
+	MinStartRate int
 	// Excluded reports whether the task must not be placed on the worker with
 	// the index, because the limit of tasks per worker is reached or a run
 	// failed there.
@@ -95,11 +102,14 @@
 	}
 	score = workerScore(r, t.Step)
 	if t.Step.BestEffort && t.InterferenceModel != nil {
-		excess, added := utilisationIncrease(r, fractionOf(t.Step.Size.MilliCPU, r.Capacity.MilliCPU), coefficients)
-		if excess > maxUtilisationExcess {
+		fit, added := interferenceFit(r, fractionOf(t.Step.Size.MilliCPU, r.Capacity.MilliCPU), coefficients)
+		if t.startRate(r, fit) == 0 {
 			return 0, false
 		}
 		score += interferenceWeight * added
+		if fit < 1 {
+			score += reducedRateWeight * (2 - fit)
+		}
 	}
 	return score, true
 }
@@ -228,18 +238,6 @@
 	return !s.BestEffort || r.IdleCPU >= s.Size.MilliCPU/maxCPUOvercommit || r.BestEffort == 0
 }
 
-// utilisationIncrease returns the maximum excess over the headroom that a new
-// task causes at any serving task of the worker, including
-// interferenceSafetyFactor, and the maximum utilisation that it adds to one.
-func utilisationIncrease(r *WorkerCapacity, use float64, coefficients InterferenceCoefficients) (excess, added float64) {
-	for i := range r.ServingGroups {
-		increase := coefficients.Coefficient(r.ServingGroups[i].Image) * use
-		added = max(added, increase)
-		excess = max(excess, interferenceSafetyFactor*increase-r.ServingGroups[i].Headroom)
-	}
-	return excess, added
-}
-
 const (
 	// maxCPUOvercommit is the maximum ratio of the CPU of a new best-effort
 	// task to the idle CPU of a worker that already runs best-effort tasks.
@@ -265,11 +263,6 @@
 	narrowShare = 0.5
 	// minSlowdown is the factor below which workers differ by chance.
 	minSlowdown = 1.25
-
-	// maxUtilisationExcess is the utilisation by which a new task may push a
-	// serving task over its limit. With any excess, the execution rate of the
-	// new task would be reduced again at once.
-	maxUtilisationExcess = 0.0
 )
 
 // workerScore returns the score of a worker for a task, without interference.
