--- a/fleet/task_group.go
+++ b/fleet/task_group.go
@@ -145,7 +145,7 @@
 	}
 	f := t.workflow
 	return placement.MinStartRate(placement.StartWait{
-		WaitedMillis: c.waited(t), EstimateMillis: f.estimate(t.pos.Step), HalfIdle: p.halfIdle(),
+		WaitedMillis: c.waited(t), EstimateMillis: c.estimate(f, t.pos.Step).Mean(), HalfIdle: p.halfIdle(),
 		HasRuns: slices.ContainsFunc(f.tasks, func(t *task) bool { return t.phase == taskOnWorker }),
 	})
 }
