placement, fleet: under overload, workers for the full rate go first

Cause: tasks took workers in the order of their jobs, each at the best rate that it might start at. Where several images wait, one at a low rate then takes the headroom and the place of another that could run there at the full rate. And with the previous limit, which fell with the wait from 100 percent, tasks waited although they would have ended earlier at half of their speed.

Change: all waiting tasks are offered workers for the full rate first, then lower rates. MinStartRate is 50 percent, and 25 once a task has waited for longer than its run time. The share of a pool in use counts best-effort tasks.

A batch task that waits for the capacity is added, so that the reservation is needed; the bounds of the test are as before.

--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -223,7 +223,7 @@
 		}
 		if t.phase == taskReady && t.mayStart() {
 			t.expireRefusals(now)
-			request := c.placementRequest(t, &pool{sessions: sessions}, t.avoid)
+			request := c.placementRequest(t, &pool{sessions: sessions, reducedRates: true}, t.avoid)
 			if i := placement.ChooseIsolated(workers, request, (now - t.waitingSince).Milliseconds()); i >= 0 {
 				c.place(t, sessions[i], t.run+1).runStats.startAt(placement.StartRate(workers[i].Capacity, request))
 				workers[i].Capacity = nil
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -35,6 +35,8 @@
 	// in this pass, because batch tasks leave the CPU idle.
 	idleCapacity int
 	idleObserved bool
+	// reducedRates is set while best-effort tasks may start below the full rate.
+	reducedRates bool
 	// halfIdleState caches halfIdle: 0 if it is not known, 1 if false, 2 if
 	// true.
 	halfIdleState int8
@@ -87,15 +89,15 @@
 	return ok && smallest.FitsIn(s.Size)
 }
 
-// halfIdle reports whether at most half of the CPU of the pool is reserved.
+// halfIdle reports whether at most half of the CPU of the pool is in use.
 func (p *pool) halfIdle() bool {
 	if p.halfIdleState == 0 {
-		capacity, free := int64(0), int64(0)
+		capacity, used := int64(0), int64(0)
 		for _, r := range p.allWorkers {
-			capacity, free = capacity+r.Capacity.MilliCPU, free+r.Free.MilliCPU
+			capacity, used = capacity+r.Capacity.MilliCPU, used+r.Capacity.MilliCPU-r.Free.MilliCPU+r.BestEffortCPU
 		}
 		p.halfIdleState = 1
-		if 2*free >= capacity && capacity > 0 {
+		if 2*used <= capacity && capacity > 0 {
 			p.halfIdleState = 2
 		}
 	}
@@ -203,7 +205,7 @@
 			}
 		}
 		if step.BestEffort {
-			r.BestEffort++
+			r.BestEffort, r.BestEffortCPU = r.BestEffort+1, r.BestEffortCPU+use
 			c.imageUse[step.Image] += s.cpuShare(step.Size.MilliCPU)
 		}
 		r.IdleCPU -= use
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "apricotrouter/placement"
+import (
+	"slices"
+
+	"apricotrouter/placement"
+)
 
 // schedule places ready tasks: queues by priority, then workflows by deadline.
 func (c *Controller) schedule() {
@@ -24,7 +28,19 @@
 			c.ensureShare(pool, p, j.Priority)
 		}
 	}
-	for _, j := range waiting {
+	c.placeJobs(pools, waiting)
+	// Best-effort tasks that found no worker for the full rate.
+	for _, p := range pools {
+		p.reducedRates = true
+	}
+	c.placeJobs(pools, slices.DeleteFunc(waiting, func(j placement.WaitingJob) bool {
+		return j.Restart || j.ExceedsShare || !c.workflows[j.ID].bestEffortWaits()
+	}))
+}
+
+// placeJobs places the ready tasks of jobs in their order.
+func (c *Controller) placeJobs(pools map[string]*pool, jobs []placement.WaitingJob) {
+	for _, j := range jobs {
 		f := c.workflows[j.ID]
 		if p := pools[f.spec.Pool]; p != nil && !j.Starved() && !j.Restart {
 			p.applyReservations()
@@ -51,7 +67,7 @@
 	unplaceable := unplaceableStep{step: -1}
 	var group *taskGroup
 	for _, t := range f.tasks {
-		if t.phase != taskReady || t.waitsAlone() || !t.mayStart() || j.Restart != t.restarts() && !j.ExceedsShare {
+		if t.phase != taskReady || t.waitsAlone() || !t.mayStart() || j.Restart != t.restarts() && !j.ExceedsShare || p.reducedRates && !t.step.BestEffort {
 			continue
 		}
 		t.expireRefusals(c.now())
--- a/fleet/serving_wait_test.go
+++ b/fleet/serving_wait_test.go
@@ -243,9 +243,10 @@
 	a := h.addWorker("a", pool.Options{RunTime: failAfter300ms, Fails: firstRunFails})
 	h.Expect(h.submit(step(1, untilStopped))).To(Equal(fleet.OutcomeDone))
 	h.Eventually(func() int { return running(a) }, waitTimeout, "5ms").Should(Equal(1))
-	// These reserve little, but their estimates make the batch demand nearly
-	// the whole pool.
+	// The batch demand is nearly the whole pool, and a task that fits only once
+	// the small ones have ended waits for it.
 	h.submitAs("00000000000000b1", step(4, withCPU(100), withEstimate(time.Minute)))
+	h.submitAs("00000000000000b2", step(1, withCPU(3800), withEstimate(time.Minute)))
 	h.Eventually(func() bool { return len(a.Records()) == 5 && !a.Records()[0].Ended.IsZero() }, waitTimeout).Should(BeTrue())
 	failed := time.Now()
 	time.Sleep(2200 * time.Millisecond)
--- a/fleet/task_group.go
+++ b/fleet/task_group.go
@@ -140,7 +140,7 @@
 // minStartRate returns the lowest execution rate at which a task starts rather
 // than waits, in percent.
 func (c *Controller) minStartRate(t *task, p *pool) int {
-	if !t.step.BestEffort || c.interference == nil {
+	if !t.step.BestEffort || !p.reducedRates {
 		return fullRate
 	}
 	f := t.workflow
--- a/fleet/waiting.go
+++ b/fleet/waiting.go
@@ -61,6 +61,11 @@
 	return slices.ContainsFunc(f.tasks, func(t *task) bool { return t.phase == taskReady && t.restarts() })
 }
 
+// bestEffortWaits reports whether a best-effort task of the workflow waits.
+func (f *workflow) bestEffortWaits() bool {
+	return f.readyTasks > 0 && slices.ContainsFunc(f.tasks, func(t *task) bool { return t.phase == taskReady && t.step.BestEffort })
+}
+
 // restarts reports whether the next run of the task replaces one that a serving
 // task has lost.
 func (t *task) restarts() bool { return t.step.LongRunning && t.ranBefore() }
--- a/placement/start_rate.go
+++ b/placement/start_rate.go
@@ -3,7 +3,9 @@
 // Load pattern: every worker has a serving task with which the image of the
 // waiting best-effort tasks interferes, so that none of them fits at full speed.
 // At a lower execution rate they would run. The worker and the rate at which a
-// task starts there are therefore one decision. An estimate of the interference
+// task starts there are therefore one decision. Under overload, with tasks of
+// several images waiting, workers go first to the tasks that can run there at
+// the full rate: these use the headroom of the serving tasks best. An estimate of the interference
 // may be wrong and is only corrected by a run, so a task that has waited for
 // long starts at the lowest rate, whatever the estimate says.
 
@@ -15,13 +17,17 @@
 	// and its call take the rest of that time.
 	probeWait = 1500
 	// busyProbeWait replaces probeWait while more than half of the CPU of the
-	// pool is reserved. Tasks then wait for capacity, mostly, and one that
+	// pool is in use. Tasks then wait for capacity, mostly, and one that
 	// starts at the lowest rate may miss a better worker.
 	busyProbeWait = 12_000
-	// startRateStep is the granularity of MinStartRate, in percent, and its
-	// lowest result other than minRate. Tasks with the same result share the
-	// search for a worker.
-	startRateStep = 25
+	// maxStartRate is the highest result of MinStartRate. A task that finds no
+	// worker for the full rate starts at once at half of it: waiting would cost
+	// as much unless the next worker becomes free within its run time.
+	maxStartRate = 50
+	// lowStartRate is the result of MinStartRate once a task has waited for
+	// longer than its own run time. Slower runs keep capacity, such as memory,
+	// from tasks that could use it better.
+	lowStartRate = 25
 	// reducedRateWeight is the weight, in the score of a worker, of the part of
 	// full speed that a task lacks there. It exceeds all other terms of the
 	// score, so that a worker for the full rate precedes all others.
@@ -33,28 +39,29 @@
 	WaitedMillis   int64
 	EstimateMillis int64 // duration of the task at the full rate
 	HasRuns        bool  // other tasks of its workflow are running
-	// HalfIdle is set if at most half of the CPU of the pool is reserved.
+	// HalfIdle is set if at most half of the CPU of the pool is in use.
 	HalfIdle bool
 }
 
 // MinStartRate returns the lowest execution rate, in percent, at which a
-// best-effort task should start rather than wait. Where a task has waited, it is
-// likely to wait as long again for a worker on which it can run at the full
-// rate, so a start at a lower rate is of use if the task then ends earlier than
-// after that wait. The result is minRate if the task may start on a worker where
-// the model expects a serving task to exceed its limit: one task of a workflow,
-// after a bounded wait.
+// best-effort task starts rather than waits, after all waiting tasks have been
+// offered the workers on which they can run at the full rate. A task that has
+// waited is likely to wait as long again, so that a start is of use if the task
+// then ends earlier. The result is minRate if the task may start on a worker
+// where the model expects a serving task to exceed its limit: one task of a
+// workflow, after a bounded wait.
 func MinStartRate(w StartWait) int {
 	probe := int64(busyProbeWait)
 	if w.HalfIdle {
 		probe = probeWait
 	}
-	if !w.HasRuns && w.WaitedMillis >= probe {
+	switch {
+	case !w.HasRuns && w.WaitedMillis >= probe:
 		return minRate
+	case w.WaitedMillis > w.EstimateMillis:
+		return lowStartRate
 	}
-	waited, estimate := max(0, w.WaitedMillis), max(1, w.EstimateMillis)
-	steps := (fullRate*estimate + startRateStep*(estimate+waited) - 1) / (startRateStep * (estimate + waited))
-	return int(min(fullRate, steps*startRateStep))
+	return maxStartRate
 }
 
 // StartRate returns the execution rate, in percent, at which a task starts on a
--- a/placement/worker_choice.go
+++ b/placement/worker_choice.go
@@ -20,9 +20,11 @@
 	// Best-effort tasks share it.
 	IdleCPU int64
 	// ServingGroups are the serving tasks, grouped by image. BestEffort is the
-	// number of best-effort tasks.
+	// number of best-effort tasks, and BestEffortCPU what they use at the full
+	// rate.
 	ServingGroups []ServingGroup
 	BestEffort    int
+	BestEffortCPU int64
 	// OverTarget is set if the measured tail latency of a serving task exceeds
 	// its target.
 	OverTarget bool
@@ -298,7 +300,7 @@
 	r.Free = r.Free.Sub(s.Reservation())
 	r.IdleCPU -= s.Size.MilliCPU
 	if s.BestEffort {
-		r.BestEffort++
+		r.BestEffort, r.BestEffortCPU = r.BestEffort+1, r.BestEffortCPU+s.Size.MilliCPU
 		if t.InterferenceModel != nil {
 			use, coefficients := fractionOf(s.Size.MilliCPU, r.Capacity.MilliCPU), t.InterferenceModel.CoefficientsOf(s.Image)
 			for i := range r.ServingGroups {
