--- a/placement/worker_choice.go
+++ b/placement/worker_choice.go
@@ -21,9 +21,11 @@
 	// Best-effort tasks share it.
 	IdleCPU int64
 	// ServingGroups are the serving tasks, grouped by image. BestEffort is the
-	// number of best-effort tasks.
+	// number of best-effort tasks, and BestEffortCPU what they use at the full
+	// rate.
 	ServingGroups []ServingGroup
 	BestEffort    int
+	BestEffortCPU int64
 	// Slowdown is how many times longer tasks take on the worker than on others,
 	// less than 1 for a fast one; 0 if unknown.
 	Slowdown float64
@@ -331,7 +333,7 @@
 	r.Free = r.Free.Sub(s.Reservation())
 	r.IdleCPU -= s.Size.MilliCPU
 	if s.BestEffort {
-		r.BestEffort++
+		r.BestEffort, r.BestEffortCPU = r.BestEffort+1, r.BestEffortCPU+s.Size.MilliCPU
 		if t.InterferenceModel != nil {
 			use, coefficients := fractionOf(s.Size.MilliCPU, r.Capacity.MilliCPU), t.InterferenceModel.CoefficientsOf(s.Image)
 			for i := range r.ServingGroups {
