admission, fleet: refuse submissions that can't be of use, and only those

Nothing was ever refused, so callers of less urgent queues waited behind urgent work that takes minutes, and their results had no value.

Change: while more work waits than fits, the leader publishes the backlog of each pool and decides submissions from it before they are stored. It refuses one (429, Retry-After, event 812) if its tasks fit nowhere, and if the ready work that precedes it for certain takes longer than its result is of use, at 1.5 times the highest rate measured in the last minute. The work that precedes counts only where its tasks fit wherever the new ones fit. A new leader refuses nothing for 5 s of shortage. A refusal follows a read barrier, no other copy being handled; copies that arrive within the timeout of a call are refused too.

--- a/admission/order.go
+++ b/admission/order.go
@@ -32,6 +32,10 @@
 	// CriticalPathMillis is the length of the critical path of the unfinished
 	// part.
 	CriticalPathMillis int64
+	// WorkReady is the work of the tasks that wait for a worker now, and Ready the
+	// size in which all of them fit. Different kinds of tasks fit in none.
+	WorkReady float64
+	Ready     TaskSize
 	// Begun is set when a task of the job has started.
 	Begun bool
 	// Deficit is what the job's tenant lacks of its share, as a fraction of the
@@ -164,24 +168,29 @@
 // kept for them (see QueueStats.Owed), then jobs in progress that can end in
 // time, and then all others, each by value per work left.
 func Order(now int64, jobs []Job, pressure *Pressure) {
-	places := make([]place, len(jobs))
-	if short := pressure.Short(); short {
-		for i := range jobs {
-			places[i] = newPlace(now, &jobs[i], pressure.Queues)
-		}
-		slices.SortFunc(places, compareByValue)
-		if keepForSizes(places, pressure.Queues) {
-			slices.SortFunc(places, compareByValue)
-		}
-	} else {
+	for i, p := range places(now, jobs, pressure) {
+		jobs[i] = p.job
+	}
+}
+
+// places returns the places of the jobs in their order.
+func places(now int64, jobs []Job, pressure *Pressure) []place {
+	all := make([]place, len(jobs))
+	if !pressure.Short() {
 		for i := range jobs {
-			places[i] = place{job: jobs[i], prospect: jobs[i].prospect(now)}
+			all[i] = place{job: jobs[i], prospect: jobs[i].prospect(now)}
 		}
-		slices.SortFunc(places, compareByDeadline)
+		slices.SortFunc(all, compareByDeadline)
+		return all
 	}
-	for i := range places {
-		jobs[i] = places[i].job
+	for i := range jobs {
+		all[i] = newPlace(now, &jobs[i], pressure.Queues)
+	}
+	slices.SortFunc(all, compareByValue)
+	if keepForSizes(all, pressure.Queues) {
+		slices.SortFunc(all, compareByValue)
 	}
+	return all
 }
 
 func newPlace(now int64, j *Job, queues map[string]*QueueStats) place {
--- a/admission/replay_test.go
+++ b/admission/replay_test.go
@@ -24,6 +24,10 @@
 	tasks              int // of a step
 	milliCPU, estimate int64
 	actual             [2][]int64 // run times, milliseconds
+	objective          int64
+	submitted          int64 // when it was accepted
+	refusals           int
+	wouldRefuse        bool
 	step               int
 	waiting, running   int
 	work               float64
@@ -43,6 +47,16 @@
 
 func (w *replayed) pathLeft() int64 { return int64(2-w.step) * w.estimate }
 
+// job returns the workflow as the leader knows it: its times count from when it
+// was accepted.
+func (w *replayed) job() admission.Job {
+	return admission.Job{
+		ID: w.id, Priority: w.priority, Queue: w.queue, SubmittedAt: w.submitted, Deadline: w.submitted + w.objective,
+		LateDeadline: w.submitted + 3*w.objective, Work: w.work, WorkLeft: w.workLeft(),
+		WorkReady: float64(w.waiting) * float64(w.milliCPU*w.estimate), Ready: admission.TaskSize{MilliCPU: w.milliCPU}, CriticalPathMillis: w.pathLeft(), Begun: w.begun,
+	}
+}
+
 // load is a load pattern of one queue.
 type load struct {
 	seed     uint64
@@ -51,8 +65,17 @@
 	overload float64 // demand relative to the capacity
 	burst    float64 // factor of the rate from second 60 to 75
 	widely   bool    // run times vary widely, and one in 200 is seven times as long
+	// urgent is the number of urgent workflows that are submitted at second 30,
+	// with an objective of urgentObjective.
+	urgent int
+	// returning is the factor of the capacity from second 60 on, or 0.
+	returning float64
 }
 
+// urgentObjective is the objective of the urgent workflows of a load, in
+// milliseconds.
+const urgentObjective = 600_000
+
 // workflows returns workflows with the shape of the users' best-effort queue,
 // and the capacity in thousandths of a processor.
 func (l load) workflows() ([]*replayed, int64) {
@@ -66,14 +89,20 @@
 		runFactor, median, sigma = 1.45, 1.21, 0.5
 	}
 	var all []*replayed
+	urgent := l.urgent
 	for at := 0.0; at < float64(l.seconds); {
-		rate := l.rate
+		rate, queue, priority := l.rate, "queue", 2
 		if l.burst > 0 && at >= 60 && at < 75 {
 			rate *= l.burst
 		}
-		at += r.ExpFloat64() / rate
+		if at >= 30 && urgent > 0 {
+			urgent--
+			queue, priority = "urgent", 0
+		} else {
+			at += r.ExpFloat64() / rate
+		}
 		w := &replayed{
-			id: fmt.Sprintf("%06d", len(all)), queue: "queue", priority: 2, at: int64(1000 * at),
+			id: fmt.Sprintf("%06d", len(all)), queue: queue, priority: priority, at: int64(1000 * at),
 			tasks: max(1, int(logNormal(meanTasks, 0.8))), estimate: max(50, int64(logNormal(meanMillis, 0.5))),
 			milliCPU: max(100, int64(logNormal(meanCPU, 0.4))),
 		}
@@ -91,8 +120,11 @@
 		}
 		w.waiting = w.tasks
 		w.work = float64(2 * int64(w.tasks) * w.milliCPU * w.estimate)
-		objective := 2*2*w.estimate + 1000
-		w.deadline, w.late = w.at+objective, w.at+3*objective
+		w.objective = 2*2*w.estimate + 1000
+		if priority == 0 {
+			w.objective = urgentObjective
+		}
+		w.deadline, w.late = w.at+w.objective, w.at+3*w.objective
 		all = append(all, w)
 	}
 	return all, int64(l.rate * 2 * meanTasks * meanMillis / 1000 * meanCPU * runFactor / l.overload)
@@ -124,10 +156,7 @@
 	byID := make(map[string]*replayed, len(waiting))
 	for i, w := range waiting {
 		byID[w.id] = w
-		jobs[i] = admission.Job{
-			ID: w.id, Priority: w.priority, Queue: w.queue, SubmittedAt: w.at, Deadline: w.deadline, LateDeadline: w.late,
-			Work: w.work, WorkLeft: w.workLeft(), CriticalPathMillis: w.pathLeft(), Begun: w.begun,
-		}
+		jobs[i] = w.job()
 	}
 	admission.Order(now, jobs, p)
 	for i := range jobs {
@@ -162,22 +191,38 @@
 	all, fifth, tenth     float64 // part that ended before its result was useless
 }
 
+// submit decides a submission. It returns 0 if it is admitted, and otherwise
+// when it may be sent again, in milliseconds. idle is the
+// capacity that was free after the last placement pass.
+type submit func(now int64, w *replayed, b *admission.Backlog, idle int64) int64
+
+// maxRetries is how often a client sends a refused workflow again.
+const maxRetries = 4
+
 // replay runs a load with a placement pass every 100 ms in which a task is
 // started if the free capacity covers it.
-func replay(l load, order decision) served {
+// Without submit, all workflows are admitted.
+func replay(l load, order decision, submit submit) (served, []*replayed) {
 	const passMillis = 100
 	all, capacity := l.workflows()
-	free := capacity
-	stats := map[string]*admission.QueueStats{"queue": {}}
+	free, idle := capacity, capacity
+	stats := map[string]*admission.QueueStats{"queue": {}, "urgent": {}}
+	var rate admission.Rate
+	newBacklog := func() *admission.Backlog { return nil } // of the last pass
 	var ends taskEnds
 	var open []*replayed
 	waitingSince := make(map[*replayed]int64)
 	next := 0
-	for now := int64(0); next < len(all) || len(ends) > 0 || len(open) > 0; now += passMillis {
+	retries := make(map[*replayed]int64)
+	for now := int64(0); next < len(all) || len(ends) > 0 || len(open) > 0 || len(retries) > 0; now += passMillis {
+		if l.returning > 0 && now == 60_000 {
+			free += int64(float64(capacity) * (l.returning - 1))
+		}
 		for len(ends) > 0 && ends[0].at <= now {
 			e := heap.Pop(&ends).(taskEnd)
 			w := e.workflow
 			free += w.milliCPU
+			rate.Completed(float64(w.milliCPU * w.estimate))
 			if w.running--; w.running > 0 || w.waiting > 0 {
 				continue
 			}
@@ -190,8 +235,36 @@
 				stats[w.queue].Ended(now, w.size, e.at <= w.late)
 			}
 		}
+		var arrivals []*replayed
 		for ; next < len(all) && all[next].at <= now; next++ {
-			w := all[next]
+			arrivals = append(arrivals, all[next])
+		}
+		for w, at := range retries {
+			if at <= now {
+				delete(retries, w)
+				arrivals = append(arrivals, w)
+			}
+		}
+		slices.SortFunc(arrivals, func(a, b *replayed) int { return cmp.Compare(a.id, b.id) })
+		var backlog *admission.Backlog
+		if submit != nil && len(arrivals) > 0 {
+			backlog = newBacklog()
+		}
+		for _, w := range arrivals {
+			w.submitted = now
+			if w.refusals == 0 {
+				w.submitted = w.at
+			}
+			if submit != nil {
+				if after := submit(now, w, backlog, idle); after > 0 {
+					if w.refusals++; w.refusals <= maxRetries {
+						retries[w] = now + (after+999)/1000*1000 // whole seconds
+					} else {
+						w.ended = math.MaxInt64
+					}
+					continue
+				}
+			}
 			stats[w.queue].Arrived(now, w.work)
 			open = append(open, w)
 			waitingSince[w] = now
@@ -214,8 +287,21 @@
 			}
 		}
 		open = slices.DeleteFunc(open, func(w *replayed) bool { return w.waiting == 0 })
+		idle = free
+		rate.Observe(now, p.Short())
+		newBacklog = func() *admission.Backlog {
+			var unplaced []admission.TaskSize
+			var jobs []admission.Job
+			for _, w := range open {
+				jobs = append(jobs, w.job())
+				if len(unplaced) == 0 || w.milliCPU < unplaced[0].MilliCPU {
+					unplaced = []admission.TaskSize{{MilliCPU: w.milliCPU}}
+				}
+			}
+			return admission.NewBacklog(now, jobs, &p, &rate, unplaced)
+		}
 	}
-	return measure(all)
+	return measure(all), all
 }
 
 func measure(all []*replayed) served {
@@ -273,7 +359,7 @@
 	var mean served
 	for seed := range uint64(replaySeeds) {
 		l.seed = seed + 1
-		r := replay(l, order)
+		r, _ := replay(l, order, nil)
 		mean.value += r.value / replaySeeds
 		mean.all += r.all / replaySeeds
 		mean.fifth += r.fifth / replaySeeds
--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"time"
 
 	"apricotrouter/admission"
@@ -72,46 +73,54 @@
 	return left
 }
 
+// poolJobs are the waiting jobs of a pool that end by themselves.
+type poolJobs struct {
+	jobs     []admission.Job
+	pressure admission.Pressure
+}
+
 // rankJobs ranks the jobs that end by themselves in the pools in which more work
-// waits than fits.
-func (c *Controller) rankJobs(now time.Duration, waiting []placement.WaitingJob, pools map[string]*pool) {
-	jobs := make(map[string][]admission.Job, len(pools))
-	pressures := make(map[string]*admission.Pressure, len(pools))
+// waits than fits. It returns the jobs by pool.
+func (c *Controller) rankJobs(now time.Duration, waiting []placement.WaitingJob, pools map[string]*pool) map[string]*poolJobs {
+	byPool := make(map[string]*poolJobs, len(pools))
 	for i := range waiting {
 		j := &waiting[i]
 		f := c.workflows[j.ID]
 		if pools[f.spec.Pool] == nil || j.Serving || !f.ends() {
 			continue
 		}
-		p := pressures[f.spec.Pool]
+		p := byPool[f.spec.Pool]
 		if p == nil {
-			p = &admission.Pressure{Free: pools[f.spec.Pool].freeCapacity(), Queues: c.queues}
-			pressures[f.spec.Pool] = p
+			p = &poolJobs{pressure: admission.Pressure{Free: pools[f.spec.Pool].freeCapacity(), Queues: c.queues}}
+			byPool[f.spec.Pool] = p
 		}
-		f.addDemand(p, now)
-		jobs[f.spec.Pool] = append(jobs[f.spec.Pool], admission.Job{
+		work, size := f.addDemand(&p.pressure, now)
+		p.jobs = append(p.jobs, admission.Job{
 			ID: j.ID, Priority: j.Priority, Queue: f.queue, SubmittedAt: f.submittedAt, Deadline: j.Deadline,
-			LateDeadline: j.LateDeadline, Work: f.work, WorkLeft: f.workLeft(),
+			LateDeadline: j.LateDeadline, Work: f.work, WorkLeft: f.workLeft(), WorkReady: work, Ready: size,
 			CriticalPathMillis: j.RemainingMillis, Begun: f.inProgress,
 		})
 	}
 	ranks := make(map[string]int)
-	for name, p := range pressures {
-		if p.Short() {
-			admission.Order(c.opts.Clock.Now().UnixMilli(), jobs[name], p)
-			for i := range jobs[name] {
-				ranks[jobs[name][i].ID] = i + 1
+	for _, p := range byPool {
+		if p.pressure.Short() {
+			admission.Order(c.opts.Clock.Now().UnixMilli(), p.jobs, &p.pressure)
+			for i := range p.jobs {
+				ranks[p.jobs[i].ID] = i + 1
 			}
 		}
 	}
 	for i := range waiting {
 		waiting[i].Rank = ranks[waiting[i].ID]
 	}
-	c.recordPressure(now, pools, pressures)
+	c.recordPressure(now, pools, byPool)
+	return byPool
 }
 
-// addDemand adds the ready tasks of the workflow to the pressure of its pool.
-func (f *workflow) addDemand(p *admission.Pressure, now time.Duration) {
+// addDemand adds the ready tasks of the workflow to the pressure of its pool,
+// and returns their work and the size in which all of them fit.
+func (f *workflow) addDemand(p *admission.Pressure, now time.Duration) (work float64, size admission.TaskSize) {
+	var last *state.WorkflowStep
 	for _, t := range f.tasks {
 		if t.phase != taskReady {
 			continue
@@ -124,7 +133,36 @@
 		p.Waiting.MemoryMiB += r.MemoryMiB
 		p.Waiting.Accelerators += r.Accelerators
 		p.LongestWaitMillis = max(p.LongestWaitMillis, (now - t.waitingSince).Milliseconds())
+		work += float64(t.step.Size.MilliCPU) * float64(t.step.EstimateMillis)
+		if t.step != last {
+			size, last = largestSize(size, sizeOf(t.step), last == nil), t.step
+		}
+	}
+	return work, size
+}
+
+// largestSize returns the size in which tasks of both sizes fit. Tasks of
+// different kinds fit in none.
+func largestSize(a, b admission.TaskSize, first bool) admission.TaskSize {
+	if first {
+		return b
+	}
+	if a.BestEffort != b.BestEffort || a.Image != b.Image {
+		b.MilliCPU = math.MaxInt64
+	}
+	b.MilliCPU, b.MemoryMiB, b.Accelerators = max(a.MilliCPU, b.MilliCPU), max(a.MemoryMiB, b.MemoryMiB), max(a.Accelerators, b.Accelerators)
+	return b
+}
+
+// sizeOf returns what decides whether a task of the step fits on a worker.
+func sizeOf(s *state.WorkflowStep) admission.TaskSize {
+	size := admission.TaskSize{
+		BestEffort: s.BestEffort, MilliCPU: s.Size.MilliCPU, MemoryMiB: s.Size.MemoryMiB, Accelerators: s.Size.Accelerators,
+	}
+	if s.BestEffort {
+		size.Image = s.Image
 	}
+	return size
 }
 
 // freeCapacity returns the free capacity of the usable workers.
@@ -147,8 +185,9 @@
 
 // recordPressure sets the metrics and logs in which pools a shortage has begun
 // or ended.
-func (c *Controller) recordPressure(now time.Duration, pools map[string]*pool, pressures map[string]*admission.Pressure) {
-	for name, p := range pressures {
+func (c *Controller) recordPressure(now time.Duration, pools map[string]*pool, byPool map[string]*poolJobs) {
+	for name, jobs := range byPool {
+		p := &jobs.pressure
 		if !p.Short() {
 			continue
 		}
@@ -171,3 +210,109 @@
 		event.Log(c.opts.Logger, event.PoolShort, slog.String("pool", name), slog.Bool("short", false))
 	}
 }
+
+// recordCompleted counts the work of a completed task for the rate of its pool.
+func (c *Controller) recordCompleted(t *task) {
+	if !t.step.LongRunning {
+		c.rate(t.workflow.spec.Pool).Completed(float64(t.step.Size.MilliCPU) * float64(t.step.EstimateMillis))
+	}
+}
+
+// rate returns the rate at which a pool completes work.
+func (c *Controller) rate(pool string) *admission.Rate {
+	r := c.rates[pool]
+	if r == nil {
+		r = &admission.Rate{}
+		c.rates[pool] = r
+	}
+	return r
+}
+
+// backlogInterval is the minimum interval between updates of the backlogs. The
+// waits for which submissions are refused are seconds.
+const backlogInterval = 200 * time.Millisecond
+
+// backlogOutdated reports whether there is a backlog of a pool in which
+// everything fits now.
+func (c *Controller) backlogOutdated(byPool map[string]*poolJobs) bool {
+	if backlogs := c.backlogs.Load(); backlogs != nil {
+		for name, b := range *backlogs {
+			if jobs := byPool[name]; b != nil && (jobs == nil || !jobs.pressure.Short()) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// clearBacklogs records that no task waits.
+func (c *Controller) clearBacklogs() {
+	for _, r := range c.rates {
+		r.Observe(c.opts.Clock.Now().UnixMilli(), false)
+	}
+	if c.backlogOutdated(nil) {
+		c.backlogs.Store(nil)
+		c.metrics.drain.Reset()
+	}
+}
+
+// publishBacklogs updates the backlogs by which submissions are decided, after a
+// pass that considered all tasks.
+func (c *Controller) publishBacklogs(now time.Duration, pools map[string]*pool, byPool map[string]*poolJobs) {
+	if now < c.nextBacklog && !c.backlogOutdated(byPool) {
+		return
+	}
+	c.nextBacklog = now + backlogInterval
+	wall := c.opts.Clock.Now().UnixMilli()
+	backlogs := make(map[string]*admission.Backlog, len(byPool))
+	for name, p := range pools {
+		jobs := byPool[name]
+		c.rate(name).Observe(wall, jobs != nil && jobs.pressure.Short())
+		if jobs != nil {
+			backlogs[name] = admission.NewBacklog(wall, jobs.jobs, &jobs.pressure, c.rate(name), p.unplacedSizes())
+		}
+		c.metrics.drain.WithLabelValues(name).Set(float64(backlogs[name].DrainMillis()) / 1000)
+	}
+	c.backlogs.Store(&backlogs)
+}
+
+// unplacedSizes returns the sizes of tasks without special requirements that
+// fitted on no worker in this pass.
+func (p *pool) unplacedSizes() []admission.TaskSize {
+	var sizes []admission.TaskSize
+	for class, r := range p.smallestUnplaced {
+		if class.kind != kindServing {
+			sizes = append(sizes, admission.TaskSize{
+				BestEffort: class.bestEffort, Image: class.image, MilliCPU: r.MilliCPU, MemoryMiB: r.MemoryMiB, Accelerators: r.Accelerators,
+			})
+		}
+	}
+	return sizes
+}
+
+// submission returns what decides about the admission of a workflow, and whether
+// it may be refused: serving tasks, and workflows that run several times, have
+// no end that could be forecast.
+func submission(spec *state.WorkflowSpec, q *state.WorkflowQueue, now int64) (*admission.Submission, bool) {
+	if spec.Occurrences > 0 {
+		return nil, false
+	}
+	work, objective := estimatedWork(spec), objectiveMillis(spec)
+	s := &admission.Submission{
+		Job: admission.Job{
+			ID: spec.ID, Priority: spec.Priority, Queue: spec.Queue, SubmittedAt: now, Deadline: now + objective,
+			LateDeadline: now + lateFactor*objective, Work: work, WorkLeft: work, CriticalPathMillis: criticalPathMillis(spec),
+		},
+		CopiesMillis: q.TimeoutMillis + attemptTimeout.Milliseconds(),
+	}
+	for i := range spec.Steps {
+		step := &spec.Steps[i]
+		if step.LongRunning {
+			return nil, false
+		}
+		if len(step.DependsOn) == 0 {
+			s.Initial = append(s.Initial, sizeOf(step))
+		}
+	}
+	return s, true
+}
--- a/fleet/admission_internal_test.go
+++ b/fleet/admission_internal_test.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"context"
+	"errors"
+	"strconv"
 	"testing"
 	"time"
 
@@ -9,7 +12,9 @@
 
 	"apricotrouter/admission"
 	"apricotrouter/placement"
+	"apricotrouter/replica"
 	"apricotrouter/state"
+	"apricotrouter/transport"
 )
 
 // newWaitingWorkflow adds a workflow of one step with ready best-effort tasks.
@@ -48,3 +53,177 @@
 	g.Expect(ranks(11_000)).To(Equal(map[string]int{"begun": 1, "new": 2, "serving": 0}))
 	g.Expect(c.shortPools).To(HaveKey("pool"))
 }
+
+// Guards against a backlog before the rate is known, and against one that
+// remains when capacity is free again or another instance leads.
+func TestBacklogsAreOfPoolsWithTooLittleCapacity(t *testing.T) {
+	g := NewWithT(t)
+	c, clock := newLoadedController(20)
+	pass := func() *admission.Backlog {
+		clock.Advance(time.Second)
+		for _, s := range c.sessions {
+			s.lastHeartbeat = c.now()
+		}
+		c.schedule()
+		if backlogs := c.backlogs.Load(); backlogs != nil {
+			return (*backlogs)["pool"]
+		}
+		return nil
+	}
+	task := c.workflows["0000000000000000"].tasks[0]
+	g.Expect(pass()).To(BeNil())
+	for range 6 {
+		for range 500 {
+			c.recordCompleted(task)
+		}
+		pass()
+	}
+	g.Expect(pass().DrainMillis()).To(BeNumerically(">", 1000))
+
+	for _, s := range c.sessions {
+		for k, a := range s.attempts {
+			if a.task.step.BestEffort {
+				delete(s.attempts, k)
+			}
+		}
+		s.resourcesValid = false
+	}
+	g.Expect(pass()).To(BeNil(), "capacity is free")
+	c.deactivate("test")
+	g.Expect(c.backlogs.Load()).To(BeNil())
+}
+
+// barrierGroup is a control group that stores a workflow during a read barrier.
+type barrierGroup struct {
+	*replica.FakeLog
+	store *state.WorkflowSpec
+	err   error
+}
+
+func (g *barrierGroup) Members() []string { return nil }
+
+func (g *barrierGroup) ReadBarrier(ctx context.Context) error {
+	if g.store != nil {
+		_, err := g.Propose(ctx, state.NewCommand(state.SubmitWorkflow{Spec: *g.store}))
+		return err
+	}
+	return g.err
+}
+
+// newRefusingService returns a service whose leader has an hour of urgent work.
+func newRefusingService(t *testing.T) (*Service, *barrierGroup, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	group := &barrierGroup{FakeLog: replica.NewFakeLog(clock)}
+	cfg := state.QueueConfig{
+		Version: 1, Pools: []state.Pool{{Name: "pool"}},
+		Queues: []state.WorkflowQueue{{
+			Name: "queue", Host: "host", PathPrefix: "/jobs/", Pool: "pool", Priority: 1, MaxAttempts: 2, MaxSlowdown: 2,
+			ObjectiveMillis: 1000, TimeoutMillis: 3000,
+		}},
+	}
+	_, err := group.Propose(t.Context(), state.NewCommand(state.SetQueues{Config: cfg}))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	s := NewService(group, New(Options{Clock: clock, Log: group}), transport.NewMux(), nil)
+	close(s.controller.done) // no loop runs
+	setBacklog(s, clock)
+	return s, group, clock
+}
+
+func setBacklog(s *Service, clock clockwork.Clock) {
+	now := clock.Now().UnixMilli()
+	var rate admission.Rate
+	for at := now - 10_000; at < now; at += 1000 {
+		rate.Observe(at, true)
+		rate.Completed(1e6)
+	}
+	size := admission.TaskSize{MilliCPU: 1000, MemoryMiB: 1000}
+	hour := 3600e6
+	b := admission.NewBacklog(now, []admission.Job{{
+		ID: "urgent", SubmittedAt: now, Deadline: now + 1e8, LateDeadline: now + 3e8, Work: hour, WorkLeft: hour, WorkReady: hour, Ready: size,
+	}}, &admission.Pressure{Waiting: admission.Demand{MilliCPU: 1000}}, &rate, []admission.TaskSize{size})
+	s.controller.backlogs.Store(&map[string]*admission.Backlog{"pool": b})
+}
+
+func (s *Service) submitTest(ctx context.Context, id string, mod func(*state.WorkflowSpec)) *Response {
+	spec := &state.WorkflowSpec{Payload: "p", Steps: []state.WorkflowStep{{
+		Count: 2, Size: state.Resources{MilliCPU: 1000, MemoryMiB: 1000}, EstimateMillis: 500,
+	}}}
+	mod(spec)
+	return s.execute(ctx, &Request{Op: OpSubmit, Host: "host", Path: "/jobs/" + id, Workflow: spec})
+}
+
+func unchanged(*state.WorkflowSpec) {}
+
+// Guards against a refused submission that is stored, and against the refusal of
+// one that is stored, or whose end can't be forecast.
+func TestSubmissionsAreRefusedBeforeTheyAreStored(t *testing.T) {
+	g := NewWithT(t)
+	s, group, _ := newRefusingService(t)
+	const first, second, third, fourth = "00000000000000a1", "00000000000000a2", "00000000000000a3", "00000000000000a4"
+	resp := s.submitTest(t.Context(), first, unchanged)
+	g.Expect(resp.Outcome).To(Equal(OutcomeRefused))
+	g.Expect(resp.RetryAfterMillis).To(BeNumerically(">=", 4000), "later than copies that are on their way")
+	g.Expect(group.State().Workflows.Len()).To(BeZero())
+
+	serving := s.submitTest(t.Context(), second, func(w *state.WorkflowSpec) { w.Steps[0].LongRunning = true })
+	g.Expect(serving.Outcome).To(Equal(OutcomeDone))
+	repeated := s.submitTest(t.Context(), third, func(w *state.WorkflowSpec) { w.Occurrences, w.IntervalMillis = 2, 1000 })
+	g.Expect(repeated.Outcome).To(Equal(OutcomeDone))
+	g.Expect(s.submitTest(t.Context(), third, unchanged).Outcome).To(Equal(OutcomeDone), "it is stored")
+
+	w, _ := group.State().Workflows.Get(third)
+	stored := w.Spec
+	stored.ID = fourth
+	group.store = &stored // by an earlier leader
+	g.Expect(s.submitTest(t.Context(), fourth, unchanged).Outcome).To(Equal(OutcomeDone))
+}
+
+// Guards against a refusal by an instance that is no longer the leader, and by a
+// new leader that knows no rate.
+func TestOnlyALeaderThatKnowsTheRateRefuses(t *testing.T) {
+	g := NewWithT(t)
+	s, group, clock := newRefusingService(t)
+	group.err = errors.New("not the leader")
+	g.Expect(s.submitTest(t.Context(), "00000000000000b1", unchanged).Outcome).To(Equal(OutcomeUnknown))
+	group.err = nil
+	s.controller.backlogs.Store(nil)
+	g.Expect(s.submitTest(t.Context(), "00000000000000b2", unchanged).Outcome).To(Equal(OutcomeDone))
+	setBacklog(s, clock)
+	clock.Advance(3 * time.Second)
+	g.Expect(s.submitTest(t.Context(), "00000000000000b3", unchanged).Outcome).To(Equal(OutcomeDone), "the backlog is old")
+}
+
+// Guards against a copy that is stored although another copy was refused: one
+// that is being handled, or one that arrives late.
+func TestCopiesOfARefusedSubmissionAreNotStored(t *testing.T) {
+	g := NewWithT(t)
+	s, group, clock := newRefusingService(t)
+	const first, second = "00000000000000c1", "00000000000000c2"
+	leave := s.refusals.enter(first)
+	g.Expect(s.submitTest(t.Context(), first, unchanged).Outcome).To(Equal(OutcomeDone), "the other copy may be stored")
+	leave()
+
+	refused := s.submitTest(t.Context(), second, unchanged)
+	g.Expect(refused.Outcome).To(Equal(OutcomeRefused))
+	s.controller.backlogs.Store(nil)
+	clock.Advance(3900 * time.Millisecond)
+	again := s.submitTest(t.Context(), second, unchanged)
+	g.Expect(again.Outcome).To(Equal(OutcomeRefused))
+	g.Expect(again.RetryAfterMillis).To(BeNumerically("~", 100, 1))
+	g.Expect(group.State().Workflows.Len()).To(Equal(1))
+	clock.Advance(time.Duration(refused.RetryAfterMillis)*time.Millisecond - 3900*time.Millisecond)
+	g.Expect(s.submitTest(t.Context(), second, unchanged).Outcome).To(Equal(OutcomeDone))
+	g.Expect(s.refusals.handling).To(BeEmpty())
+}
+
+// Guards against refusals that use up the memory of the leader.
+func TestRefusalsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	r := newRefusals()
+	for i := range maxRefusals {
+		g.Expect(r.add(strconv.Itoa(i), 0, 10)).To(BeTrue())
+	}
+	g.Expect(r.add("one more", 5, 15)).To(BeFalse())
+	g.Expect(r.add("one more", 10, 20)).To(BeTrue())
+	g.Expect(r.until).To(HaveLen(1))
+}
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -304,6 +304,7 @@
 		c.reserveAfterFailure(a)
 	case state.OutcomeDone:
 		a.task.workflow.recordDuration(a, c.now())
+		c.recordCompleted(a.task)
 		if !a.task.step.Gang && !a.task.step.LongRunning && a.task.attempt == a {
 			// Starts that depend on this end are recorded in the same log entry
 			// or a later one.
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -73,6 +73,9 @@
 	// waitingWorkflows are the open workflows of which no task is known to have
 	// started, as of the last resync. It is nil while the controller is idle.
 	waitingWorkflows atomic.Pointer[map[string]bool]
+	// backlogs are the waiting work by pool, as of the last placement pass. It is
+	// nil while the controller is idle.
+	backlogs atomic.Pointer[map[string]*admission.Backlog]
 
 	// Owned by the loop.
 	term uint64 // in which the controller is active
@@ -102,6 +105,8 @@
 	poolDemand     map[string]*poolDemand           // by pool
 	queues         map[string]*admission.QueueStats // by queue
 	shortPools     map[string]time.Duration         // pools in which more work waited than fitted, with the last time
+	rates          map[string]*admission.Rate       // by pool
+	nextBacklog    time.Duration                    // earliest time of the next update of backlogs
 	imageUse       map[string]float64               // by image; scratch space of updateResources
 	startRoundTrip roundTripEstimator               // of start calls
 	calls          callQueue                        // to workers
@@ -302,6 +307,7 @@
 	c.journal = journal{}
 	c.poolDemand = make(map[string]*poolDemand)
 	c.queues, c.shortPools = make(map[string]*admission.QueueStats), make(map[string]time.Duration)
+	c.rates, c.nextBacklog = make(map[string]*admission.Rate), 0
 	c.dirty = true
 	s := c.opts.Log.State()
 	c.adopted = s.Workflows.Len() > 0
@@ -330,7 +336,9 @@
 	}
 	c.workflows, c.sessions, c.closing = nil, nil, nil
 	c.waitingWorkflows.Store(nil)
+	c.backlogs.Store(nil)
 	c.metrics.short.Reset()
+	c.metrics.drain.Reset()
 	event.Log(c.opts.Logger, event.FleetLeaderStopped, slog.Uint64("fence", c.fence), slog.String("reason", reason))
 }
 
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -25,6 +25,9 @@
 	processors  *prometheus.GaugeVec
 	waiting     *prometheus.GaugeVec
 	short       *prometheus.GaugeVec
+	drain       *prometheus.GaugeVec
+	refused     *prometheus.CounterVec
+	retryAfter  prometheus.Histogram
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -83,9 +86,19 @@
 		short: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "apricotrouter_fleet_pool_short", Help: "1 while more work waits in a pool than fits, else 0.",
 		}, []string{"pool"}),
+		drain: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_backlog_seconds", Help: "Least time until the waiting work of a pool that can be of use has been started; 0 while it fits or the rate of the pool is not known.",
+		}, []string{"pool"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_refused_workflows_total", Help: "Submissions that were refused for lack of capacity, by queue.",
+		}, []string{"queue"}),
+		retryAfter: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "apricotrouter_fleet_retry_after_seconds", Help: "Time after which refused submissions may be sent again.",
+			Buckets: []float64{1, 2, 5, 10, 20, 50, 100, 200},
+		}),
 	}
 	if r != nil {
-		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting, m.short)
+		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting, m.short, m.drain, m.refused, m.retryAfter)
 	}
 	return m
 }
--- a/fleet/pass_bench_internal_test.go
+++ b/fleet/pass_bench_internal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -15,11 +16,11 @@
 
 // newLoadedController returns a controller with 890 workers, each with two
 // serving tasks and best-effort tasks on all its processors, and 10,000 waiting
-// best-effort tasks of 500 workflows.
-func newLoadedController(b *testing.B) *Controller {
-	const workers, workflows, tasks = 890, 500, 20
+// best-effort tasks in workflows of two steps with the given number of tasks.
+func newLoadedController(tasks int) (*Controller, *clockwork.FakeClock) {
+	const workers, waiting = 890, 10_000
 	clock := clockwork.NewFakeClock()
-	c := New(Options{Clock: clock, Log: replica.NewFakeLog(clock), Dial: func(state.PoolWorker) Worker { return unreachableWorker{} }})
+	c := New(Options{Clock: clock, Log: replica.NewFakeLog(clock), Dial: func(state.PoolWorker) Worker { return unreachableWorker{} }, Limits: Limits{Heartbeat: time.Second}})
 	c.ctx = context.Background()
 	c.activate(c.opts.Log.Leadership())
 	step := func(milliCPU int64, image string, serving bool) *state.WorkflowStep {
@@ -46,7 +47,7 @@
 	}
 	r := rand.New(rand.NewPCG(1, 1))
 	now := clock.Now().UnixMilli()
-	for i := range workflows {
+	for i := range waiting / tasks {
 		w := &state.Workflow{SubmittedAt: now - r.Int64N(20_000), Tasks: make([]state.WorkflowTask, 2*tasks), Phase: state.WorkflowQueued, Spec: state.WorkflowSpec{
 			ID: fmt.Sprintf("%016x", i), Pool: "pool", Queue: "queue", Priority: 2, MaxSlowdown: 2, ObjectiveMillis: 1000,
 		}}
@@ -63,7 +64,7 @@
 			c.recordBegun(c.workflows[w.Spec.ID])
 		}
 	}
-	return c
+	return c, clock
 }
 
 // BenchmarkPass measures a placement pass over a full pool with the largest
@@ -71,11 +72,27 @@
 // third of the leader's time, so a waiting task is considered every three times
 // this duration.
 func BenchmarkPass(b *testing.B) {
-	c := newLoadedController(b)
-	for b.Loop() {
-		c.schedule()
-	}
-	if n := len(c.journal.starts); n > 0 {
-		b.Fatalf("%d tasks were placed in a full pool", n)
+	for _, tasks := range []int{20, 1} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			c, clock := newLoadedController(tasks)
+			for range 10 { // until the rate of the pool is known
+				clock.Advance(time.Second)
+				c.recordCompleted(c.workflows["0000000000000000"].tasks[0])
+				for _, s := range c.sessions {
+					s.lastHeartbeat = c.now()
+				}
+				c.schedule()
+			}
+			for b.Loop() {
+				c.nextBacklog, c.nextReport = 0, 0 // at most every 200 ms and every second
+				c.schedule()
+			}
+			if n := len(c.journal.starts); n > 0 {
+				b.Fatalf("%d tasks were placed in a full pool", n)
+			}
+			if (*c.backlogs.Load())["pool"] == nil {
+				b.Fatal("the pool has no backlog")
+			}
+		})
 	}
 }
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -7,6 +7,9 @@
 func (c *Controller) schedule() {
 	now := c.now()
 	waiting := c.waitingJobs()
+	if len(waiting) == 0 {
+		c.clearBacklogs()
+	}
 	if len(waiting) == 0 && now < c.nextReport {
 		return
 	}
@@ -17,7 +20,7 @@
 		return
 	}
 	c.placeReserved(pools)
-	c.rankJobs(now, waiting, pools)
+	jobs := c.rankJobs(now, waiting, pools)
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
 	for _, j := range waiting {
 		pool := c.workflows[j.ID].spec.Pool
@@ -32,6 +35,7 @@
 		}
 		if c.journal.full() {
 			c.dirty = true
+			c.backlogs.Store(nil) // capacity may be free for the rest
 			return
 		}
 		if p := pools[f.spec.Pool]; p != nil {
@@ -42,6 +46,7 @@
 			c.placeWorkflow(f, p, j)
 		}
 	}
+	c.publishBacklogs(now, pools, jobs)
 }
 
 // placeWorkflow places the ready tasks of a workflow. Tasks of a step differ
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -29,11 +29,12 @@
 	controller *Controller
 	logger     *slog.Logger
 	metrics    *metrics
+	refusals   refusals
 }
 
 // NewService registers the handler of calls from other instances.
 func NewService(g Group, c *Controller, mux *transport.Mux, logger *slog.Logger) *Service {
-	s := &Service{group: g, controller: c, logger: logger, metrics: c.metrics}
+	s := &Service{group: g, controller: c, logger: logger, metrics: c.metrics, refusals: newRefusals()}
 	transport.OnCall(mux, transport.KindFleet, func(ctx context.Context, from string, req *Request) (*Response, error) {
 		return s.handle(ctx, from, req), nil
 	})
@@ -169,6 +170,10 @@
 	if err := CheckWorkflow(&spec); err != nil {
 		return &Response{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
+	defer s.refusals.enter(id)()
+	if resp := s.refuse(ctx, q, &spec, req); resp != nil {
+		return resp
+	}
 	result, err := s.group.Propose(ctx, state.NewCommand(state.SubmitWorkflow{Spec: spec}))
 	if err != nil {
 		return &Response{Outcome: OutcomeUnknown, Reason: err.Error()}
