fleet: a controller that was not activated has statistics of its queues

TestStartRecordedForAnotherWorkerIsNotSent panicked since: it opens a workflow on a controller that was never activated, whose map of queues was nil. New makes the maps, and activate makes them anew.

--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -11,6 +11,12 @@
 	"apricotrouter/state"
 )
 
+// resetAdmission forgets what was learned about queues and pools.
+func (c *Controller) resetAdmission() {
+	c.queues, c.rates = make(map[string]*admission.QueueStats), make(map[string]*admission.Rate)
+	c.shortPools, c.nextBacklog = make(map[string]time.Duration), 0
+}
+
 // queueStats returns the statistics of a queue.
 func (c *Controller) queueStats(queue string) *admission.QueueStats {
 	q := c.queues[queue]
--- a/fleet/admission_internal_test.go
+++ b/fleet/admission_internal_test.go
@@ -32,7 +32,6 @@
 	g := NewWithT(t)
 	c := New(Options{Clock: clockwork.NewFakeClock()})
 	c.workflows, c.poolDemand = make(map[string]*workflow), make(map[string]*poolDemand)
-	c.queues, c.shortPools = make(map[string]*admission.QueueStats), make(map[string]time.Duration)
 	c.sessions, c.suspects = make(map[string]*session), make(map[*task]bool)
 	newWaitingWorkflow(c, "new", 4, func(*state.WorkflowStep) {})
 	begun := newWaitingWorkflow(c, "begun", 8, func(*state.WorkflowStep) {})
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -126,11 +126,13 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
-	return &Controller{
+	c := &Controller{
 		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		interference: placement.NewInterferenceModel(), calls: callQueue{limit: o.Limits.Calls},
 		imageUse: make(map[string]float64), callPool: newCallPool(),
 	}
+	c.resetAdmission()
+	return c
 }
 
 // Run drives the controller until ctx ends.
@@ -306,8 +308,7 @@
 	c.pollDue = make(map[*session]bool)
 	c.journal = journal{}
 	c.poolDemand = make(map[string]*poolDemand)
-	c.queues, c.shortPools = make(map[string]*admission.QueueStats), make(map[string]time.Duration)
-	c.rates, c.nextBacklog = make(map[string]*admission.Rate), 0
+	c.resetAdmission()
 	c.dirty = true
 	s := c.opts.Log.State()
 	c.adopted = s.Workflows.Len() > 0
