admission: forecasts don't overflow; a test of refusals that are not final

A declared work of 1e22 processor milliseconds and more overflowed the forecast, with a result that depends on the processor; it ended as an admission on x86-64. TestForecastOfTheLargestWork fails without the bound. The test of Client.Call covers behaviour that existed without one.

go test ./admission, and of ./fleet the tests of this part, pass.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -65,6 +65,9 @@
 	// seconds. A wave of demand lasts for minutes at most.
 	minRetryAfter = 1000
 	maxRetryAfter = 120_000
+	// maxStart bounds forecasts, in milliseconds, so that times don't overflow. It
+	// is longer than any declared run time.
+	maxStart = 1e15
 )
 
 // NewBacklog returns the backlog of a pool, or nil if nothing may be refused:
@@ -101,7 +104,7 @@
 	for i := range b.ahead {
 		drain += b.ahead[i].job.WorkReady / b.rate
 	}
-	return int64(drain)
+	return int64(min(drain, maxStart))
 }
 
 // Decision is the result of Decide.
@@ -165,7 +168,7 @@
 		}
 		earliest = min(earliest, start)
 	}
-	return int64(earliest)
+	return int64(min(earliest, maxStart))
 }
 
 // precedes reports whether a job still precedes a new one when its turn comes.
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -81,6 +81,10 @@
 
 // newBacklog returns a backlog of a minute of urgent work, at one processor.
 func newBacklog(mod func(p *admission.Pressure, r *admission.Rate)) *admission.Backlog {
+	return newBacklogOf(9e7, mod)
+}
+
+func newBacklogOf(work float64, mod func(p *admission.Pressure, r *admission.Rate)) *admission.Backlog {
 	var rate admission.Rate
 	for now := int64(1); now < 10_000; now += 1000 {
 		rate.Observe(now, true)
@@ -89,7 +93,7 @@
 	p := short(nil)
 	mod(p, &rate)
 	size := admission.TaskSize{MilliCPU: 1000, MemoryMiB: 100}
-	jobs := []admission.Job{{ID: "ahead", Deadline: 1e9, LateDeadline: 2e9, Work: 9e7, WorkLeft: 9e7, WorkReady: 9e7, Ready: size, CriticalPathMillis: 10}}
+	jobs := []admission.Job{{ID: "ahead", Deadline: 1e9, LateDeadline: 2e9, Work: work, WorkLeft: work, WorkReady: work, Ready: size, CriticalPathMillis: 10}}
 	return admission.NewBacklog(10_000, jobs, p, &rate, []admission.TaskSize{{MilliCPU: 100, MemoryMiB: 10}, size})
 }
 
@@ -147,6 +151,15 @@
 	}
 }
 
+// Guards against times that overflow with the largest declared work, which
+// depends on the processor.
+func TestForecastOfTheLargestWork(t *testing.T) {
+	g := NewWithT(t)
+	d := admission.Decide(10_000, newSubmission(func(*admission.Submission) {}), newBacklogOf(1e30, func(*admission.Pressure, *admission.Rate) {}))
+	g.Expect(d.Refuse).To(BeTrue())
+	g.Expect(d.RetryAfterMillis).To(BeNumerically("<=", 120_000))
+}
+
 // Guards against clients that return in the same second: at most a fifth of
 // those refused in one second may send again in one later second. Also guards
 // against a retry before copies of the submission have arrived.
--- a/fleet/admission_internal_test.go
+++ b/fleet/admission_internal_test.go
@@ -226,3 +226,36 @@
 	g.Expect(r.add("one more", 10, 20)).To(BeTrue())
 	g.Expect(r.until).To(HaveLen(1))
 }
+
+// refusingPeers fails the first call with an error and refuses the others.
+type refusingPeers struct {
+	transport.Peers
+	first error
+	calls int
+}
+
+func (p *refusingPeers) Call(_ context.Context, _ string, _ transport.Kind, _, resp any) error {
+	if p.calls++; p.calls == 1 && p.first != nil {
+		return p.first
+	}
+	*resp.(*Response) = Response{Outcome: OutcomeRefused, RetryAfterMillis: 2000}
+	return nil
+}
+
+// Guards against a refusal that is given as final although an earlier attempt of
+// the same call may still arrive.
+func TestRefusalAfterAnAttemptWithoutResponseIsNotFinal(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first error
+		want  Outcome
+	}{
+		"first attempt":           {nil, OutcomeRefused},
+		"not sent before":         {transport.ErrNotConnected, OutcomeRefused},
+		"without response before": {errors.New("connection broke"), OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := NewClient(ClientOptions{Peers: &refusingPeers{first: tc.first}, Seeds: func() []string { return []string{"a"} }})
+			NewWithT(t).Expect(c.Call(t.Context(), &Request{Op: OpSubmit}).Outcome).To(Equal(tc.want))
+		})
+	}
+}
