--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -73,6 +73,9 @@
 	// waitingWorkflows are the open workflows of which no task is known to have
 	// started, as of the last resync. It is nil while the controller is idle.
 	waitingWorkflows atomic.Pointer[map[string]bool]
+	// backlogs are the waiting work by pool, as of the last placement pass. It is
+	// nil while the controller is idle.
+	backlogs atomic.Pointer[map[string]*admission.Backlog]
 
 	// Owned by the loop.
 	term uint64 // in which the controller is active
@@ -102,6 +105,8 @@
 	poolDemand     map[string]*poolDemand           // by pool
 	queues         map[string]*admission.QueueStats // by queue
 	shortPools     map[string]time.Duration         // pools in which more work waited than fitted, with the last time
+	rates          map[string]*admission.Rate       // by pool
+	nextBacklog    time.Duration                    // earliest time of the next update of backlogs
 	learned        learned
 	imageUse       map[string]float64 // by image; scratch space of updateResources
 	startRoundTrip roundTripEstimator // of start calls
@@ -122,12 +127,14 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
-	return &Controller{
+	c := &Controller{
 		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		learned:      newLearned(),
 		interference: placement.NewInterferenceModel(), calls: callQueue{limit: o.Limits.Calls},
 		imageUse: make(map[string]float64), callPool: newCallPool(),
 	}
+	c.resetAdmission()
+	return c
 }
 
 // Run drives the controller until ctx ends.
@@ -304,7 +311,7 @@
 	c.pollDue = make(map[*session]bool)
 	c.journal = journal{}
 	c.poolDemand = make(map[string]*poolDemand)
-	c.queues, c.shortPools = make(map[string]*admission.QueueStats), make(map[string]time.Duration)
+	c.resetAdmission()
 	c.dirty = true
 	s := c.opts.Log.State()
 	c.adopted = s.Workflows.Len() > 0
@@ -333,7 +340,9 @@
 	}
 	c.workflows, c.sessions, c.closing = nil, nil, nil
 	c.waitingWorkflows.Store(nil)
+	c.backlogs.Store(nil)
 	c.metrics.short.Reset()
+	c.metrics.drain.Reset()
 	event.Log(c.opts.Logger, event.FleetLeaderStopped, slog.Uint64("fence", c.fence), slog.String("reason", reason))
 }
 
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -11,6 +11,9 @@
 func (c *Controller) schedule() {
 	now := c.now()
 	waiting := c.waitingJobs()
+	if len(waiting) == 0 {
+		c.clearBacklogs()
+	}
 	if len(waiting) == 0 && now < c.nextReport {
 		return
 	}
@@ -22,7 +25,7 @@
 		return
 	}
 	c.placeReserved(pools)
-	c.rankJobs(now, waiting, pools)
+	jobs := c.rankJobs(now, waiting, pools)
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
 	for _, j := range waiting {
 		pool := c.workflows[j.ID].spec.Pool
@@ -49,6 +52,7 @@
 		}
 		if c.journal.full() {
 			c.dirty = true
+			c.backlogs.Store(nil) // capacity may be free for the rest
 			return
 		}
 		if p := pools[f.spec.Pool]; p != nil {
@@ -59,6 +63,7 @@
 			c.placeWorkflow(f, p, j)
 		}
 	}
+	c.publishBacklogs(now, pools, jobs)
 }
 
 // placeWorkflow places the ready tasks of a workflow. Tasks of a step differ
