tenant: keys identify the callers of a deployment with tenants

Cause: every caller that reaches an entry instance may submit, read and cancel any workflow. Operators want to give keys to tenants.

Change: a configuration may have `tenants` with keys, and `allowAnonymous` on a route. Keys are stored as hashes beside the unchanged document. A workflow belongs to its tenant: to others it does not exist. Without tenants, keys are ignored as before. A configuration that is too large for the log is refused as invalid, not as of unknown outcome.

--- a/fleet/protocol.go
+++ b/fleet/protocol.go
@@ -50,6 +50,9 @@
 	WorkerHeartbeat *Heartbeat          `cbor:"8,keyasint,omitempty"`
 	// RequestID identifies the client's call in the logs of all instances.
 	RequestID string `cbor:"9,keyasint,omitempty"`
+	// Key is the SHA-256 hash of the key that identifies the caller; empty if the
+	// call has none. It is used by OpSubmit, OpStatus and OpCancel.
+	Key []byte `cbor:"10,keyasint,omitempty"`
 }
 
 // Outcome is the result of a call.
@@ -57,17 +60,18 @@
 
 // Outcomes.
 const (
-	OutcomeDone        Outcome = iota + 1
-	OutcomeRefused             // not carried out and never will be; RetryAfterMillis is the delay before a retry
-	OutcomeNotFound            // no such queue
-	OutcomeGone                // no such workflow
-	OutcomeInvalid             // malformed; Reason has the cause
-	OutcomeUnavailable         // not carried out: no leader or no configuration yet
-	OutcomeNotLeader           // not carried out on this instance; Leader may name the leader
-	OutcomeUnknown             // may have been carried out
+	OutcomeDone         Outcome = iota + 1
+	OutcomeRefused              // not carried out and never will be; RetryAfterMillis is the delay before a retry
+	OutcomeNotFound             // no such queue
+	OutcomeGone                 // no such workflow
+	OutcomeInvalid              // malformed; Reason has the cause
+	OutcomeUnavailable          // not carried out: no leader or no configuration yet
+	OutcomeNotLeader            // not carried out on this instance; Leader may name the leader
+	OutcomeUnknown              // may have been carried out
+	OutcomeUnauthorized         // not carried out: the call lacks the key of a tenant
 )
 
-var outcomeNames = [...]string{"", "done", "refused", "not-found", "gone", "invalid", "unavailable", "not-leader", "unknown"}
+var outcomeNames = [...]string{"", "done", "refused", "not-found", "gone", "invalid", "unavailable", "not-leader", "unknown", "unauthorized"}
 
 // String returns the name of the outcome as in logs.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"regexp"
 	"strings"
+	"sync/atomic"
 
 	"apricotrouter/event"
 	"apricotrouter/replica"
@@ -29,6 +31,8 @@
 	controller *Controller
 	logger     *slog.Logger
 	metrics    *metrics
+	// tenants is the table of the last configuration that was used.
+	tenants atomic.Pointer[tenantTable]
 }
 
 // NewService registers the handler of calls from other instances.
@@ -108,10 +112,19 @@
 }
 
 func (s *Service) workflow(ctx context.Context, req *Request) *Response {
-	st := s.group.State()
-	if st.Queues == nil {
-		return &Response{Outcome: OutcomeUnavailable, Reason: "no configuration yet"}
+	st, c, resp := s.authorize(ctx, req)
+	if resp != nil {
+		return resp
+	}
+	resp = s.workflowCall(ctx, st, c, req)
+	// While the process was frozen, another leader may have removed the key.
+	if c.identifies && req.Op == OpStatus && !s.group.Leadership().Self {
+		return &Response{Outcome: OutcomeNotLeader, Members: s.group.Members()}
 	}
+	return resp
+}
+
+func (s *Service) workflowCall(ctx context.Context, st *state.State, c caller, req *Request) *Response {
 	q, id := route(st.Queues, req.Host, req.Path)
 	if q == nil {
 		return &Response{Outcome: OutcomeNotFound, Reason: "no queue for this host and path"}
@@ -125,21 +138,30 @@
 	}
 	switch req.Op {
 	case OpSubmit:
-		return s.submit(ctx, st, q, id, req)
+		return s.submit(ctx, st, c, q, id, req)
 	case OpCancel:
-		return s.cancel(ctx, id)
-	}
-	w, ok := st.Workflows.Get(id)
-	if ok {
-		return &Response{Outcome: OutcomeDone, Phase: w.Phase, Reason: w.Reason}
+		return s.cancel(ctx, c, id)
 	}
-	if err := s.group.ReadBarrier(ctx); err != nil {
+	w, err := s.find(ctx, st, id)
+	switch {
+	case err != nil:
 		return &Response{Outcome: OutcomeUnavailable, Reason: err.Error()}
+	case w == nil || !c.mayAccess(w):
+		return &Response{Outcome: OutcomeGone}
 	}
-	if w, ok = s.group.State().Workflows.Get(id); ok {
-		return &Response{Outcome: OutcomeDone, Phase: w.Phase, Reason: w.Reason}
+	return &Response{Outcome: OutcomeDone, Phase: w.Phase, Reason: w.Reason}
+}
+
+// find returns the workflow with the id, or nil if it certainly does not exist.
+func (s *Service) find(ctx context.Context, st *state.State, id string) (*state.Workflow, error) {
+	if w, ok := st.Workflows.Get(id); ok {
+		return w, nil
+	}
+	if err := s.group.ReadBarrier(ctx); err != nil {
+		return nil, err
 	}
-	return &Response{Outcome: OutcomeGone}
+	w, _ := s.group.State().Workflows.Get(id)
+	return w, nil
 }
 
 // pending counts the workflows of a queue of which no task has started. A start
@@ -156,9 +178,9 @@
 	return n
 }
 
-func (s *Service) submit(ctx context.Context, st *state.State, q *state.WorkflowQueue, id string, req *Request) *Response {
-	if _, ok := st.Workflows.Get(id); ok {
-		return &Response{Outcome: OutcomeDone}
+func (s *Service) submit(ctx context.Context, st *state.State, c caller, q *state.WorkflowQueue, id string, req *Request) *Response {
+	if w, ok := st.Workflows.Get(id); ok {
+		return c.resendResponse(w)
 	}
 	if req.Workflow == nil {
 		return &Response{Outcome: OutcomeInvalid, Reason: "no workflow"}
@@ -166,6 +188,7 @@
 	spec := *req.Workflow
 	spec.ID, spec.Queue, spec.Pool, spec.Priority = id, q.Name, q.Pool, q.Priority
 	spec.MaxAttempts, spec.MaxSlowdown, spec.ObjectiveMillis = q.MaxAttempts, q.MaxSlowdown, q.ObjectiveMillis
+	spec.Tenant = c.tenant
 	if err := CheckWorkflow(&spec); err != nil {
 		return &Response{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
@@ -176,8 +199,11 @@
 	if result.Code != state.CodeOK {
 		return &Response{Outcome: OutcomeInvalid, Reason: result.Message}
 	}
+	if w, ok := s.group.State().Workflows.Get(id); ok && w.Spec.Tenant != c.tenant { // submitted by another tenant meanwhile
+		return c.resendResponse(w)
+	}
 	event.Log(s.logger, event.WorkflowAccepted, slog.String("workflow", id), slog.String("request", req.RequestID),
-		slog.String("queue", q.Name), slog.Uint64("config_version", st.Queues.Version), slog.Int("tasks", spec.TasksPerOccurrence()),
+		slog.String("queue", q.Name), slog.String("tenant", c.tenant), slog.Uint64("config_version", st.Queues.Version), slog.Int("tasks", spec.TasksPerOccurrence()),
 		slog.Int64("work_milli_cpu_ms", totalWork(&spec)), slog.Int64("largest_milli_cpu", largestTaskCPU(&spec)),
 		slog.Int64("objective_ms", objectiveMillis(&spec)), slog.Uint64("index", result.Index))
 	s.resync(id)
@@ -193,7 +219,16 @@
 	})
 }
 
-func (s *Service) cancel(ctx context.Context, id string) *Response {
+func (s *Service) cancel(ctx context.Context, c caller, id string) *Response {
+	if c.identifies {
+		w, err := s.find(ctx, s.group.State(), id)
+		switch {
+		case err != nil:
+			return &Response{Outcome: OutcomeUnavailable, Reason: err.Error()}
+		case w == nil || !c.mayAccess(w):
+			return &Response{Outcome: OutcomeGone}
+		}
+	}
 	result, err := s.group.Propose(ctx, state.NewCommand(state.CancelWorkflow{ID: id}))
 	switch {
 	case err != nil:
@@ -213,11 +248,14 @@
 		return &Response{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
 	result, err := s.group.Propose(ctx, state.NewCommand(state.SetQueues{Config: *cfg}))
+	if errors.Is(err, replica.ErrTooLarge) {
+		return &Response{Outcome: OutcomeInvalid, Reason: "the configuration is too large"}
+	}
 	if err != nil {
 		return &Response{Outcome: OutcomeUnknown, Reason: err.Error()}
 	}
 	event.Log(s.logger, event.QueuesChanged, slog.Uint64("version", cfg.Version), slog.String("code", string(result.Code)),
-		slog.Uint64("current", max(result.ObjectVersion, cfg.Version)), slog.Int("queues", len(cfg.Queues)))
+		slog.Uint64("current", max(result.ObjectVersion, cfg.Version)), slog.Int("queues", len(cfg.Queues)), slog.Int("tenants", len(cfg.Tenants)))
 	return &Response{Outcome: OutcomeDone}
 }
 
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"apricotrouter/state"
+	"apricotrouter/tenant"
 )
 
 const (
@@ -123,5 +124,5 @@
 		}
 		names[q.Name], queueByRoute[key] = true, q.Name
 	}
-	return nil
+	return tenant.Check(c.Tenants)
 }
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -24,6 +24,19 @@
 	ObjectiveMillis int64        `cbor:"8,keyasint"` // allowed time beyond MaxSlowdown
 	TimeoutMillis   int64        `cbor:"9,keyasint"` // timeout of one client call
 	Policy          *QueuePolicy `cbor:"10,keyasint"`
+	// Anonymous permits calls without the key of a tenant.
+	Anonymous bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Tenant is a group of callers that is identified by its keys.
+type Tenant struct {
+	Name     string   `cbor:"1,keyasint"`
+	Keys     [][]byte `cbor:"2,keyasint,omitempty"` // SHA-256 hashes
+	Priority int      `cbor:"3,keyasint,omitempty"` // 0 is the highest priority
+	Weight   float64  `cbor:"4,keyasint"`
+	// Cap bounds what runs of the tenant use at the same time. 0 means that a
+	// resource is unlimited.
+	Cap Resources `cbor:"5,keyasint,omitempty"`
 }
 
 // Pool is a set of interchangeable workers.
@@ -43,6 +56,8 @@
 	Source  []byte          `cbor:"2,keyasint"` // configuration document as sent by the operator
 	Queues  []WorkflowQueue `cbor:"3,keyasint"`
 	Pools   []Pool          `cbor:"4,keyasint"`
+	// Tenants are the callers with keys. If there are none, keys are ignored.
+	Tenants []Tenant `cbor:"5,keyasint,omitempty"`
 }
 
 // Queue returns the queue with the name, or nil.
@@ -117,6 +132,9 @@
 	Occurrences    int   `cbor:"10,keyasint,omitempty"`
 	FirstAtMillis  int64 `cbor:"11,keyasint,omitempty"` // start of occurrence 0, Unix milliseconds
 	IntervalMillis int64 `cbor:"12,keyasint,omitempty"`
+	// Tenant is the name of the tenant that submitted the workflow; empty if the
+	// caller was not identified.
+	Tenant string `cbor:"13,keyasint,omitempty"`
 }
 
 // TasksPerOccurrence returns the number of tasks of one occurrence.
