tenant: caps bound what the runs of a tenant use

Cause: one tenant could use a whole deployment.

Change: the leader counts the declared size of every run from the decision to start it until it has certainly ended (tenant.Usage), and decides on no start above the cap: single tasks, gangs, tasks that run alone, and restarts on capacity set aside. A start that was recorded under a higher cap and not sent is ended. Work held back by a cap reserves nothing, is not counted as waiting for capacity, and its demand above the cap enlarges no batch reservation. A new leader counts the tasks recorded as started, runs without a record that workers report, and, until each worker has been polled or its lease has expired, what workflows that ended in the last 30 s had running (Workflow.RunningAtEnd). The cap of a removed tenant applies while it has open workflows (QueueConfig.FormerTenants).

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -66,6 +66,10 @@
 	runStats       runStats
 }
 
+// counted is the size with which the run counts towards the cap of its tenant. A
+// best-effort task counts with its declared CPU.
+func (t *task) counted() state.Resources { return t.step.Size }
+
 func (a *attempt) reservation() state.Resources { return a.task.step.Reservation() }
 
 // confirmed reports whether the worker is known to have run the attempt.
@@ -89,6 +93,7 @@
 	}
 	t.phase, t.attempt = taskOnWorker, a
 	s.add(a)
+	c.usage.Add(t.workflow.spec.Tenant, t.counted())
 	c.journal.starts = append(c.journal.starts, startRecord{a, state.TaskStart{
 		Workflow: a.run.Workflow, Task: t.number, Run: number, Worker: s.worker.ID, WorkerStartedAt: s.worker.StartedAt,
 	}})
@@ -115,6 +120,7 @@
 		a.presumeCrash(c, s)
 	}
 	s.add(a)
+	c.usage.Add(t.workflow.spec.Tenant, t.counted())
 }
 
 // sendStart sends the start of a recorded run.
@@ -141,6 +147,10 @@
 		c.endAsLost(a, "the capacity of its worker shrank before it was sent")
 		return nil
 	}
+	if c.usage.Exceeded(a.task.workflow.spec.Tenant) && !a.task.step.Gang {
+		c.endAsLost(a, "the cap of its tenant was lowered before it was sent")
+		return nil
+	}
 	a.phase, a.startedAt, a.fence, a.startInFlight = attemptStarting, c.now(), s.fence, true
 	c.pollDue[s] = true
 	call := StartCall{
@@ -289,6 +299,7 @@
 	}
 	a.phase = attemptEnded
 	a.session.remove(a)
+	c.usage.Remove(a.task.workflow.spec.Tenant, a.task.counted())
 	c.recordExit(a)
 	c.dirty = true
 	event.Log(c.opts.Logger, event.TaskEnded, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
@@ -328,6 +339,7 @@
 	if a.phase != attemptEnded {
 		a.phase = attemptEnded
 		a.session.remove(a)
+		c.usage.Remove(a.task.workflow.spec.Tenant, a.task.counted())
 	}
 	if a.task.attempt == a {
 		a.task.attempt = nil
--- a/fleet/authorize.go
+++ b/fleet/authorize.go
@@ -42,7 +42,7 @@
 	if t := s.tenants.Load(); t != nil && t.config == c {
 		return t.table
 	}
-	t := &tenantTable{config: c, table: tenant.NewTable(c.Tenants)}
+	t := &tenantTable{config: c, table: tenant.NewTable(c)}
 	s.tenants.Store(t)
 	return t.table
 }
--- a/fleet/batch_reservation.go
+++ b/fleet/batch_reservation.go
@@ -7,7 +7,9 @@
 
 // poolDemand is the demand of the workflows of a pool.
 type poolDemand struct {
-	serving      int64 // CPU of all serving tasks, in thousandths of a processor
+	// serving is the CPU of all serving tasks, in thousandths of a processor, by
+	// tenant.
+	serving      map[string]int64
 	batch        placement.BatchDemand
 	idleCapacity placement.IdleCapacity
 }
@@ -15,7 +17,8 @@
 func (c *Controller) demandOf(pool string) *poolDemand {
 	a := c.poolDemand[pool]
 	if a == nil {
-		a = &poolDemand{}
+		a = &poolDemand{serving: make(map[string]int64)}
+		a.batch.GroupLimit = func(name string) int64 { return c.usage.Cap(name).MilliCPU }
 		c.poolDemand[pool] = a
 	}
 	return a
@@ -24,7 +27,7 @@
 // addBatchDemand adds the demand of the batch tasks of a workflow, or of one
 // occurrence of it, that begins at atMillis (Unix milliseconds).
 func (c *Controller) addBatchDemand(spec *state.WorkflowSpec, atMillis int64) {
-	a := placement.Arrival{At: atMillis, Priority: spec.Priority}
+	a := placement.Arrival{At: atMillis, Priority: spec.Priority, Group: spec.Tenant}
 	work := int64(0)
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
@@ -44,11 +47,24 @@
 func (c *Controller) addServingDemand(spec *state.WorkflowSpec, sign int64) {
 	for i := range spec.Steps {
 		if s := &spec.Steps[i]; s.LongRunning {
-			c.demandOf(spec.Pool).serving += sign * int64(s.Count) * s.Size.MilliCPU
+			c.demandOf(spec.Pool).serving[spec.Tenant] += sign * int64(s.Count) * s.Size.MilliCPU
 		}
 	}
 }
 
+// servingDemand returns the CPU of all serving tasks, of each tenant at most what
+// its cap permits.
+func (c *Controller) servingDemand(d *poolDemand) int64 {
+	total := int64(0)
+	for name, cpu := range d.serving {
+		if limit := c.usage.Cap(name).MilliCPU; limit > 0 {
+			cpu = min(cpu, limit)
+		}
+		total += cpu
+	}
+	return total
+}
+
 // ensureShare computes, once per placement pass, how much of a pool serving
 // tasks of a priority may reserve.
 func (c *Controller) ensureShare(name string, p *pool, priority int) {
@@ -67,7 +83,7 @@
 	if len(demand) > 0 {
 		batch = demand[0].Mean
 	}
-	p.shares[priority] = placement.NewBatchReservation(p.workers, placement.BatchReservationSize(capacity, batch, a.serving), demand)
+	p.shares[priority] = placement.NewBatchReservation(p.workers, placement.BatchReservationSize(capacity, batch, c.servingDemand(a)), demand)
 }
 
 // excludeOverShare also excludes workers on which a serving task would use CPU
@@ -107,7 +123,7 @@
 			continue
 		}
 		for _, t := range f.tasks {
-			if t.phase == taskReady && t.step.LongRunning && (smallest == nil || t.step.Size.MilliCPU < smallest.Size.MilliCPU) {
+			if t.phase == taskReady && t.step.LongRunning && c.capAllows(t) && (smallest == nil || t.step.Size.MilliCPU < smallest.Size.MilliCPU) {
 				smallest = t.step
 				if share := p.shares[f.spec.Priority]; share != nil {
 					burstCPU = share.BurstCPU()
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -16,6 +16,7 @@
 	"apricotrouter/placement"
 	"apricotrouter/replica"
 	"apricotrouter/state"
+	"apricotrouter/tenant"
 )
 
 const (
@@ -106,6 +107,9 @@
 	panicTimes     recentPanics
 	unsentCalls    int           // calls that failed locally since the last log entry about them
 	nextUnsentLog  time.Duration // earliest time of the next log entry about them
+	usage          *tenant.Usage // of the tenants by their runs
+	tenants        tenantTable   // whose caps are in usage
+	leftover       leftoverRuns  // of workflows that ended before the activation
 	saving         bool          // the interference model is being committed
 	nextSave       time.Duration
 }
@@ -121,7 +125,7 @@
 	return &Controller{
 		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		interference: placement.NewInterferenceModel(), calls: callQueue{limit: o.Limits.Calls},
-		imageUse: make(map[string]float64), callPool: newCallPool(),
+		imageUse: make(map[string]float64), callPool: newCallPool(), usage: tenant.NewUsage(),
 	}
 }
 
@@ -301,10 +305,13 @@
 	c.dirty = true
 	s := c.opts.Log.State()
 	c.adopted = s.Workflows.Len() > 0
+	c.usage, c.tenants = tenant.NewUsage(), tenantTable{}
+	c.followTenants(s)
 	c.interference, c.saving = placement.RestoreInterferenceModel(s.Interference), false
 	for _, w := range s.PoolWorkers.All() {
 		c.openSession(*w, false)
 	}
+	c.countLeftover(s)
 	c.syncWorkflows(s)
 	event.Log(c.opts.Logger, event.FleetLeaderStarted, slog.Uint64("fence", c.fence), slog.Uint64("applied", s.Index),
 		slog.Int("workers", len(c.sessions)), slog.Int("workflows", len(c.workflows)))
@@ -350,6 +357,7 @@
 		c.publishWaitingWorkflows()
 		c.dirty = true
 	}
+	c.settleLeftover(now)
 	c.saveInterference(now)
 	for _, s := range c.sessions {
 		c.checkTimeouts(s, now)
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -221,6 +221,9 @@
 		if free <= 0 || c.journal.full() {
 			return
 		}
+		if !c.capAllows(t) {
+			continue
+		}
 		if t.phase == taskReady && t.mayStart() {
 			t.expireRefusals(now)
 			request := c.placementRequest(t, &pool{sessions: sessions}, t.avoid)
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -165,7 +165,7 @@
 		job := waitingJob(f, now)
 		expired := job.Expired(wall)
 		for _, t := range f.tasks {
-			if t.phase != taskReady {
+			if t.phase != taskReady || !c.capAllows(t) { // a cap is no lack of capacity
 				continue
 			}
 			d := &kinds[kindOf(t.step)]
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -159,12 +159,7 @@
 			c.pollDue[s] = true
 		})
 	}
-	for k := range s.unknownRuns {
-		if !seen[k] {
-			delete(s.unknownRuns, k)
-			c.dirty = true
-		}
-	}
+	c.forgetUnknownRuns(s, seen)
 	if len(r.Ended) >= maxReportedEnds {
 		return
 	}
@@ -279,10 +274,15 @@
 		c.recordStatus(a, r)
 		return
 	}
-	if lastStop, ok := s.unknownRuns[k]; ok && c.now()-lastStop < stopRetry {
+	u, known := s.unknownRuns[k]
+	if known && c.now()-u.stoppedAt < stopRetry {
 		return
 	}
-	s.unknownRuns[k] = c.now()
+	if !known {
+		u = c.countUnknownRun(r.Position)
+	}
+	u.stoppedAt = c.now()
+	s.unknownRuns[k] = u
 	event.Log(c.opts.Logger, event.TaskStopping, slog.String("workflow", r.Position.Workflow),
 		slog.Int("step", r.Position.Step), slog.Int("index", r.Position.Index), slog.Uint64("run", r.Number),
 		slog.String("worker", s.worker.ID), slog.String("reason", "no record of this run"))
--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -31,7 +31,7 @@
 // that never ran would take it, and keep it, where serving tasks fill the pool.
 func (c *Controller) reserveAfterFailure(a *attempt) {
 	t := a.task
-	if t.step.LongRunning && !t.step.Gang && t.attempt == a && t.reservedOn == nil && !a.session.closed &&
+	if t.step.LongRunning && !t.step.Gang && t.attempt == a && t.reservedOn == nil && !a.session.closed && c.capAllows(t) &&
 		len(c.reserved) < placement.MaxReserved(len(c.sessions)) {
 		c.reserveOn(t, a.session, 0)
 	}
@@ -150,7 +150,7 @@
 // reservedWorker returns the index of the worker on which capacity is set aside
 // for the task, or -1 if the task no longer waits or can't start there.
 func (c *Controller) reservedWorker(t *task, p *pool) int {
-	if p == nil || !t.awaitsRun() || c.workflows[t.workflow.spec.ID] != t.workflow || t.waitsAlone() || !t.mayStart() {
+	if p == nil || !t.awaitsRun() || c.workflows[t.workflow.spec.ID] != t.workflow || t.waitsAlone() || !t.mayStart() || !c.capAllows(t) {
 		return -1
 	}
 	i, found := p.indexOf(t.reservedOn)
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -5,6 +5,7 @@
 // schedule places ready tasks: queues by priority, then workflows by deadline.
 func (c *Controller) schedule() {
 	now := c.now()
+	c.followTenants(c.opts.Log.State())
 	waiting := c.waitingJobs()
 	if len(waiting) == 0 && now < c.nextReport {
 		return
@@ -47,12 +48,18 @@
 // the same workers don't fit either. A serving task that has waited too long
 // and does not fit reserves a worker until enough of it is free.
 func (c *Controller) placeWorkflow(f *workflow, p *pool, j placement.WaitingJob) {
+	if !c.usage.Allows(f.spec.Tenant, f.smallest) {
+		return
+	}
 	unplaceable := unplaceableStep{step: -1}
 	var group *taskGroup
 	for _, t := range f.tasks {
 		if t.phase != taskReady || t.waitsAlone() || !t.mayStart() || j.Restart != t.restarts() && !j.ExceedsShare {
 			continue
 		}
+		if !c.capAllows(t) {
+			continue // other tasks of the class may start; nothing is reserved for this one
+		}
 		t.expireRefusals(c.now())
 		excludedWorkers, avoided := c.excludedWorkers(t, p), t.avoidedWorkers()
 		waited := (c.now() - t.waitingSince).Milliseconds()
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -256,6 +256,11 @@
 	}
 	event.Log(s.logger, event.QueuesChanged, slog.Uint64("version", cfg.Version), slog.String("code", string(result.Code)),
 		slog.Uint64("current", max(result.ObjectVersion, cfg.Version)), slog.Int("queues", len(cfg.Queues)), slog.Int("tenants", len(cfg.Tenants)))
+	s.controller.post(func() {
+		if s.controller.active {
+			s.controller.followTenants(s.group.State())
+		}
+	})
 	return &Response{Outcome: OutcomeDone}
 }
 
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -37,7 +37,7 @@
 	reserved       state.Resources
 	resources      placement.WorkerCapacity // as of the last placement pass
 	resourcesValid bool                     // resources is up to date
-	unknownRuns    map[runKey]time.Duration // runs without a record, with the time of the last stop sent
+	unknownRuns    map[runKey]unknownRun    // runs without a record
 
 	fence        uint64 // of all calls; higher than that of any call to an earlier incarnation
 	polled       bool   // polled in this term, so that all its runs are known
@@ -78,7 +78,7 @@
 
 func newSession(w state.PoolWorker, api Worker) *session {
 	return &session{
-		worker: w, api: api, attempts: make(map[runKey]*attempt), stepRuns: make(stepCounts), unknownRuns: make(map[runKey]time.Duration),
+		worker: w, api: api, attempts: make(map[runKey]*attempt), stepRuns: make(stepCounts), unknownRuns: make(map[runKey]unknownRun),
 	}
 }
 
@@ -174,6 +174,7 @@
 	c.endAllAttempts(s, reason)
 	c.resolveExpired(s.expired)
 	s.expired = nil
+	c.forgetUnknownRuns(s, nil)
 	c.closing[s] = true
 	c.closeCalls(s)
 	if c.sessions[s.worker.ID] == s {
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -28,6 +28,8 @@
 	completedRuns, completedMillis []int64
 	// loads are the load filters of the serving tasks, by step.
 	loads []placement.Load
+	// smallest has, for each resource, the smallest request of any task.
+	smallest state.Resources
 }
 
 // taskPhase is the phase of a task as seen by the leader.
@@ -109,6 +111,10 @@
 		f.tasks[n] = t
 		f.openTasks[t.pos.Occurrence][t.pos.Step]++
 	}
+	f.smallest = spec.Steps[0].Size
+	for i := range spec.Steps {
+		f.smallest = f.smallest.Min(spec.Steps[i].Size)
+	}
 	c.workflows[spec.ID] = f
 	c.addServingDemand(spec, 1)
 	if spec.Occurrences == 0 {
--- a/placement/batch_reservation.go
+++ b/placement/batch_reservation.go
@@ -61,6 +61,9 @@
 // BatchDemand tracks the CPU demand of the batch tasks of a pool.
 type BatchDemand struct {
 	arrivals []Arrival
+	// GroupLimit returns the mean demand of a group above which its tasks can't
+	// run, in thousandths of a processor; 0 means unlimited. It may be nil.
+	GroupLimit func(group string) int64
 }
 
 // Arrival is a group of batch tasks that became ready to be placed at the same
@@ -68,6 +71,7 @@
 type Arrival struct {
 	At       int64 // Unix milliseconds
 	Priority int   // 0 is the most urgent
+	Group    string
 	Tasks    []ArrivalTasks
 }
 
@@ -94,18 +98,23 @@
 // worker, because these fit on no worker.
 func (d *BatchDemand) Of(now, since int64, priority int, limit int64) []SizeDemand {
 	d.arrivals = slices.DeleteFunc(d.arrivals, func(a Arrival) bool { return a.At < now-demandWindow })
+	window := min(demandWindow, max(minDemandWindow, now-since))
+	parts := d.groupParts(priority, limit, window)
 	var ranges [sizeRanges]struct{ work, largest int64 }
 	for _, a := range d.arrivals {
 		if a.Priority > priority || a.exceeds(limit) {
 			continue
 		}
+		part, limited := parts[a.Group]
 		for _, t := range a.Tasks {
 			r := &ranges[sizeRange(t.MilliCPU, limit)]
+			if limited {
+				t.Work = int64(float64(t.Work) * part)
+			}
 			r.work += t.Work
 			r.largest = max(r.largest, t.MilliCPU)
 		}
 	}
-	window := min(demandWindow, max(minDemandWindow, now-since))
 	var demand []SizeDemand
 	work := int64(0)
 	for _, r := range ranges {
@@ -117,6 +126,30 @@
 	return demand
 }
 
+// groupParts returns, for the groups whose demand exceeds their limit, the part
+// of it that is within the limit.
+func (d *BatchDemand) groupParts(priority int, largestWorker, window int64) map[string]float64 {
+	if d.GroupLimit == nil {
+		return nil
+	}
+	work := make(map[string]int64)
+	for _, a := range d.arrivals {
+		if a.Group == "" || a.Priority > priority || a.exceeds(largestWorker) {
+			continue
+		}
+		for _, t := range a.Tasks {
+			work[a.Group] += t.Work
+		}
+	}
+	parts := make(map[string]float64)
+	for group, w := range work {
+		if limit := d.GroupLimit(group); limit > 0 && w/window > limit {
+			parts[group] = float64(limit) * float64(window) / float64(w)
+		}
+	}
+	return parts
+}
+
 func (a *Arrival) exceeds(limit int64) bool {
 	return slices.ContainsFunc(a.Tasks, func(t ArrivalTasks) bool { return t.MilliCPU > limit })
 }
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -28,10 +29,42 @@
 		r.ObjectVersion = tx.Queues.Version
 		return r
 	}
+	b.Config.FormerTenants = tx.formerTenants(b.Config.Tenants)
 	tx.Queues = &b.Config
 	return tx.changed(object)
 }
 
+// formerTenants returns the tenants that are not among the given ones any more
+// and have open workflows. If there are no tenants, nothing is limited by them.
+func (tx *txn) formerTenants(tenants []Tenant) []Tenant {
+	if tx.Queues == nil || len(tenants) == 0 {
+		return nil
+	}
+	former := make(map[string]Tenant)
+	for _, t := range slices.Concat(tx.Queues.FormerTenants, tx.Queues.Tenants) {
+		t.Keys = nil
+		former[t.Name] = t
+	}
+	for _, t := range tenants {
+		delete(former, t.Name)
+	}
+	open := make(map[string]Tenant)
+	if len(former) > 0 {
+		for id := range tx.OpenWorkflows() {
+			if w, ok := tx.Workflows.Get(id); ok {
+				if t, removed := former[w.Spec.Tenant]; removed {
+					open[t.Name] = t
+				}
+			}
+		}
+	}
+	var all []Tenant
+	for _, name := range slices.Sorted(maps.Keys(open)) {
+		all = append(all, open[name])
+	}
+	return all
+}
+
 func (tx *txn) setEvacuation(b *SetEvacuation) Result {
 	if b.Evacuate {
 		tx.Evacuated = tx.Evacuated.Put(b.Zone, b.Zone)
@@ -105,6 +138,7 @@
 // endWorkflow stores an ended workflow without its tasks, steps and payload.
 // The remaining fields are those that clients can still query.
 func (tx *txn) endWorkflow(w *Workflow, phase WorkflowPhase) {
+	w.RunningAtEnd = w.running()
 	w.Phase, w.EndedAt, w.Tasks = phase, tx.now, nil
 	w.Spec.Steps, w.Spec.Payload = nil, ""
 	tx.workflows.put(w.Spec.ID, w)
@@ -112,6 +146,21 @@
 	tx.endedWorkflows.put(endedWorkflowKey(w), w.Spec.ID)
 }
 
+// running returns the total size of the tasks of a tenant's workflow that are
+// recorded as started. Without a tenant, nothing is limited by it.
+func (w *Workflow) running() Resources {
+	var total Resources
+	if w.Spec.Tenant == "" {
+		return total
+	}
+	for i := range w.Tasks {
+		if w.Tasks[i].Phase == TaskStarted {
+			total = total.Add(w.Spec.Steps[w.Spec.Position(i).Step].Size)
+		}
+	}
+	return total
+}
+
 func endedWorkflowKey(w *Workflow) string { return key(fmt.Sprintf("%016x", w.EndedAt), w.Spec.ID) }
 
 // recordTasks applies the ends before the starts, because one command may
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -58,6 +58,9 @@
 	Pools   []Pool          `cbor:"4,keyasint"`
 	// Tenants are the callers with keys. If there are none, keys are ignored.
 	Tenants []Tenant `cbor:"5,keyasint,omitempty"`
+	// FormerTenants are tenants that a newer configuration removed while they had
+	// open workflows, without their keys. Their caps still apply.
+	FormerTenants []Tenant `cbor:"6,keyasint,omitempty"`
 }
 
 // Queue returns the queue with the name, or nil.
@@ -278,6 +281,9 @@
 	Tasks       []WorkflowTask `cbor:"5,keyasint,omitempty"`
 	// Reason is why the workflow was given up; empty if it was not.
 	Reason string `cbor:"6,keyasint,omitempty"`
+	// RunningAtEnd is the total size of the tasks that were recorded as started
+	// when the workflow ended. Their runs may take some time to stop.
+	RunningAtEnd Resources `cbor:"7,keyasint,omitempty"`
 }
 
 // PoolWorker is one incarnation of a worker that runs tasks of workflows. It is
--- a/tenant/table.go
+++ b/tenant/table.go
@@ -16,9 +16,17 @@
 	byName map[string]*state.Tenant
 }
 
-// NewTable returns the table of a valid configuration.
-func NewTable(tenants []state.Tenant) *Table {
+// NewTable returns the table of a valid configuration, which may be nil. Former
+// tenants have no keys.
+func NewTable(c *state.QueueConfig) *Table {
+	if c == nil || len(c.Tenants) == 0 {
+		return nil
+	}
+	tenants := c.Tenants
 	t := &Table{byKey: make(map[Hash]*state.Tenant, len(tenants)), byName: make(map[string]*state.Tenant, len(tenants))}
+	for i := range c.FormerTenants {
+		t.byName[c.FormerTenants[i].Name] = &c.FormerTenants[i]
+	}
 	for i := range tenants {
 		t.byName[tenants[i].Name] = &tenants[i]
 		for _, k := range tenants[i].Keys {
--- a/tenant/table_test.go
+++ b/tenant/table_test.go
@@ -27,7 +27,7 @@
 		{Name: "c", Weight: 3},
 	}
 	g.Expect(tenant.Check(tenants)).To(Succeed())
-	table := tenant.NewTable(tenants)
+	table := tenant.NewTable(&state.QueueConfig{Tenants: tenants})
 	g.Expect(table.ByKey(key("k1")).Name).To(Equal("a"))
 	g.Expect(table.ByKey(key("k2")).Name).To(Equal("a"))
 	g.Expect(table.ByKey(key("k3")).Name).To(Equal("b"))
