tenant: shares by weight while more waits than fits

Cause: within a priority, waiting workflows start by deadline, so that the tenant that submits most gets most of an insufficient capacity.

Change: while the waiting tasks of a pool, without what the caps hold back, ask for more than is free there, its waiting workflows also have the priority of their tenant (Rank) and the weighted dominant share that the tenant has when half of the workflow has started (Share, tenant.Keys), computed from what the tenant has running on all workers. Both are new sort keys of placement.OrderJobs; they are zero otherwise, and the order is as before. Late work of a tenant below its share precedes work in time of one above it; work without use and serving tasks keep their places. Workflows beyond the weight of a tenant per second (tenant.RateMeter) come after all others that are of use.

Tests of tenant and placement pass.

--- a/fleet/authorize.go
+++ b/fleet/authorize.go
@@ -35,6 +35,8 @@
 type tenantTable struct {
 	config *state.QueueConfig
 	table  *tenant.Table
+	// lowestRank is the lowest priority of any tenant.
+	lowestRank int
 }
 
 // tableOf returns the tenants of a configuration.
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -105,12 +106,13 @@
 	calls          callQueue              // to workers
 	callPool       *callPool
 	panicTimes     recentPanics
-	unsentCalls    int           // calls that failed locally since the last log entry about them
-	nextUnsentLog  time.Duration // earliest time of the next log entry about them
-	usage          *tenant.Usage // of the tenants by their runs
-	tenants        tenantTable   // whose caps are in usage
-	leftover       leftoverRuns  // of workflows that ended before the activation
-	saving         bool          // the interference model is being committed
+	unsentCalls    int                          // calls that failed locally since the last log entry about them
+	nextUnsentLog  time.Duration                // earliest time of the next log entry about them
+	usage          *tenant.Usage                // of the tenants by their runs
+	tenants        tenantTable                  // whose caps are in usage
+	leftover       leftoverRuns                 // of workflows that ended before the activation
+	rates          map[string]*tenant.RateMeter // of submissions, by tenant
+	saving         bool                         // the interference model is being committed
 	nextSave       time.Duration
 }
 
@@ -305,14 +307,14 @@
 	c.dirty = true
 	s := c.opts.Log.State()
 	c.adopted = s.Workflows.Len() > 0
-	c.usage, c.tenants = tenant.NewUsage(), tenantTable{}
+	c.usage, c.tenants, c.rates = tenant.NewUsage(), tenantTable{}, make(map[string]*tenant.RateMeter)
 	c.followTenants(s)
 	c.interference, c.saving = placement.RestoreInterferenceModel(s.Interference), false
 	for _, w := range s.PoolWorkers.All() {
 		c.openSession(*w, false)
 	}
 	c.countLeftover(s)
-	c.syncWorkflows(s)
+	c.openWorkflows(s)
 	event.Log(c.opts.Logger, event.FleetLeaderStarted, slog.Uint64("fence", c.fence), slog.Uint64("applied", s.Index),
 		slog.Int("workers", len(c.sessions)), slog.Int("workflows", len(c.workflows)))
 }
@@ -410,6 +412,23 @@
 	}
 }
 
+// openWorkflows opens all workflows in the order of their submission, in which
+// the rates of the tenants are measured.
+func (c *Controller) openWorkflows(s *state.State) {
+	var all []*state.Workflow
+	for id := range s.OpenWorkflows() {
+		if w, ok := s.Workflows.Get(id); ok {
+			all = append(all, w)
+		}
+	}
+	slices.SortFunc(all, func(a, b *state.Workflow) int {
+		return cmp.Or(cmp.Compare(a.SubmittedAt, b.SubmittedAt), cmp.Compare(a.Spec.ID, b.Spec.ID))
+	})
+	for _, w := range all {
+		c.syncWorkflow(s, w.Spec.ID)
+	}
+}
+
 // syncWorkflow opens a workflow if it is new and closes it if it has ended.
 func (c *Controller) syncWorkflow(s *state.State, id string) {
 	w, ok := s.Workflows.Get(id)
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -18,6 +18,9 @@
 	}
 	c.placeReserved(pools)
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
+	if c.applyShares(waiting, pools) {
+		placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
+	}
 	for _, j := range waiting {
 		pool := c.workflows[j.ID].spec.Pool
 		if p := pools[pool]; p != nil && j.Serving {
--- a/fleet/tenant_usage.go
+++ b/fleet/tenant_usage.go
@@ -35,6 +35,11 @@
 		return
 	}
 	c.tenants = tenantTable{config: s.Queues, table: tenant.NewTable(s.Queues)}
+	if s.Queues != nil {
+		for i := range s.Queues.Tenants {
+			c.tenants.lowestRank = max(c.tenants.lowestRank, s.Queues.Tenants[i].Priority)
+		}
+	}
 	c.usage.SetTable(c.tenants.table)
 	c.dirty = true
 }
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -30,6 +30,9 @@
 	loads []placement.Load
 	// smallest has, for each resource, the smallest request of any task.
 	smallest state.Resources
+	// excess is set if the tenant submitted more workflows per second than its
+	// weight.
+	excess bool
 }
 
 // taskPhase is the phase of a task as seen by the leader.
@@ -111,6 +114,7 @@
 		f.tasks[n] = t
 		f.openTasks[t.pos.Occurrence][t.pos.Step]++
 	}
+	f.excess = c.exceedsRate(spec.Tenant, w.SubmittedAt)
 	f.smallest = spec.Steps[0].Size
 	for i := range spec.Steps {
 		f.smallest = f.smallest.Min(spec.Steps[i].Size)
--- a/placement/job_order.go
+++ b/placement/job_order.go
@@ -24,6 +24,13 @@
 	// Restart is set when only those tasks of a serving job are considered that
 	// ran before.
 	Restart bool
+	// Rank and Share order the jobs of tenants while more waits than fits: by the
+	// priority of the tenant, then by the share that it has before the job starts.
+	// Excess is set if the tenant submitted more than it is entitled to. All are
+	// zero otherwise.
+	Rank   int
+	Share  float64
+	Excess bool
 }
 
 // maxServingWait is how long tasks of serving jobs wait for free capacity in
@@ -45,8 +52,9 @@
 // orderClass groups the jobs of a priority in the order in which they are
 // placed: tasks of serving jobs that have lost their run, whose users miss them,
 // serving jobs that have waited too long, jobs that can still meet
-// their objective, jobs that can end before LateDeadline, serving jobs that
-// exceed their share, and all others.
+// their objective, jobs that can end before LateDeadline, those of them that
+// their tenant is not entitled to, serving jobs that exceed their share, and all
+// others.
 type orderClass uint8
 
 const (
@@ -54,6 +62,7 @@
 	orderStarved
 	orderOnTime
 	orderLate
+	orderExcess
 	orderBeyondShare
 	orderExpired
 )
@@ -71,11 +80,21 @@
 // the pool, by tasks that never ran: these would keep the freed capacity.
 func OrderJobs(now int64, jobs []WaitingJob) {
 	slices.SortFunc(jobs, func(a, b WaitingJob) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.orderClass(now), b.orderClass(now)),
-			cmp.Compare(a.Deadline, b.Deadline), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority),
+			cmp.Compare(a.shareClass(now), b.shareClass(now)), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Share, b.Share),
+			cmp.Compare(a.orderClass(now), b.orderClass(now)), cmp.Compare(a.Deadline, b.Deadline), cmp.Compare(a.ID, b.ID))
 	})
 }
 
+// shareClass groups the jobs among which the shares of tenants decide: late work
+// of a tenant below its share precedes work of another above it.
+func (j *WaitingJob) shareClass(now int64) orderClass {
+	if c := j.orderClass(now); c != orderLate {
+		return c
+	}
+	return orderOnTime
+}
+
 // Expired reports whether the job can no longer end before LateDeadline. now is
 // in Unix milliseconds.
 func (j *WaitingJob) Expired(now int64) bool { return j.orderClass(now) == orderExpired }
@@ -89,6 +108,8 @@
 		return orderStarved
 	case j.ExceedsShare:
 		return orderBeyondShare
+	case j.Excess && (j.Serving || end <= j.LateDeadline):
+		return orderExcess
 	case j.Serving || end <= j.Deadline:
 		return orderOnTime
 	case end <= j.LateDeadline:
--- a/tenant/usage.go
+++ b/tenant/usage.go
@@ -21,18 +21,11 @@
 // SetTable sets the tenants whose caps apply. Runs above a lowered cap continue.
 func (u *Usage) SetTable(t *Table) { u.table = t }
 
-// Add counts a run of a tenant.
-func (u *Usage) Add(tenant string, size state.Resources) {
-	if tenant != "" {
-		u.used[tenant] = u.used[tenant].Add(size)
-	}
-}
+// Add counts a run of a tenant; "" stands for callers without one.
+func (u *Usage) Add(tenant string, size state.Resources) { u.used[tenant] = u.used[tenant].Add(size) }
 
 // Remove ends a counted run of a tenant.
 func (u *Usage) Remove(tenant string, size state.Resources) {
-	if tenant == "" {
-		return
-	}
 	if left := u.used[tenant].Sub(size); left.IsZero() {
 		delete(u.used, tenant)
 	} else {
