replica: commands of up to 4 MiB

Cause: a configuration may have 10,000 tenants. One with a key and a cap for each has 1.27 MB as a document and 2.0 MB as a command, above the limit of 1 MiB; the operator got 503.

Change: MaxCommandBytes is 4 MiB. One such entry and the others of its packet fit into a frame of 8 MiB. A configuration of up to 8 MiB, the limit of the body, still doesn't fit if it has more than about 4 MB.

Not measured over links of 2 Mbit/s.

--- a/replica/options.go
+++ b/replica/options.go
@@ -34,8 +34,9 @@
 const leaseRateMargin = 1.01
 
 // MaxCommandBytes is the maximum size of an encoded command body that Propose
-// accepts.
-const MaxCommandBytes = 1 << 20
+// accepts. A configuration of 10,000 tenants has 2 MB. A packet also carries up
+// to packetBytes of other entries and must fit into a frame of the transport.
+const MaxCommandBytes = 4 << 20
 
 // Options configures a replica. Self, Peers, SeedInstances and Mux are
 // required.
