tenant: events and metrics of quotas, shares and refused calls

Cause: operators could not see why the work of a tenant waits, nor that calls lack a key; one log line for each such call would be unbounded.

Change: events 844 (a tenant waits for its quota; at most one line in 10 s for each tenant and ten per report), 845 (shares decide the order; one line per second) and 846 (calls answered 401, with their number; one line per second on the leader, none on entry instances). Gauges of use, cap, held tasks and missing share by tenant, for the 50 tenants with the highest weights; the others are added up.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -70,6 +70,12 @@
 		"evacuation of an availability zone changed", "No task is started on the workers of an evacuated zone.")
 	CapacityReserved = define(843, "capacity-reserved", slog.LevelInfo,
 		"setting capacity aside for a serving task", "The task has lost its run. It starts on this worker unless another has room, once enough batch tasks have ended there. Nothing to do unless the same task repeats.")
+	TenantHeldBack = define(844, "tenant-waits-for-its-quota", slog.LevelInfo,
+		"tenant waits for its quota", "At most one line in 10 s for each tenant, and ten lines per second: tasks of the tenant wait because its cap permits no further start. `milli_cpu`, `memory_mib` and `accelerators` are what its runs use, `cap_` what they may use (0 is unlimited). The tasks start when runs of the tenant end. Raise the cap in the configuration, or nothing to do.")
+	TenantShares = define(845, "tenant-shares", slog.LevelInfo,
+		"shares of tenants decide the order", "At most one line per second while more waits than fits: the tenant that lacks most of its share and the one that exceeds its share most, in parts of the capacity of their dominant resource. A share that is missing for more than the duration of the running tasks points to tasks that fit nowhere; see `pool-room`.")
+	CallUnauthorized = define(846, "call-unauthorized", slog.LevelWarn,
+		"calls without the key of a tenant were refused", "At most one line per second on the leader: the number of client calls that were answered 401 since the last line, and the operation, host and path of the last one. `key` is whether it had a key, which is not in the configuration of this `config_version`. Check the keys in the configuration with the caller.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
 		"refused heartbeat", "The report could not be decoded or names no usable worker. Check its sender.")
 )
--- a/fleet/authorize.go
+++ b/fleet/authorize.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
+	"sync"
+	"time"
 
+	"apricotrouter/event"
 	"apricotrouter/state"
 	"apricotrouter/tenant"
 )
@@ -37,6 +41,7 @@
 	table  *tenant.Table
 	// lowestRank is the lowest priority of any tenant.
 	lowestRank int
+	labels     map[string]bool // tenants with metrics of their own
 }
 
 // tableOf returns the tenants of a configuration.
@@ -67,11 +72,41 @@
 	case st.Queues == nil:
 		return nil, caller{}, &Response{Outcome: OutcomeUnavailable, Reason: "no configuration yet"}
 	case !ok:
+		s.unauthorized.log(s, st.Queues.Version, req)
 		return nil, caller{}, &Response{Outcome: OutcomeUnauthorized, Reason: "the call needs the key of a tenant"}
 	}
 	return st, c, nil
 }
 
+// unauthorizedLogInterval is the minimum interval between log entries about calls
+// without the key of a tenant. Clients may make any number of them.
+const unauthorizedLogInterval = time.Second
+
+// unauthorizedLog counts the calls without the key of a tenant since the last
+// log entry.
+type unauthorizedLog struct {
+	mu    sync.Mutex
+	calls int
+	next  time.Time // earliest time of the next entry
+}
+
+func (l *unauthorizedLog) log(s *Service, version uint64, req *Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	now := s.controller.opts.Clock.Now()
+	if now.Before(l.next) {
+		return
+	}
+	event.Log(s.logger, event.CallUnauthorized, slog.Int("calls", l.calls), slog.String("operation", req.Op.String()),
+		slog.String("host", clip(req.Host)), slog.String("path", clip(req.Path)), slog.Bool("key", len(req.Key) > 0),
+		slog.Uint64("config_version", version))
+	l.calls, l.next = 0, now.Add(unauthorizedLogInterval)
+}
+
+// clip bounds a text that a client sent, for logs.
+func clip(s string) string { return s[:min(len(s), maxNameBytes)] }
+
 // identify returns the caller, and false if the call lacks the key of a tenant
 // and its queue does not permit that.
 func (s *Service) identify(cfg *state.QueueConfig, req *Request) (caller, bool) {
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -112,6 +112,8 @@
 	tenants        tenantTable                  // whose caps are in usage
 	leftover       leftoverRuns                 // of workflows that ended before the activation
 	rates          map[string]*tenant.RateMeter // of submissions, by tenant
+	sharesApply    bool                         // shares decided the order of the last placement pass
+	quotaLogged    map[string]time.Duration     // last log entry about a tenant that waits for its quota
 	saving         bool                         // the interference model is being committed
 	nextSave       time.Duration
 }
@@ -308,6 +310,7 @@
 	s := c.opts.Log.State()
 	c.adopted = s.Workflows.Len() > 0
 	c.usage, c.tenants, c.rates = tenant.NewUsage(), tenantTable{}, make(map[string]*tenant.RateMeter)
+	c.sharesApply, c.quotaLogged = false, make(map[string]time.Duration)
 	c.followTenants(s)
 	c.interference, c.saving = placement.RestoreInterferenceModel(s.Interference), false
 	for _, w := range s.PoolWorkers.All() {
--- a/fleet/harness_test.go
+++ b/fleet/harness_test.go
@@ -77,7 +77,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = c.Run(ctx) }()
 	mux := transport.NewMux()
-	h.service = fleet.NewService(g, c, mux, nil)
+	h.service = fleet.NewService(g, c, mux, opts.Logger)
 	h.client = fleet.NewClient(fleet.ClientOptions{
 		Peers: transport.NewMesh(transport.MeshOptions{Self: "memory", Mux: mux}),
 		Seeds: func() []string { return []string{"memory"} },
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -24,6 +24,9 @@
 	late        *prometheus.CounterVec
 	processors  *prometheus.GaugeVec
 	waiting     *prometheus.GaugeVec
+	tenantUse   *prometheus.GaugeVec
+	tenantHeld  *prometheus.GaugeVec
+	tenantShare *prometheus.GaugeVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -79,9 +82,18 @@
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "apricotrouter_fleet_waiting_tasks", Help: "Tasks that waited for a worker after the last round of placement, by pool and kind.",
 		}, []string{"pool", "kind"}),
+		tenantUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_tenant_processors", Help: "Processors that the runs of a tenant use as declared, and its cap (0 is unlimited), by use. The 50 tenants with the highest weights are named.",
+		}, []string{"tenant", "use"}),
+		tenantHeld: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_tenant_held_tasks", Help: "Tasks that wait because of the cap of their tenant.",
+		}, []string{"tenant"}),
+		tenantShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_tenant_missing_share", Help: "Part of the capacity of its dominant resource that a tenant lacks of its share; negative above its share.",
+		}, []string{"tenant"}),
 	}
 	if r != nil {
-		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting)
+		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting, m.tenantUse, m.tenantHeld, m.tenantShare)
 	}
 	return m
 }
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -69,6 +69,7 @@
 		return
 	}
 	c.nextReport = now + occupancyLogInterval
+	c.reportTenants(now)
 	occupancies := make(map[string]occupancy, len(pools))
 	for name, p := range pools {
 		occupancies[name] = p.occupancy()
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -18,7 +18,7 @@
 	}
 	c.placeReserved(pools)
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
-	if c.applyShares(waiting, pools) {
+	if c.sharesApply = c.applyShares(waiting, pools); c.sharesApply {
 		placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
 	}
 	for _, j := range waiting {
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -32,7 +32,8 @@
 	logger     *slog.Logger
 	metrics    *metrics
 	// tenants is the table of the last configuration that was used.
-	tenants atomic.Pointer[tenantTable]
+	tenants      atomic.Pointer[tenantTable]
+	unauthorized unauthorizedLog
 }
 
 // NewService registers the handler of calls from other instances.
--- a/fleet/tenant_usage.go
+++ b/fleet/tenant_usage.go
@@ -36,6 +36,7 @@
 	}
 	c.tenants = tenantTable{config: s.Queues, table: tenant.NewTable(s.Queues)}
 	if s.Queues != nil {
+		c.tenants.labels = tenantLabels(s.Queues)
 		for i := range s.Queues.Tenants {
 			c.tenants.lowestRank = max(c.tenants.lowestRank, s.Queues.Tenants[i].Priority)
 		}
--- a/tenant/usage.go
+++ b/tenant/usage.go
@@ -1,6 +1,11 @@
 package tenant
 
-import "apricotrouter/state"
+import (
+	"iter"
+	"maps"
+
+	"apricotrouter/state"
+)
 
 // Usage is what the runs of each tenant use. It addresses a tenant with more
 // work than it may run at the same time: nothing of it starts above its cap,
@@ -36,6 +41,9 @@
 // Of returns what the runs of a tenant use.
 func (u *Usage) Of(tenant string) state.Resources { return u.used[tenant] }
 
+// All yields the tenants with runs and what these use.
+func (u *Usage) All() iter.Seq2[string, state.Resources] { return maps.All(u.used) }
+
 // Cap returns the cap of a tenant. 0 means that a resource is unlimited.
 func (u *Usage) Cap(tenant string) state.Resources {
 	if t := u.table.ByName(tenant); t != nil {
