--- a/event/fleet.go
+++ b/event/fleet.go
@@ -76,6 +76,12 @@
 		"run times of an image have changed", "Recent runs differ clearly from the learned distribution, as after the release of another version of the image; it was learned anew from them. `ratio` is the geometric mean of actual over declared run times. At most one line per second; all changes are counted in the metrics. If it follows a release, check that the declared run times still hold.")
 	WorkerSpeedChanged = define(845, "worker-speed-changed", slog.LevelInfo,
 		"worker is slow, or no longer slow", "By the run times of several of its tasks compared with those on other workers (`slowdown`, 1 if not slow; `run_ratio` of the last run to the median). Tasks that end go there last. At most one line per second; all changes are counted in the metrics. If a worker remains slow, check its machine.")
+	TenantHeldBack = define(847, "tenant-waits-for-its-quota", slog.LevelInfo,
+		"tenant waits for its quota", "At most one line in 10 s for each tenant, and ten lines per second: tasks of the tenant wait because its cap permits no further start. `milli_cpu`, `memory_mib` and `accelerators` are what its runs use, `cap_` what they may use (0 is unlimited). The tasks start when runs of the tenant end. Raise the cap in the configuration, or nothing to do.")
+	TenantShares = define(848, "tenant-shares", slog.LevelInfo,
+		"shares of tenants decide the order", "At most one line per second while more waits than fits: the tenant that lacks most of its share and the one that exceeds its share most, in parts of the capacity of their dominant resource. A share that is missing for more than the duration of the running tasks points to tasks that fit nowhere; see `pool-room`.")
+	CallUnauthorized = define(849, "call-unauthorized", slog.LevelWarn,
+		"calls without the key of a tenant were refused", "At most one line per second on the leader: the number of client calls that were answered 401 since the last line, and the operation, host and path of the last one. `key` is whether it had a key, which is not in the configuration of this `config_version`. Check the keys in the configuration with the caller.")
 	PoolShort = define(861, "pool-short", slog.LevelInfo,
 		"shortage of a pool began or ended", "While `short` is true, more work waits than fits: useless work comes last, workflows in progress and those with the highest value per work left come first. The fields give what waits and what is free. If it persists, the pool is too small for the demand.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -17,6 +18,7 @@
 	"apricotrouter/placement"
 	"apricotrouter/replica"
 	"apricotrouter/state"
+	"apricotrouter/tenant"
 )
 
 const (
@@ -113,9 +115,15 @@
 	calls          callQueue          // to workers
 	callPool       *callPool
 	panicTimes     recentPanics
-	unsentCalls    int           // calls that failed locally since the last log entry about them
-	nextUnsentLog  time.Duration // earliest time of the next log entry about them
-	saving         bool          // the interference model is being committed
+	unsentCalls    int                          // calls that failed locally since the last log entry about them
+	nextUnsentLog  time.Duration                // earliest time of the next log entry about them
+	usage          *tenant.Usage                // of the tenants by their runs
+	tenants        tenantTable                  // whose caps are in usage
+	leftover       leftoverRuns                 // of workflows that ended before the activation
+	submissions    map[string]*tenant.RateMeter // rates of submissions, by tenant
+	sharesApply    bool                         // shares decided the order of the last placement pass
+	quotaLogged    map[string]time.Duration     // last log entry about a tenant that waits for its quota
+	saving         bool                         // the interference model is being committed
 	nextSave       time.Duration
 }
 
@@ -131,7 +139,7 @@
 		opts: o, metrics: newMetrics(o.Registerer), started: o.Clock.Now(), inbox: make(chan func(), inboxSize), done: make(chan struct{}),
 		learned:      newLearned(),
 		interference: placement.NewInterferenceModel(), calls: callQueue{limit: o.Limits.Calls},
-		imageUse: make(map[string]float64), callPool: newCallPool(),
+		imageUse: make(map[string]float64), callPool: newCallPool(), usage: tenant.NewUsage(),
 	}
 	c.resetAdmission()
 	return c
@@ -315,11 +323,15 @@
 	c.dirty = true
 	s := c.opts.Log.State()
 	c.adopted = s.Workflows.Len() > 0
+	c.usage, c.tenants, c.submissions = tenant.NewUsage(), tenantTable{}, make(map[string]*tenant.RateMeter)
+	c.sharesApply, c.quotaLogged = false, make(map[string]time.Duration)
+	c.followTenants(s)
 	c.interference, c.saving = placement.RestoreInterferenceModel(s.Interference), false
 	for _, w := range s.PoolWorkers.All() {
 		c.openSession(*w, false)
 	}
-	c.syncWorkflows(s)
+	c.countLeftover(s)
+	c.openWorkflows(s)
 	event.Log(c.opts.Logger, event.FleetLeaderStarted, slog.Uint64("fence", c.fence), slog.Uint64("applied", s.Index),
 		slog.Int("workers", len(c.sessions)), slog.Int("workflows", len(c.workflows)))
 }
@@ -367,6 +379,7 @@
 		c.publishWaitingWorkflows()
 		c.dirty = true
 	}
+	c.settleLeftover(now)
 	c.saveInterference(now)
 	for _, s := range c.sessions {
 		c.checkTimeouts(s, now)
@@ -419,6 +432,23 @@
 	}
 }
 
+// openWorkflows opens all workflows in the order of their submission, in which
+// the rates of the tenants are measured.
+func (c *Controller) openWorkflows(s *state.State) {
+	var all []*state.Workflow
+	for id := range s.OpenWorkflows() {
+		if w, ok := s.Workflows.Get(id); ok {
+			all = append(all, w)
+		}
+	}
+	slices.SortFunc(all, func(a, b *state.Workflow) int {
+		return cmp.Or(cmp.Compare(a.SubmittedAt, b.SubmittedAt), cmp.Compare(a.Spec.ID, b.Spec.ID))
+	})
+	for _, w := range all {
+		c.syncWorkflow(s, w.Spec.ID)
+	}
+}
+
 // syncWorkflow opens a workflow if it is new and closes it if it has ended.
 func (c *Controller) syncWorkflow(s *state.State, id string) {
 	w, ok := s.Workflows.Get(id)
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -24,6 +24,9 @@
 	late        *prometheus.CounterVec
 	processors  *prometheus.GaugeVec
 	waiting     *prometheus.GaugeVec
+	tenantUse   *prometheus.GaugeVec
+	tenantHeld  *prometheus.GaugeVec
+	tenantShare *prometheus.GaugeVec
 	short       *prometheus.GaugeVec
 	drain       *prometheus.GaugeVec
 	refused     *prometheus.CounterVec
@@ -118,10 +121,20 @@
 			Name: "apricotrouter_fleet_retry_after_seconds", Help: "Time after which refused submissions may be sent again.",
 			Buckets: []float64{1, 2, 5, 10, 20, 50, 100, 200},
 		}),
+		tenantUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_tenant_processors", Help: "Processors that the runs of a tenant use as declared, and its cap (0 is unlimited), by use. The 50 tenants with the highest weights are named.",
+		}, []string{"tenant", "use"}),
+		tenantHeld: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_tenant_held_tasks", Help: "Tasks that wait because of the cap of their tenant.",
+		}, []string{"tenant"}),
+		tenantShare: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_tenant_missing_share", Help: "Part of the capacity of its dominant resource that a tenant lacks of its share; negative above its share.",
+		}, []string{"tenant"}),
 	}
 	if r != nil {
 		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting,
-			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers, m.short, m.drain, m.refused, m.retryAfter)
+			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers, m.short, m.drain, m.refused, m.retryAfter,
+			m.tenantUse, m.tenantHeld, m.tenantShare)
 	}
 	return m
 }
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -69,6 +69,7 @@
 		return
 	}
 	c.nextReport = now + occupancyLogInterval
+	c.reportTenants(now)
 	occupancies := make(map[string]occupancy, len(pools))
 	for name, p := range pools {
 		occupancies[name] = p.occupancy()
@@ -165,7 +166,7 @@
 		job := c.waitingJob(f, now)
 		expired := job.Expired(wall)
 		for _, t := range f.tasks {
-			if t.phase != taskReady {
+			if t.phase != taskReady || !c.capAllows(t) { // a cap is no lack of capacity
 				continue
 			}
 			d := &kinds[kindOf(t.step)]
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -10,6 +10,7 @@
 // where more work waits than fits, by value.
 func (c *Controller) schedule() {
 	now := c.now()
+	c.followTenants(c.opts.Log.State())
 	waiting := c.waitingJobs()
 	if len(waiting) == 0 {
 		c.clearBacklogs()
@@ -27,24 +28,35 @@
 	c.placeReserved(pools)
 	jobs := c.rankJobs(now, waiting, pools)
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
+	if c.sharesApply = c.applyShares(waiting, pools); c.sharesApply {
+		placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
+	}
 	for _, j := range waiting {
 		pool := c.workflows[j.ID].spec.Pool
 		if p := pools[pool]; p != nil && j.Serving {
 			c.ensureShare(pool, p, j.Priority)
 		}
 	}
-	c.placeJobs(pools, waiting)
+	if !c.placeJobs(pools, waiting) {
+		c.backlogs.Store(nil) // capacity may be free for the rest
+		return
+	}
 	// Best-effort tasks that found no worker for the full rate.
 	for _, p := range pools {
 		p.reducedRates = true
 	}
-	c.placeJobs(pools, slices.DeleteFunc(waiting, func(j placement.WaitingJob) bool {
+	if !c.placeJobs(pools, slices.DeleteFunc(waiting, func(j placement.WaitingJob) bool {
 		return j.Restart || j.ExceedsShare || !c.workflows[j.ID].bestEffortWaits()
-	}))
+	})) {
+		c.backlogs.Store(nil)
+		return
+	}
+	c.publishBacklogs(now, pools, jobs)
 }
 
-// placeJobs places the ready tasks of jobs in their order.
-func (c *Controller) placeJobs(pools map[string]*pool, jobs []placement.WaitingJob) {
+// placeJobs places the ready tasks of jobs in their order. It returns false if
+// the journal was full before the last job.
+func (c *Controller) placeJobs(pools map[string]*pool, jobs []placement.WaitingJob) bool {
 	for _, j := range jobs {
 		f := c.workflows[j.ID]
 		if p := pools[f.spec.Pool]; p != nil && !j.Starved() && !j.Restart {
@@ -52,8 +64,7 @@
 		}
 		if c.journal.full() {
 			c.dirty = true
-			c.backlogs.Store(nil) // capacity may be free for the rest
-			return
+			return false
 		}
 		if p := pools[f.spec.Pool]; p != nil {
 			if j.ExceedsShare {
@@ -63,7 +74,7 @@
 			c.placeWorkflow(f, p, j)
 		}
 	}
-	c.publishBacklogs(now, pools, jobs)
+	return true
 }
 
 // placeWorkflow places the ready tasks of a workflow. Tasks of a step differ
@@ -71,12 +82,18 @@
 // the same workers don't fit either. A serving task that has waited too long
 // and does not fit reserves a worker until enough of it is free.
 func (c *Controller) placeWorkflow(f *workflow, p *pool, j placement.WaitingJob) {
+	if !c.usage.Allows(f.spec.Tenant, f.smallest) {
+		return
+	}
 	unplaceable := unplaceableStep{step: -1}
 	var group *taskGroup
 	for _, t := range f.tasks {
 		if t.phase != taskReady || t.waitsAlone() || !t.mayStart() || j.Restart != t.restarts() && !j.ExceedsShare || p.reducedRates && !t.step.BestEffort {
 			continue
 		}
+		if !c.capAllows(t) {
+			continue // other tasks of the class may start; nothing is reserved for this one
+		}
 		t.expireRefusals(c.now())
 		excludedWorkers, avoided := c.excludedWorkers(t, p), t.avoidedWorkers()
 		waited := (c.now() - t.waitingSince).Milliseconds()
--- a/placement/job_order.go
+++ b/placement/job_order.go
@@ -30,6 +30,11 @@
 	// Rank is the place of the job, from 1, in the order of admission.Order among
 	// the jobs of a pool in which more work waits than fits; otherwise 0.
 	Rank int
+	// Share orders the jobs of tenants while more waits than fits: it is the share
+	// that the tenant has before the job starts. Excess is set if the tenant
+	// submitted more than it is entitled to. Both are zero otherwise.
+	Share  float64
+	Excess bool
 }
 
 // maxServingWait is how long tasks of serving jobs wait for free capacity in
@@ -51,8 +56,9 @@
 // orderClass groups the jobs of a priority in the order in which they are
 // placed: tasks of serving jobs that have lost their run, whose users miss them,
 // serving jobs that have waited too long, jobs that can still meet
-// their objective, jobs that can end before LateDeadline, serving jobs that
-// exceed their share, and all others.
+// their objective, jobs that can end before LateDeadline, those of them that
+// their tenant is not entitled to, serving jobs that exceed their share, and all
+// others.
 type orderClass uint8
 
 const (
@@ -60,6 +66,7 @@
 	orderStarved
 	orderOnTime
 	orderLate
+	orderExcess
 	orderBeyondShare
 	orderExpired
 )
@@ -88,11 +95,21 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(aClass, bClass), cmp.Compare(a.Rank, b.Rank),
-			cmp.Compare(a.Deadline, b.Deadline), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority),
+			cmp.Compare(a.shareClass(now), b.shareClass(now)), cmp.Compare(a.Share, b.Share),
+			cmp.Compare(aClass, bClass), cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Deadline, b.Deadline), cmp.Compare(a.ID, b.ID))
 	})
 }
 
+// shareClass groups the jobs among which the shares of tenants decide: late work
+// of a tenant below its share precedes work of another above it.
+func (j *WaitingJob) shareClass(now int64) orderClass {
+	if c := j.orderClass(now); c != orderLate {
+		return c
+	}
+	return orderOnTime
+}
+
 // Expired reports whether the job can no longer end before LateDeadline. now is
 // in Unix milliseconds.
 func (j *WaitingJob) Expired(now int64) bool { return j.orderClass(now) == orderExpired }
@@ -109,6 +126,8 @@
 		return orderStarved
 	case j.ExceedsShare:
 		return orderBeyondShare
+	case j.Excess && (j.Serving || end <= j.LateDeadline):
+		return orderExcess
 	case j.Serving || end <= j.Deadline:
 		return orderOnTime
 	case end <= j.LateDeadline && j.Rank > 0:
