fleet: the last slow runs of a step are copied to idle capacity

Cause: one run in 33 takes seven times as long, on any worker. Nearly every second step of 20 tasks ended with such a run while capacity was idle; a run was only moved, with the loss of its progress, once it was three times as slow.

Change: where the step permits duplicates and no task that ends waits in the pool, a second run is started beside a straggler, and the one that completes first counts. The replicated state and its format stay as they are: the entry that records the copy records the first run as lost, and completed runs already counted whether they are current or not. The leader keeps the first run in memory and stops the loser; a next leader stops the run that is not current.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -76,6 +76,8 @@
 		"run times of an image have changed", "Recent runs differ clearly from the learned distribution, as after the release of another version of the image; it was learned anew from them. `ratio` is the geometric mean of actual over declared run times. At most one line per second; all changes are counted in the metrics. If it follows a release, check that the declared run times still hold.")
 	WorkerSpeedChanged = define(845, "worker-speed-changed", slog.LevelInfo,
 		"worker is slow, or no longer slow", "By the run times of several of its tasks compared with those on other workers (`slowdown`, 1 if not slow; `run_ratio` of the last run to the median). Tasks that end go there last. At most one line per second; all changes are counted in the metrics. If a worker remains slow, check its machine.")
+	TaskCopied = define(846, "task-copied", slog.LevelInfo,
+		"started a copy of a slow run", "The step waits for few runs, permits copies, and capacity is idle. `copy` is the number of the second run; the first one continues, and the one that completes first counts. The other is stopped.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
 		"refused heartbeat", "The report could not be decoded or names no usable worker. Check its sender.")
 )
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -64,6 +64,9 @@
 	startInFlight  bool // the start call has not ended yet
 	ticket         string
 	runStats       runStats
+	// noCopyUntil is the time until which the run is not considered for a copy,
+	// because no worker was idle.
+	noCopyUntil time.Duration
 }
 
 func (a *attempt) reservation() state.Resources { return a.task.step.Reservation() }
@@ -303,6 +306,7 @@
 		c.reserveAfterFailure(a)
 	case state.OutcomeDone:
 		c.recordRunTime(a)
+		c.recordCopyEnd(a)
 		if !a.task.step.Gang && !a.task.step.LongRunning && a.task.attempt == a {
 			// Starts that depend on this end are recorded in the same log entry
 			// or a later one.
@@ -314,10 +318,13 @@
 		Workflow: a.run.Workflow, Task: a.run.Task, Run: a.run.Number, Outcome: outcome, Checkpoint: checkpoint,
 		NotStarted: !a.mayHaveStarted, LeaseExpired: a.leaseExpired && outcome == state.OutcomeLost,
 	}
-	if a.crashed && outcome == state.OutcomeLost && a.task.attempt == a && a.task.phase != taskDone {
+	if a.crashed && outcome == state.OutcomeLost && (a.task.attempt == a || a.task.original == a) && a.task.phase != taskDone {
 		c.judgeCrash(a, &end)
 	}
 	c.journal.ends = append(c.journal.ends, end)
+	if a.task.original == a {
+		a.task.original = nil
+	}
 }
 
 // dropAttempt discards an attempt that is not in the replicated state.
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -100,6 +100,9 @@
 	interference   *placement.InterferenceModel
 	poolDemand     map[string]*poolDemand // by pool
 	learned        learned
+	stragglers     map[*task]int64 // tasks to copy if capacity is idle, with the remaining time in milliseconds
+	busyPools      map[string]bool // pools in which tasks that end waited at the last check
+	nextBusyCheck  time.Duration
 	imageUse       map[string]float64 // by image; scratch space of updateResources
 	startRoundTrip roundTripEstimator // of start calls
 	calls          callQueue          // to workers
@@ -298,6 +301,7 @@
 	c.sessions, c.sorted, c.losses = make(map[string]*session), nil, nil
 	c.closing = make(map[*session]bool)
 	c.suspects, c.held, c.reserved = make(map[*task]bool), nil, make(map[*task]bool)
+	c.stragglers, c.busyPools = make(map[*task]int64), nil
 	c.pollDue = make(map[*session]bool)
 	c.journal = journal{}
 	c.poolDemand = make(map[string]*poolDemand)
@@ -381,6 +385,7 @@
 		c.dirty = false
 		begin := c.now()
 		c.schedule()
+		c.placeCopies()
 		c.nextPass = c.now() + passPauseFactor*(c.now()-begin)
 	}
 	c.commit()
@@ -393,7 +398,9 @@
 // passDue reports whether a placement pass may run now. Starts that are placed
 // while an entry is being committed have to wait for the next entry anyway, so
 // one pass per entry suffices.
-func (c *Controller) passDue() bool { return c.dirty && !c.journal.inFlight && c.now() >= c.nextPass }
+func (c *Controller) passDue() bool {
+	return (c.dirty || len(c.stragglers) > 0) && !c.journal.inFlight && c.now() >= c.nextPass
+}
 
 // syncWorkflows opens new workflows and closes those that have ended.
 func (c *Controller) syncWorkflows(s *state.State) {
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -30,6 +30,7 @@
 	runTimeChanges prometheus.Counter
 	runTimeKeys    prometheus.Gauge
 	slowWorkers    prometheus.Counter
+	copies         *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -98,13 +99,16 @@
 		slowWorkers: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "apricotrouter_fleet_worker_speed_changes_total", Help: "Workers that were found to be slow, or no longer slow, by the run times of their tasks.",
 		}),
+		copies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_copies_total", Help: "Copies of slow runs that were started, and which of the two runs completed first.",
+		}, []string{"event"}),
 		runTimeKeys: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "apricotrouter_fleet_run_time_distributions", Help: "Distributions of run times that the leader has learned.",
 		}),
 	}
 	if r != nil {
 		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting,
-			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers)
+			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers, m.copies)
 	}
 	return m
 }
--- a/fleet/straggler.go
+++ b/fleet/straggler.go
@@ -67,6 +67,9 @@
 		if placement.Stalled(p) && !a.runStats.stallCounted {
 			stalled = append(stalled, a)
 		}
+		if a.task.original != nil || c.considerCopy(a, now) {
+			continue
+		}
 		if a.task.moves < maxMoves && !a.task.step.Gang && placement.IsStraggler(p) {
 			a.task.moves++
 			c.avoid(a)
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -53,6 +53,7 @@
 	failures   int
 	checkpoint string
 	attempt    *attempt
+	original   *attempt        // run that continues beside its copy, which is attempt
 	endPending bool            // end is being committed; the task counts as done
 	avoid      map[string]bool // workers on which a run failed or was slow
 	// refusedUntil is the time until which a worker that refused a start gets
@@ -171,8 +172,10 @@
 	remaining := &t.workflow.openTasks[t.pos.Occurrence][t.pos.Step]
 	*remaining--
 	t.workflow.checkBlocked = t.workflow.checkBlocked || *remaining == 0
-	if a := t.attempt; a != nil {
-		c.stop(a, "the task is done")
+	for _, a := range []*attempt{t.attempt, t.original} {
+		if a != nil {
+			c.stop(a, "the task is done")
+		}
 	}
 	c.unblockTasks(t.workflow)
 }
@@ -244,8 +247,10 @@
 	c.addServingDemand(f.spec, -1)
 	for _, t := range f.tasks {
 		t.phase = taskDone
-		if t.attempt != nil {
-			c.stop(t.attempt, "the workflow has ended")
+		for _, a := range []*attempt{t.attempt, t.original} {
+			if a != nil {
+				c.stop(a, "the workflow has ended")
+			}
 		}
 	}
 	c.dirty = true
--- a/runtimes/estimate.go
+++ b/runtimes/estimate.go
@@ -80,3 +80,35 @@
 }
 
 func millis(v float64) int64 { return int64(math.Round(min(v, math.MaxInt64/2))) }
+
+// Left returns the median of the remaining run time of a run that has run for
+// elapsedMillis and shows no progress, in milliseconds. Beyond the runs that were
+// observed, a run is expected to take as long again.
+func (e Estimate) Left(elapsedMillis int64) int64 {
+	if e.d == nil {
+		return max(0, millis(e.base)-elapsedMillis)
+	}
+	ended := e.share(elapsedMillis)
+	if ended > maxShare {
+		return elapsedMillis
+	}
+	return max(0, e.Quantile(1-(1-ended)/2)-elapsedMillis)
+}
+
+// maxShare is the share of runs that have ended from which the distribution says
+// too little about the others.
+const maxShare = 0.99
+
+// share returns the share of runs that take no longer than a run time.
+func (e Estimate) share(millis int64) float64 {
+	if millis <= 0 || e.base <= 0 {
+		return 0
+	}
+	logRatio := math.Log(float64(millis)/e.base) - e.shift
+	if e.spread > 0 && e.spread < 1 {
+		median := e.d.logQuantile(0.5)
+		logRatio = median + (logRatio-median)/e.spread
+	}
+	below := &e.d.summarised().below
+	return below[binOf(logRatio)] / below[bins-1]
+}
