fleet: runs that ended while their worker was silent teach no run time

Cause: the end of such a run is read when the worker responds again, seconds late, so that its duration includes the silence.

Change: a run that began before its worker last responded again is not used. TestRunsAreLearnedAsWhatTheyAre has the case.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -49,7 +49,7 @@
 	if !s.unresponsive {
 		return
 	}
-	s.unresponsive = false
+	s.unresponsive, s.silentUntil = false, s.respondedAt
 	c.forgetLoss(s)
 	c.dirty = true
 	event.Log(c.opts.Logger, event.WorkerResponsive, slog.String("worker", s.worker.ID))
--- a/fleet/runtimes.go
+++ b/fleet/runtimes.go
@@ -150,25 +150,33 @@
 // Kinds of completed runs, by what their duration says about the run time of
 // the task.
 const (
-	runWhole    = "whole"
-	runResumed  = "resumed"
-	runReduced  = "paced"
-	runSlow     = "slow-worker"
-	runNotUsed  = "not-used"
-	runAdopted  = "adopted"
-	minReduced  = 50 * time.Millisecond // reductions below it don't matter
-	againstPlan = "declared"
-	againstSeen = "learned"
+	runWhole   = "whole"
+	runResumed = "resumed"
+	runReduced = "paced"
+	runSlow    = "slow-worker"
+	runNotUsed = "not-used"
 )
 
+// Run times with which actual ones are compared, as in metrics.
+const (
+	againstDeclared = "declared"
+	againstLearned  = "learned"
+)
+
+// minReduced is the least time lost by reduced execution rates that makes a run
+// a rate-limited one in the metrics.
+const minReduced = 50 * time.Millisecond
+
 // recordRunTime learns from a run that completed its task.
 func (c *Controller) recordRunTime(a *attempt) {
 	t, f, now := a.task, a.task.workflow, c.now()
 	if t.step.LongRunning {
 		return
 	}
-	if a.adopted { // its start and its execution rate are not known
-		c.metrics.runTimes.WithLabelValues(runAdopted).Inc()
+	// The start and the execution rate of an adopted run are not known, nor is the
+	// end of one whose worker did not respond.
+	if a.adopted || a.session.silentUntil >= a.startedAt && a.session.silentUntil > 0 {
+		c.metrics.runTimes.WithLabelValues(runNotUsed).Inc()
 		return
 	}
 	m := &a.runStats
@@ -214,9 +222,9 @@
 	// steps do.
 	expected := c.estimate(f, t.pos.Step)
 	median := expected.Quantile(0.5)
-	c.metrics.runTimeRatio.WithLabelValues(againstPlan).Observe(float64(actual) / float64(declared))
+	c.metrics.runTimeRatio.WithLabelValues(againstDeclared).Observe(float64(actual) / float64(declared))
 	if expected.Runs() > 0 && median > 0 {
-		c.metrics.runTimeRatio.WithLabelValues(againstSeen).Observe(float64(actual) / float64(median))
+		c.metrics.runTimeRatio.WithLabelValues(againstLearned).Observe(float64(actual) / float64(median))
 		c.observeSpeed(a, slowdown*float64(actual)/float64(median), now)
 	}
 	change := c.learned.model.Observe(key, f.stepNumber(t), declared, actual, now.Milliseconds())
--- a/fleet/runtimes_internal_test.go
+++ b/fleet/runtimes_internal_test.go
@@ -163,6 +163,15 @@
 				clock.Advance(10 * time.Second)
 			},
 		},
+		"ended while its worker did not respond": {
+			play: func(c *Controller, clock *clockwork.FakeClock, a *attempt) {
+				c.sessions, c.losses = make(map[string]*session), nil
+				clock.Advance(time.Second)
+				a.session.recordCallFailure(c, c.now(), errOtherIncarnation)
+				clock.Advance(10 * time.Second)
+				a.session.markResponsive(c)
+			},
+		},
 		"adopted": {
 			play: func(_ *Controller, clock *clockwork.FakeClock, a *attempt) {
 				a.adopted = true
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -48,6 +48,7 @@
 	lastPoll     time.Duration // when the last poll with a response began
 	respondedAt  time.Duration // when the worker last carried out a call
 	unresponsive bool
+	silentUntil  time.Duration // when the worker last responded again after it had not
 	loss         *workerLoss   // set while the worker is unresponsive
 	expired      []*attempt    // runs that were given up when the lease expired
 	openedAt     time.Duration // when the session was opened
