--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -37,6 +37,7 @@
 	runTimeChanges prometheus.Counter
 	runTimeKeys    prometheus.Gauge
 	slowWorkers    prometheus.Counter
+	copies         *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -105,6 +106,9 @@
 		slowWorkers: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "apricotrouter_fleet_worker_speed_changes_total", Help: "Workers that were found to be slow, or no longer slow, by the run times of their tasks.",
 		}),
+		copies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_copies_total", Help: "Copies of slow runs that were started, and which of the two runs completed first.",
+		}, []string{"event"}),
 		runTimeKeys: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "apricotrouter_fleet_run_time_distributions", Help: "Distributions of run times that the leader has learned.",
 		}),
@@ -133,7 +137,7 @@
 	}
 	if r != nil {
 		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting,
-			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers, m.short, m.drain, m.refused, m.retryAfter,
+			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers, m.copies, m.short, m.drain, m.refused, m.retryAfter,
 			m.tenantUse, m.tenantHeld, m.tenantShare)
 	}
 	return m
--- a/fleet/runtimes.go
+++ b/fleet/runtimes.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"apricotrouter/event"
+	"apricotrouter/placement"
 	"apricotrouter/runtimes"
 	"apricotrouter/state"
 )
@@ -113,14 +114,21 @@
 		if e.Runs() == 0 {
 			return max(longest, e.Declared())
 		}
-		longest = max(longest, e.LargestOf(r.tasks))
+		longest = max(longest, longestOf(e, r.tasks))
 	}
 	if r.begun > 0 {
-		longest = max(longest, e.LargestOf(r.begun)*int64(fullRate-r.begunPercent)/fullRate)
+		longest = max(longest, longestOf(e, r.begun)*int64(fullRate-r.begunPercent)/fullRate)
 	}
 	return longest
 }
 
+// longestOf returns the time that the longest of a number of tasks is expected
+// to take, in milliseconds. Where run times hardly differ, the safety factor of
+// declared ones still applies.
+func longestOf(e runtimes.Estimate, tasks int) int64 {
+	return max(e.LargestOf(tasks), int64(placement.RemainingTimeFactor*float64(e.Quantile(0.5))))
+}
+
 // projectedMillis returns the remaining time of a run, from its own speed, and
 // whether its progress shows it.
 func (m *runStats) projectedMillis(now time.Duration) (int64, bool) {
@@ -142,25 +150,33 @@
 // Kinds of completed runs, by what their duration says about the run time of
 // the task.
 const (
-	runWhole    = "whole"
-	runResumed  = "resumed"
-	runReduced  = "paced"
-	runSlow     = "slow-worker"
-	runNotUsed  = "not-used"
-	runAdopted  = "adopted"
-	minReduced  = 50 * time.Millisecond // reductions below it don't matter
-	againstPlan = "declared"
-	againstSeen = "learned"
+	runWhole   = "whole"
+	runResumed = "resumed"
+	runReduced = "paced"
+	runSlow    = "slow-worker"
+	runNotUsed = "not-used"
+)
+
+// Run times with which actual ones are compared, as in metrics.
+const (
+	againstDeclared = "declared"
+	againstLearned  = "learned"
 )
 
+// minReduced is the least time lost by reduced execution rates that makes a run
+// a rate-limited one in the metrics.
+const minReduced = 50 * time.Millisecond
+
 // recordRunTime learns from a run that completed its task.
 func (c *Controller) recordRunTime(a *attempt) {
 	t, f, now := a.task, a.task.workflow, c.now()
 	if t.step.LongRunning {
 		return
 	}
-	if a.adopted { // its start and its execution rate are not known
-		c.metrics.runTimes.WithLabelValues(runAdopted).Inc()
+	// The start and the execution rate of an adopted run are not known, nor is the
+	// end of one whose worker did not respond.
+	if a.adopted || a.session.silentUntil >= a.startedAt && a.session.silentUntil > 0 {
+		c.metrics.runTimes.WithLabelValues(runNotUsed).Inc()
 		return
 	}
 	m := &a.runStats
@@ -206,9 +222,9 @@
 	// steps do.
 	expected := c.estimate(f, t.pos.Step)
 	median := expected.Quantile(0.5)
-	c.metrics.runTimeRatio.WithLabelValues(againstPlan).Observe(float64(actual) / float64(declared))
+	c.metrics.runTimeRatio.WithLabelValues(againstDeclared).Observe(float64(actual) / float64(declared))
 	if expected.Runs() > 0 && median > 0 {
-		c.metrics.runTimeRatio.WithLabelValues(againstSeen).Observe(float64(actual) / float64(median))
+		c.metrics.runTimeRatio.WithLabelValues(againstLearned).Observe(float64(actual) / float64(median))
 		c.observeSpeed(a, slowdown*float64(actual)/float64(median), now)
 	}
 	change := c.learned.model.Observe(key, f.stepNumber(t), declared, actual, now.Milliseconds())
@@ -238,14 +254,13 @@
 
 // observeSlowRun judges the speed of a worker by the progress of a run that
 // takes much longer than usual. Such workers may appear healthy otherwise.
-func (c *Controller) observeSlowRun(a *attempt, now time.Duration) {
+func (c *Controller) observeSlowRun(a *attempt, e runtimes.Estimate, now time.Duration) {
 	m := &a.runStats
-	if m.speedObserved || a.adopted || m.rate != fullRate || m.reduced > 0 {
+	if m.speedObserved || a.adopted || m.rate != fullRate || m.reduced > 0 || e.Runs() == 0 {
 		return
 	}
-	e := c.estimate(a.task.workflow, a.task.pos.Step)
 	median := float64(e.Quantile(0.5))
-	if e.Runs() == 0 || median <= 0 {
+	if median <= 0 {
 		return
 	}
 	took := float64((now - m.firstReportAt).Milliseconds())
@@ -289,8 +304,12 @@
 }
 
 // logEstimate logs what the run times of a new workflow are thought to be,
-// unless only the declared ones are known.
+// unless only the declared ones are known. A controller that reloads the
+// replicated state does not log thousands of workflows again.
 func (c *Controller) logEstimate(f *workflow) {
+	if age := c.opts.Clock.Now().UnixMilli() - f.submittedAt; age > (c.now() - c.activatedAt).Milliseconds() {
+		return
+	}
 	widest, learned := -1, false
 	for i := range f.spec.Steps {
 		s := &f.spec.Steps[i]
