placement: reduced start rates only in a half-idle pool, probes by image

Started runs work at full speed until their rate takes effect, and serving tasks over their target stop everything beside them.

A reduced rate is now for a pool of which at most half is in use.

--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -40,6 +40,8 @@
 	// halfIdleState caches halfIdle: 0 if it is not known, 1 if false, 2 if
 	// true.
 	halfIdleState int8
+	// images caches runsImage; nil if it is not known.
+	images map[string]bool
 	// aside has the worker, by index, of each waiting task whose capacity has
 	// been set aside in this pass.
 	aside map[*task]int
@@ -89,6 +91,19 @@
 	return ok && smallest.FitsIn(s.Size)
 }
 
+// runsImage reports whether tasks of an image are running in the pool.
+func (p *pool) runsImage(image string) bool {
+	if p.images == nil {
+		p.images = make(map[string]bool)
+		for _, s := range p.sessions {
+			for _, a := range s.attempts {
+				p.images[a.task.step.Image] = true
+			}
+		}
+	}
+	return p.images[image]
+}
+
 // halfIdle reports whether at most half of the CPU of the pool is in use.
 func (p *pool) halfIdle() bool {
 	if p.halfIdleState == 0 {
--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -80,6 +80,9 @@
 	c.dropReservation(t)
 	rate := p.book(worker, request)
 	c.place(t, p.sessions[worker], number).runStats.startAt(rate)
+	if p.images != nil {
+		p.images[t.step.Image] = true
+	}
 }
 
 // placeReserved starts the tasks for which enough of their capacity has become
--- a/placement/start_rate.go
+++ b/placement/start_rate.go
@@ -19,7 +19,7 @@
 	// busyProbeWait replaces probeWait while more than half of the CPU of the
 	// pool is in use. Tasks then wait for capacity, mostly, and one that
 	// starts at the lowest rate may miss a better worker.
-	busyProbeWait = 12_000
+	busyProbeWait = 60_000
 	// maxStartRate is the highest result of MinStartRate. A task that finds no
 	// worker for the full rate starts at once at half of it: waiting would cost
 	// as much unless the next worker becomes free within its run time.
@@ -38,7 +38,9 @@
 type StartWait struct {
 	WaitedMillis   int64
 	EstimateMillis int64 // duration of the task at the full rate
-	HasRuns        bool  // other tasks of its workflow are running
+	// ImageRuns is set if tasks of its image, or of its workflow, are running in
+	// the pool. The model then learns from them.
+	ImageRuns bool
 	// HalfIdle is set if at most half of the CPU of the pool is in use.
 	HalfIdle bool
 }
@@ -47,17 +49,22 @@
 // best-effort task starts rather than waits, after all waiting tasks have been
 // offered the workers on which they can run at the full rate. A task that has
 // waited is likely to wait as long again, so that a start is of use if the task
-// then ends earlier. The result is minRate if the task may start on a worker
-// where the model expects a serving task to exceed its limit: one task of a
-// workflow, after a bounded wait.
+// then ends earlier. While more than half of the pool is in use, tasks wait for
+// capacity, mostly, and slow runs keep it from those that could use it better. The
+// result is minRate if the task may start on a worker
+// where the model expects a serving task to exceed its limit: one task of an
+// image, after a bounded wait. Were it one of each workflow, the thousands that
+// may wait would push serving tasks over their targets.
 func MinStartRate(w StartWait) int {
 	probe := int64(busyProbeWait)
 	if w.HalfIdle {
 		probe = probeWait
 	}
 	switch {
-	case !w.HasRuns && w.WaitedMillis >= probe:
+	case !w.ImageRuns && w.WaitedMillis >= probe:
 		return minRate
+	case !w.HalfIdle:
+		return fullRate
 	case w.WaitedMillis > w.EstimateMillis:
 		return lowStartRate
 	}
