placement, fleet: serving tasks spare workers for waiting images

Cause: serving tasks go to workers with the same image or to fuller ones, and each other image there counts against a worker. Serving tasks of different images that tolerate the same best-effort image badly spread over the workers that its waiting tasks could use, for as long as they run.

Change: while best-effort tasks have waited for a second, the score of a worker for a serving task includes the execution rate that it would take from the images with the most waiting CPU, at most four, regardless of the best-effort tasks that run there now.

TestServingTaskLeavesWorkerToWaitingImage fails with a weight of 0.

--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -217,13 +217,14 @@
 		workers = append(workers, placement.IsolationWorker{Capacity: &s.resources, Runs: len(s.attempts)})
 	}
 	free := placement.MaxIsolated(len(sessions)+inUse) - inUse
+	p := &pool{sessions: sessions, reducedRates: true}
 	for _, t := range tasks {
 		if free <= 0 || c.journal.full() {
 			return
 		}
 		if t.phase == taskReady && t.mayStart() {
 			t.expireRefusals(now)
-			request := c.placementRequest(t, &pool{sessions: sessions, reducedRates: true}, t.avoid)
+			request := c.placementRequest(t, p, t.avoid)
 			if i := placement.ChooseIsolated(workers, request, (now - t.waitingSince).Milliseconds()); i >= 0 {
 				c.place(t, sessions[i], t.run+1).runStats.startAt(placement.StartRate(workers[i].Capacity, request))
 				workers[i].Capacity = nil
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -35,6 +35,9 @@
 	// in this pass, because batch tasks leave the CPU idle.
 	idleCapacity int
 	idleObserved bool
+	// waitingImages are the images of the best-effort tasks that do not fit; nil
+	// until they are needed.
+	waitingImages []placement.WaitingImage
 	// reducedRates is set while best-effort tasks may start below the full rate.
 	reducedRates bool
 	// halfIdleState caches halfIdle: 0 if it is not known, 1 if false, 2 if
@@ -222,6 +225,11 @@
 			r.OverTarget = r.OverTarget || a.runStats.overTarget
 		}
 	}
+	for i := range r.ServingGroups {
+		for image, use := range c.imageUse {
+			r.ServingGroups[i].CoLocated += c.interference.Coefficient(r.ServingGroups[i].Image, image) * use
+		}
+	}
 }
 
 // headroom returns how much more load from co-located tasks a serving task
--- a/fleet/start_rate_test.go
+++ b/fleet/start_rate_test.go
@@ -17,13 +17,15 @@
 const callerLimit = 3 * time.Second
 
 // newInterferenceHarness returns a harness whose model has learned a coefficient
-// of image "l" on image "s", and a worker with a serving task of image "s".
+// of image "l" on images "r" and "s", and a worker with a serving task of image "s".
 func newInterferenceHarness(t *testing.T, coefficient float64) (*harness, *pool.Worker) {
 	h := newHarness(t, func(o *fleet.Options) {
 		o.Limits.RateDelay, o.Limits.MaxOverTarget = 100*time.Millisecond, 4*time.Second
-		_, err := o.Log.Propose(t.Context(), state.NewCommand(state.SetInterference{Images: []state.ServingImage{{
-			Image: "s", MinTailMillis: 10, Load: 0.4, Interference: []state.ImageInterference{{BestEffort: "l", Value: coefficient}},
-		}}}))
+		interference := []state.ImageInterference{{BestEffort: "l", Value: coefficient}}
+		_, err := o.Log.Propose(t.Context(), state.NewCommand(state.SetInterference{Images: []state.ServingImage{
+			{Image: "r", MinTailMillis: 10, Load: 0.4, Interference: interference},
+			{Image: "s", MinTailMillis: 10, Load: 0.4, Interference: interference},
+		}}))
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	})
 	w := h.addWorker("w", pool.Options{RunTime: runForever, Measure: func(p fleet.TaskPosition) int64 {
@@ -58,3 +60,26 @@
 	h.Eventually(w.LowestRate, 100*time.Millisecond, "5ms").Should(BeNumerically("<=", placement.MinStartRate(placement.StartWait{HalfIdle: true, WaitedMillis: callerLimit.Milliseconds()})))
 	h.Consistently(func() int { return running(w) }, time.Second, "5ms").Should(Equal(2), "one task of a workflow")
 }
+
+// Guards against a serving task that makes a further worker useless for an image
+// of which tasks wait, although another worker is useless for it already. The
+// tasks of image "l" fit on one worker, which they fill; on the other, a serving
+// task tolerates none.
+func TestServingTaskLeavesWorkerToWaitingImage(t *testing.T) {
+	h, w := newInterferenceHarness(t, 60)
+	free := h.addWorker("x", pool.Options{RunTime: runForever})
+	h.submitAs("a000000000000001", step(6, bestEffort, func(s *state.WorkflowStep) { s.Size.MilliCPU = 3800 }))
+	h.Eventually(func() int { return running(free) }, callerLimit, "5ms").Should(Equal(1))
+	time.Sleep(1500 * time.Millisecond) // the others count as waiting after a second
+	h.submitAs("0000000000000002", step(1, untilStopped, func(s *state.WorkflowStep) { s.Image, s.TailMillis = "r", 50 }))
+	serving := func(w *pool.Worker) (n int) {
+		for _, r := range w.Records() {
+			if r.Position.Workflow == "0000000000000002" {
+				n++
+			}
+		}
+		return n
+	}
+	h.Eventually(func() int { return serving(w) + serving(free) }, callerLimit, "5ms").Should(Equal(1))
+	h.Expect(serving(w)).To(Equal(1))
+}
--- a/fleet/task_group.go
+++ b/fleet/task_group.go
@@ -127,14 +127,44 @@
 // Its exclusions follow the runs on the workers, so they hold for as long as the
 // pool is in use.
 func (c *Controller) placementRequest(t *task, p *pool, avoid map[string]bool) placement.PoolTask {
-	if t.step.MaxPerWorker == 0 && len(avoid) == 0 && len(t.refusedUntil) == 0 {
-		return placement.PoolTask{Step: t.step, InterferenceModel: c.interference, MinStartRate: c.minStartRate(t, p)}
-	}
-	return placement.PoolTask{Step: t.step, InterferenceModel: c.interference, MinStartRate: c.minStartRate(t, p), Excluded: func(i int) bool {
-		s := p.sessions[i]
-		_, refused := t.refusedUntil[s.worker.ID]
-		return s.stepRuns.exceedLimit(t, 1) || avoid[s.worker.ID] || refused
-	}}
+	request := placement.PoolTask{Step: t.step, InterferenceModel: c.interference, MinStartRate: c.minStartRate(t, p)}
+	if t.step.LongRunning && t.step.TailMillis > 0 {
+		request.WaitingImages = c.waitingImages(t.workflow.spec.Pool, p)
+	}
+	if t.step.MaxPerWorker > 0 || len(avoid) > 0 || len(t.refusedUntil) > 0 {
+		request.Excluded = func(i int) bool {
+			s := p.sessions[i]
+			_, refused := t.refusedUntil[s.worker.ID]
+			return s.stepRuns.exceedLimit(t, 1) || avoid[s.worker.ID] || refused
+		}
+	}
+	return request
+}
+
+// excessWait is the wait of a best-effort task, in milliseconds, from which it
+// counts as work that does not fit: a placement pass has tried to place it.
+const excessWait = 1000
+
+// waitingImages returns, once per placement pass, the images of the best-effort
+// tasks of a pool that do not fit.
+func (c *Controller) waitingImages(name string, p *pool) []placement.WaitingImage {
+	if p.waitingImages != nil {
+		return p.waitingImages
+	}
+	demand := make(map[string]placement.WaitingCPU)
+	for _, f := range c.workflows {
+		if f.spec.Pool != name || f.readyTasks == 0 {
+			continue
+		}
+		for _, t := range f.tasks {
+			if t.phase == taskReady && t.step.BestEffort && c.waited(t) >= excessWait {
+				d := demand[t.step.Image]
+				demand[t.step.Image] = placement.WaitingCPU{Tasks: d.Tasks + 1, MilliCPU: d.MilliCPU + t.step.Size.MilliCPU}
+			}
+		}
+	}
+	p.waitingImages = placement.NewWaitingImages(demand)
+	return p.waitingImages
 }
 
 // minStartRate returns the lowest execution rate at which a task starts rather
--- a/placement/start_rate.go
+++ b/placement/start_rate.go
@@ -102,13 +102,20 @@
 		s := &r.ServingGroups[i]
 		increase := coefficients.Coefficient(s.Image) * use
 		added = max(added, increase)
-		switch required := interferenceSafetyFactor * increase; {
-		case required <= s.Headroom:
-		case required <= 0:
-			fit = min(fit, 0)
-		default:
-			fit = min(fit, max(-1, s.Headroom/required))
-		}
+		fit = min(fit, rateFraction(increase, s.Headroom))
 	}
 	return fit, added
 }
+
+// rateFraction returns the part of full speed, at most 1, at which a task that
+// adds increase to the utilisation of a serving task fits into its headroom.
+func rateFraction(increase, headroom float64) float64 {
+	switch required := interferenceSafetyFactor * increase; {
+	case required <= headroom:
+		return 1
+	case required <= 0:
+		return 0
+	default:
+		return max(-1, headroom/required)
+	}
+}
--- a/placement/worker_choice.go
+++ b/placement/worker_choice.go
@@ -37,6 +37,9 @@
 	// Headroom is the utilisation that further best-effort tasks may add to the
 	// serving task of the group that is closest to its limit.
 	Headroom float64
+	// CoLocated is the utilisation that the best-effort tasks of the worker add
+	// to a serving task of the group at the full rate.
+	CoLocated float64
 }
 
 // AddServingTask adds a serving task.
@@ -60,6 +63,9 @@
 	// start, in percent, see MinStartRate. 0 means that it starts only at the
 	// full rate.
 	MinStartRate int
+	// WaitingImages are the images of best-effort tasks that wait, for a serving
+	// task.
+	WaitingImages []WaitingImage
 	// Excluded reports whether the task must not be placed on the worker with
 	// the index, because the limit of tasks per worker is reached or a run
 	// failed there.
@@ -109,6 +115,9 @@
 			score += reducedRateWeight * (2 - fit)
 		}
 	}
+	if hasTailTarget(t.Step) && len(t.WaitingImages) > 0 && t.InterferenceModel != nil {
+		score += usabilityWeight * t.lostUsability(r)
+	}
 	return score, true
 }
 
@@ -304,7 +313,9 @@
 		if t.InterferenceModel != nil {
 			use, coefficients := fractionOf(s.Size.MilliCPU, r.Capacity.MilliCPU), t.InterferenceModel.CoefficientsOf(s.Image)
 			for i := range r.ServingGroups {
-				r.ServingGroups[i].Headroom -= coefficients.Coefficient(r.ServingGroups[i].Image) * use
+				increase := coefficients.Coefficient(r.ServingGroups[i].Image) * use
+				r.ServingGroups[i].Headroom -= increase
+				r.ServingGroups[i].CoLocated += increase
 			}
 		}
 	}
