fleet: only runs placed at the full rate are moved for their rate

Cause: a run with a checkpoint moves if its rate falls below 40 percent. One that was placed between 40 and 100 percent, because no worker had more, could move from worker to worker and pay for a restore each time. Found by reading.

Change: a run that was placed below the full rate stays.

Result: TestRunPlacedAtAReducedRateIsNotMoved fails before this change for the reduced rate of 60 percent, by the condition that it replaces.

--- a/fleet/rate.go
+++ b/fleet/rate.go
@@ -247,7 +247,7 @@
 		if rate == a.runStats.rate && !a.runStats.rateUnknown {
 			continue
 		}
-		if rate < moveBelowRate && a.runStats.startRate >= moveBelowRate && a.task.step.Checkpoints && a.runStats.progress < maxMoveProgress &&
+		if rate < moveBelowRate && a.runStats.startRate == fullRate && a.task.step.Checkpoints && a.runStats.progress < maxMoveProgress &&
 			c.maxInterference(a, servingTasks) >= minMoveInterference {
 			c.stop(a, "it disturbs a serving task")
 			continue
@@ -258,8 +258,9 @@
 
 const (
 	// moveBelowRate is the execution rate in percent below which a run with a
-	// checkpoint is moved to another worker instead, unless it was placed at such
-	// a rate: there was no better worker.
+	// checkpoint is moved to another worker instead, unless it was placed at a
+	// reduced rate: there was no worker for the full rate, and it could move
+	// from worker to worker.
 	moveBelowRate = 40
 	// maxMoveProgress is the progress in percent from which a run is no longer
 	// moved.
--- a/fleet/rate_internal_test.go
+++ b/fleet/rate_internal_test.go
@@ -182,3 +182,23 @@
 	awaitRateCall(g, c, a)
 	g.Expect(a.runStats.rate).To(Equal(fullRate))
 }
+
+// Guards against a run with a checkpoint that moves from worker to worker: one
+// that was placed below the full rate found no better worker.
+func TestRunPlacedAtAReducedRateIsNotMoved(t *testing.T) {
+	for name, c := range map[string]struct {
+		startRate int
+		moved     bool
+	}{"full rate": {fullRate, true}, "reduced rate": {60, false}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			controller, s, _, bestEffort := newInterferingTasks(t, clockwork.NewFakeClock())
+			defer controller.callPool.close()
+			bestEffort.task.step.Checkpoints = true
+			bestEffort.runStats.startAt(c.startRate)
+			bestEffort.runStats.rate = fullRate
+			controller.observeWorker(s)
+			g.Expect(bestEffort.stopping).To(Equal(c.moved))
+		})
+	}
+}
