soak: jobs of two tenants and of an unknown key

Change: every configuration of a run has two tenants, one with a cap of 8 tasks. Jobs are submitted, read and cancelled with a key of one of them, one in 15 with an unknown key. At the end nothing may have run or have been accepted with the unknown key, and no tenant may have had more running than its cap times 1.1 and one task.

--- a/soak/run.go
+++ b/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -8,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,6 +28,9 @@
 	Jobs, Accepted, Runs int
 	Faults               map[string]int
 	Findings             []string // violated guarantees
+	// MostRunning is the largest number of tasks that each tenant had running at
+	// once.
+	MostRunning map[string]int
 }
 
 type run struct {
@@ -38,6 +43,8 @@
 	faults   map[string]int
 	restarts sync.WaitGroup // of crashed workers
 	closed   bool           // no further restarts; protected by environment.mu
+	// mostRunning is as in Result.
+	mostRunning map[string]int
 }
 
 // Run runs one seed and returns the violated guarantees in its result. An error
@@ -285,7 +292,7 @@
 		if !j.accepted || j.phase != "" {
 			continue
 		}
-		status, body := r.call(r.randomEntry(rng), platformtest.Read(j.path()))
+		status, body := r.call(r.randomEntry(rng), platformtest.Read(j.path()).WithKey(j.key))
 		switch {
 		case status == http.StatusGone:
 			r.report("job %s was accepted and is gone", j.id)
@@ -336,6 +343,7 @@
 	for _, j := range r.jobs {
 		r.checkJob(j, runs)
 	}
+	r.checkTenants(runs)
 	for _, p := range r.processes {
 		if !p.alive() {
 			r.report("%s ended by itself", p.name)
@@ -363,6 +371,55 @@
 	}
 }
 
+// checkTenants checks that nothing ran without the key of a tenant, and the hard
+// bound on what a tenant has running: its cap times 1.1, and one task.
+func (r *run) checkTenants(runs map[fleet.TaskPosition][]record) {
+	for _, j := range r.jobs {
+		if j.key == unknownKey && j.accepted {
+			r.report("job %s was accepted without the key of a tenant", j.id)
+		}
+	}
+	records := make(map[string][]record) // by key
+	for position, all := range runs {
+		if j := r.jobs[position.Workflow]; j != nil {
+			records[j.key] = append(records[j.key], all...)
+		}
+	}
+	for _, rec := range records[unknownKey] {
+		r.report("task %v ran without the key of a tenant", rec.Position)
+	}
+	r.mostRunning = make(map[string]int)
+	for _, t := range tenants {
+		most := mostAtOnce(records[t.Key])
+		if bound := t.CapMilliCPU*11/10 + taskMilliCPU; t.CapMilliCPU > 0 && int64(most)*taskMilliCPU > bound {
+			r.report("tenant %s had %d tasks running at once, %d mCPU, above %d", t.Name, most, most*taskMilliCPU, bound)
+		}
+		r.mostRunning[t.Name] = most
+	}
+}
+
+// mostAtOnce returns the largest number of runs at the same time.
+func mostAtOnce(all []record) int {
+	type change struct {
+		at      time.Time
+		started int // 1 for a start and -1 for an end
+	}
+	var changes []change
+	for _, rec := range all {
+		changes = append(changes, change{rec.Started, 1})
+		if !rec.Ended.IsZero() {
+			changes = append(changes, change{rec.Ended, -1})
+		}
+	}
+	slices.SortFunc(changes, func(a, b change) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.started, b.started)) })
+	running, most := 0, 0
+	for _, c := range changes {
+		running += c.started
+		most = max(most, running)
+	}
+	return most
+}
+
 func overlap(a, b record) bool {
 	before := func(x, y record) bool { return !x.Ended.IsZero() && !x.Ended.After(y.Started) }
 	return !before(a, b) && !before(b, a)
@@ -434,7 +491,7 @@
 }
 
 func (r *run) result() Result {
-	res := Result{Jobs: len(r.jobs), Faults: r.faults, Findings: r.findings}
+	res := Result{Jobs: len(r.jobs), Faults: r.faults, Findings: r.findings, MostRunning: r.mostRunning}
 	for _, j := range r.jobs {
 		if j.accepted {
 			res.Accepted++
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,7 +57,7 @@
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(r.Err()).NotTo(HaveOccurred())
 			g.Expect(r.Accepted).To(BeNumerically(">", 0))
-			t.Logf("%d jobs, %d runs, faults %v", r.Jobs, r.Runs, r.Faults)
+			t.Logf("%d jobs, %d runs, most running %v, faults %v", r.Jobs, r.Runs, r.MostRunning, r.Faults)
 		})
 	}
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -169,6 +169,31 @@
 	cancelled   bool // the cancellation was acknowledged
 	cancelledAt time.Time
 	phase       string
+	key         string // with which it is submitted, read and cancelled
+}
+
+// tenants are the tenants of all configurations.
+var tenants = []platformtest.Tenant{
+	{Name: "capped", Key: "key-capped", Weight: 20, CapMilliCPU: 8 * taskMilliCPU},
+	{Name: "free", Key: "key-free", Weight: 20},
+}
+
+const (
+	taskMilliCPU = 900
+	// unknownKey is a key that no configuration has. One submission in
+	// unknownKeyShare uses it.
+	unknownKey      = "key-unknown"
+	unknownKeyShare = 15
+)
+
+// keyOf returns the key with which a job is submitted. It does not draw from the
+// random source of the client, so that seeds give the same faults as before.
+func keyOf(id string) string {
+	h := hashRun(2, fleet.TaskPosition{Workflow: id}, 0)
+	if h%unknownKeyShare == 0 {
+		return unknownKey
+	}
+	return tenants[h/unknownKeyShare%uint64(len(tenants))].Key
 }
 
 func (j *job) path() string { return "/jobs/" + j.id }
@@ -218,7 +243,7 @@
 			Name: "queue", Host: queueHost, PathPrefix: "/jobs/", Pool: poolName, TimeoutMillis: 3000,
 			ObjectiveMillis: 300, MaxAttempts: 8, MaxSlowdown: 2,
 		}},
-	})
+	}, tenants...)
 	for ctx.Err() == nil {
 		status, text := w.call(w.randomControl(r), call)
 		switch {
@@ -273,10 +298,11 @@
 func (w *environment) submitJobs(ctx context.Context, r *rand.Rand) {
 	for ctx.Err() == nil {
 		j := &job{id: fmt.Sprintf("%016x", r.Uint64())}
+		j.key = keyOf(j.id)
 		var steps []state.WorkflowStep
 		for i := range 1 + r.IntN(3) {
 			step := state.WorkflowStep{
-				Count: 1 + r.IntN(5), Size: state.Resources{MilliCPU: 900, MemoryMiB: 500}, EstimateMillis: 200,
+				Count: 1 + r.IntN(5), Size: state.Resources{MilliCPU: taskMilliCPU, MemoryMiB: 500}, EstimateMillis: 200,
 			}
 			if i > 0 {
 				step.DependsOn = []int{i - 1}
@@ -287,7 +313,7 @@
 		w.mu.Lock()
 		w.jobs[j.id] = j
 		w.mu.Unlock()
-		call := platformtest.Submit(j.path(), steps)
+		call := platformtest.Submit(j.path(), steps).WithKey(j.key)
 		for range 5 {
 			status, _ := w.call(w.randomEntry(r), call)
 			if status == http.StatusOK {
@@ -306,7 +332,7 @@
 
 func (w *environment) cancelJob(r *rand.Rand, j *job) {
 	for range 5 {
-		if status, _ := w.call(w.randomEntry(r), platformtest.Cancel(j.path())); status == http.StatusOK {
+		if status, _ := w.call(w.randomEntry(r), platformtest.Cancel(j.path()).WithKey(j.key)); status == http.StatusOK {
 			w.mu.Lock()
 			j.cancelled, j.cancelledAt = true, time.Now()
 			w.mu.Unlock()
