tenant: shares decide only if several tenants wait

Cause: with one tenant, its workflows beyond its rate started after the others while more waited than fitted, though nobody else wanted the capacity; the default weight of 1 makes most workflows of a busy tenant such.

Change: the order stays that of the deadlines unless workflows of at least two tenants (or of one and of callers without a tenant) wait in pools in which more waits than fits.

--- a/fleet/shares.go
+++ b/fleet/shares.go
@@ -42,7 +42,7 @@
 }
 
 // applyShares sets what orders the waiting jobs of tenants in the pools in which
-// more waits than fits, and reports whether there are any. The jobs are in the
+// more waits than fits, and reports whether jobs of several tenants wait there. The jobs are in the
 // order without shares, which remains the order within each tenant.
 func (c *Controller) applyShares(waiting []placement.WaitingJob, pools map[string]*pool) bool {
 	if c.tenants.table.Len() == 0 {
@@ -82,8 +82,8 @@
 		accounts[name] = tenant.Account{Used: c.usage.Of(name), Weight: c.weightOf(name)}
 		jobs, indexes = append(jobs, tenant.Waiting{Tenant: name, Size: ready[i]}), append(indexes, i)
 	}
-	if len(accounts) == 0 {
-		return false
+	if len(accounts) < 2 {
+		return false // nobody to share with
 	}
 	for n, key := range tenant.Keys(c.capacity(), accounts, jobs) {
 		j := &waiting[indexes[n]]
