fleet: the test of a capped suspect crashes its workers itself

Cause: the test lowered the cap within 150 ms of a start, before a timed crash; on a busy machine the crash could come first, and the task would start again.

Change: the test crashes the worker once the cap is lowered.

--- a/fleet/tenant_cap_test.go
+++ b/fleet/tenant_cap_test.go
@@ -458,20 +458,24 @@
 func TestSuspectHeldBackByItsCapKeepsNoWorker(t *testing.T) {
 	h := newHarness(t)
 	h.setConfig(withCaps(2, map[string]state.Resources{"a": milliCPU(1000), "b": {}}))
-	r := h.addRestartingWorkers(2, pool.Options{
-		RunTime: runForever,
-		CrashesAfter: func(p fleet.TaskPosition, n uint64) time.Duration {
-			if p.Workflow == workA && n <= 2 {
-				return 150 * time.Millisecond
+	r := h.addRestartingWorkers(2, pool.Options{RunTime: runForever})
+	crash := func(run int) {
+		h.Eventually(func() int { return r.runsOf(workA) }, waitTimeout, "5ms").Should(Equal(run))
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, w := range r.incarnations {
+			if running(w) > 0 {
+				w.Crash()
 			}
-			return 0
-		},
-	})
+		}
+	}
 	h.submitFor("a", workA, step(1))
-	h.Eventually(func() int { return r.runsOf(workA) }, waitTimeout, "1ms").Should(Equal(2))
+	crash(1)
+	h.Eventually(func() int { return r.runsOf(workA) }, waitTimeout, "5ms").Should(Equal(2))
 	r.mu.Lock() // its heartbeats use the same sequence
 	h.setConfig(withCaps(3, map[string]state.Resources{"a": milliCPU(500), "b": {}}))
 	r.mu.Unlock()
+	crash(2)
 	h.Eventually(func() int { return h.taskOf(workA).UnexplainedCrashes }, waitTimeout, "5ms").Should(Equal(2))
 	h.submitFor("b", workB, step(8))
 	h.Eventually(func() int { return r.runsOf(workB) }, 2*time.Second, "5ms").Should(Equal(8))
