integration: hostile clients of entry and control instances

A process ran out of memory in a trial with clients that keep to no limit. The tests start an entry and a control instance with 96 MiB and 300 descriptors and 10 to 260 hostile clients, and check that the process lives, that its memory and descriptors stay within these settings, and that an ordinary request is answered while the hostile connections remain. Crowds and bounds are fixed here, before the product is changed.

Empty lines before a request are refused by net/http at once.

--- /dev/null
+++ b/integration/hostile_test.go
@@ -0,0 +1,310 @@
+package integration_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// hostileTime is how long a crowd goes on before the checks. It is longer than
+// the time that a client within its limits needs for a request.
+const hostileTime = 3 * time.Second
+
+// crowd is a number of hostile clients.
+type crowd struct {
+	address string
+	clients int
+	// reopen makes each client open the next connection once the server has
+	// closed the present one.
+	reopen bool
+	// play sends what one client sends on a connection. It returns when a write
+	// fails or nothing more is to be sent; the connection then stays open until
+	// the server closes it or the crowd ends.
+	play func(c *hostileConn)
+	// readNothing makes the clients leave all responses unread.
+	readNothing bool
+}
+
+// hostileConn is the connection of a hostile client.
+type hostileConn struct {
+	net.Conn
+	end <-chan struct{} // closed when the crowd ends
+}
+
+// send writes text and reports whether that succeeded.
+func (c *hostileConn) send(text string) bool {
+	_, err := io.WriteString(c.Conn, text)
+	return err == nil
+}
+
+// repeat writes text until total bytes have been sent or a write fails, and
+// reports whether all were sent.
+func (c *hostileConn) repeat(text string, total int) bool {
+	for sent := 0; sent < total; sent += len(text) {
+		if !c.send(text) {
+			return false
+		}
+	}
+	return true
+}
+
+// pause waits and reports whether the crowd goes on.
+func (c *hostileConn) pause(d time.Duration) bool {
+	select {
+	case <-c.end:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// start starts the clients. The returned function ends them.
+func (h *crowd) start() (stop func()) {
+	end := make(chan struct{})
+	var wg sync.WaitGroup
+	for range h.clients {
+		wg.Go(func() {
+			for first := true; first || h.reopen; first = false {
+				h.connect(end)
+				select {
+				case <-end:
+					return
+				case <-time.After(5 * time.Millisecond): // bounds the processor time of a crowd that is refused
+				}
+			}
+			<-end
+		})
+	}
+	return func() { close(end); wg.Wait() }
+}
+
+// connect plays one connection until the server closes it or the crowd ends.
+func (h *crowd) connect(end <-chan struct{}) {
+	conn, err := net.DialTimeout("tcp", h.address, requestAttempt)
+	if err != nil {
+		return
+	}
+	ended := make(chan struct{})
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer close(ended)
+	wg.Go(func() { // ends blocked reads and writes
+		select {
+		case <-end:
+		case <-ended:
+		}
+		_ = conn.Close()
+	})
+	if h.readNothing {
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		h.play(&hostileConn{conn, end})
+		<-end
+		return
+	}
+	played := make(chan struct{})
+	go func() {
+		defer close(played)
+		h.play(&hostileConn{conn, end})
+	}()
+	_, _ = io.Copy(io.Discard, conn) // until the server closes the connection
+	_ = conn.Close()
+	<-played
+}
+
+const (
+	requestLine = "POST /jobs/00000000000000bb HTTP/1.1\r\nHost: jobs.example\r\n"
+	chunkedHead = requestLine + "Transfer-Encoding: chunked\r\n\r\n"
+)
+
+func bodyHead(length int) string {
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n", requestLine, length)
+}
+
+// hostileCase is one kind of hostile client.
+type hostileCase struct {
+	name  string
+	crowd crowd
+}
+
+// run lets the crowd act, checks the node that it connects to, and has an
+// ordinary request answered while the connections of the crowd are still there.
+func (c *hostileCase) run(t *testing.T, target func(nodes) (n *node, address string), ordinary func(nodes)) {
+	t.Run(c.name, func(t *testing.T) {
+		all := startNodes(t)
+		n, address := target(all)
+		h := c.crowd
+		h.address = address
+		stop := h.start()
+		defer stop()
+		time.Sleep(hostileTime)
+		t.Logf("peak memory %d MiB, %d descriptors", n.peakMemoryMiB(), n.descriptors())
+		n.expectWithinLimits("during the hostile requests")
+		ordinary(all)
+		n.expectWithinLimits("after the ordinary request")
+		t.Logf("peak memory %d MiB, %d descriptors at the end", n.peakMemoryMiB(), n.descriptors())
+	})
+}
+
+// Guards against an entry instance that runs out of memory or descriptors, ends
+// or no longer answers ordinary clients because of clients that keep to no limit.
+func TestEntryWithstandsHostileClients(t *testing.T) {
+	const mib = 1 << 20
+	line := "X-Filler: " + strings.Repeat("a", 4000) + "\r\n"
+	uniqueHeaders := func(n int) string {
+		var b strings.Builder
+		for i := range n {
+			fmt.Fprintf(&b, "h%d:\r\n", i)
+		}
+		return b.String()
+	}
+	many := uniqueHeaders(80_000)
+	deep := strings.Repeat("[", mib-200)
+	steps := `{"steps":[` + strings.Repeat("{},", (mib-100)/3) + `{}]}`
+	var (
+		over    = callersSlots + 20 // clients that take all connections
+		crowded = 150               // clients that take most connections
+	)
+	cases := []hostileCase{
+		{"headers over the limit, not finished", crowd{clients: crowded, play: func(c *hostileConn) {
+			_ = c.send(requestLine) && c.repeat(line, mib-8<<10)
+		}}},
+		{"headers over the limit, finished", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(requestLine) && c.repeat(line, mib-8<<10) && c.send("\r\n")
+		}}},
+		{"headers without end", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(requestLine) && c.repeat(line, 64*mib)
+		}}},
+		{"one header line without end", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(requestLine+"X-Filler: ") && c.repeat(strings.Repeat("a", 4096), 64*mib)
+		}}},
+		{"empty lines before the first request", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
+			c.repeat(strings.Repeat("\r\n", 2048), 64*mib)
+		}}},
+		{"empty lines after a request", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(bodyHead(2)+"{}") && c.repeat(strings.Repeat("\r\n", 2048), 64*mib)
+		}}},
+		{"empty lines, slowly", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
+			for c.send("\r\n") && c.pause(300*time.Millisecond) {
+			}
+		}}},
+		{"thousands of headers", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(requestLine) && c.send(many) && c.send("\r\n")
+		}}},
+		{"chunked body without end", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(chunkedHead+"d\r\n{\"taskSpec\":\"\r\n") && c.repeat("1000\r\n"+strings.Repeat("a", 0x1000)+"\r\n", 64*mib)
+		}}},
+		{"chunked bodies up to the limit, not finished", crowd{clients: crowded, play: func(c *hostileConn) {
+			_ = c.send(chunkedHead+"d\r\n{\"taskSpec\":\"\r\n") && c.repeat("1000\r\n"+strings.Repeat("a", 0x1000)+"\r\n", mib-8<<10)
+		}}},
+		{"chunk extensions without end", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(chunkedHead+"1;x=") && c.repeat(strings.Repeat("a", 4096), 64*mib)
+		}}},
+		{"many chunk extensions", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(chunkedHead) && c.repeat("1;x="+strings.Repeat("a", 1000)+"\r\n \r\n", 64*mib)
+		}}},
+		{"large bodies, slowly", crowd{clients: crowded, play: func(c *hostileConn) {
+			_ = c.send(bodyHead(mib-1)+`{"taskSpec":"`) && c.repeat(strings.Repeat("a", 4096), mib-16<<10)
+			for c.pause(time.Second) && c.send("a") {
+			}
+		}}},
+		{"small bodies, slowly", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
+			ok := c.send(bodyHead(1000) + `{"taskSpec":"`)
+			for ok && c.pause(300*time.Millisecond) {
+				ok = c.send("a")
+			}
+		}}},
+		{"bodies of refused requests, slowly", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
+			ok := c.send("PATCH / HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: 1000\r\n\r\n")
+			for ok && c.pause(300*time.Millisecond) {
+				ok = c.send("a")
+			}
+		}}},
+		{"headers, slowly", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
+			ok := c.send(requestLine)
+			for ok && c.pause(300*time.Millisecond) {
+				ok = c.send("a: b\r\n")
+			}
+		}}},
+		{"pipelined requests, responses not read", crowd{clients: 60, readNothing: true, play: func(c *hostileConn) {
+			c.repeat(strings.Repeat("PATCH / HTTP/1.1\r\nHost: jobs.example\r\n\r\n", 100), 64*mib)
+		}}},
+		{"connections that only open", crowd{clients: over, reopen: true, play: func(*hostileConn) {}}},
+		{"half-closed connections", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
+			if c.send(bodyHead(1000) + `{"taskSpec":"`) {
+				_ = c.Conn.(*net.TCPConn).CloseWrite()
+			}
+		}}},
+		{"deeply nested JSON", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(bodyHead(len(deep)+5)+`{"a":`) && c.send(deep)
+		}}},
+		{"hundreds of thousands of steps", crowd{clients: 30, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(bodyHead(len(steps))) && c.send(steps)
+		}}},
+		{"unknown paths at a high rate", crowd{clients: 50, play: func(c *hostileConn) {
+			for i := 0; c.send(fmt.Sprintf("GET /%d/%s HTTP/1.1\r\nHost: h%d.example\r\nAuthorization: Bearer k%d\r\n\r\n", i, strings.Repeat("x", 12<<10), i, i)); i++ {
+				if !c.pause(time.Millisecond) {
+					return
+				}
+			}
+		}}},
+	}
+	for i := range cases {
+		cases[i].run(t, func(all nodes) (*node, string) { return all.entry, all.entry.callers }, nodes.expectSubmission)
+	}
+}
+
+// Guards against a control instance that runs out of memory or descriptors, ends
+// or no longer accepts heartbeats because of clients of its port for operators
+// and workers.
+func TestControlWithstandsHostileClients(t *testing.T) {
+	const mib = 1 << 20
+	put := func(path string, length int) string {
+		return fmt.Sprintf("PUT %s HTTP/1.1\r\nHost: c\r\nContent-Length: %d\r\n\r\n", path, length)
+	}
+	routes := `{"version":2,"routes":[` + strings.Repeat("{},", 2*mib) + `{}]}`
+	labels := `{"service":"s","labels":[` + strings.Repeat(`"",`, mib) + `""]}`
+	large := strings.Replace(hostileConfig, `{"version":1,`, `{"version":2,"filler":"`+strings.Repeat("a", 700<<10)+`",`, 1)
+	over := controlSlots + 10
+	cases := []hostileCase{
+		{"configurations with millions of routes", crowd{clients: 10, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(put("/config", len(routes))) && c.send(routes)
+		}}},
+		{"heartbeats with a million labels", crowd{clients: 20, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(put("/instances/i-2", len(labels))) && c.send(labels)
+		}}},
+		{"large configurations, slowly", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
+			_ = c.send(put("/config", 8*mib)) && c.repeat(strings.Repeat(" ", 4096), 7*mib)
+			for c.pause(time.Second) && c.send(" ") {
+			}
+		}}},
+		{"heartbeats, slowly", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
+			ok := c.send(put("/instances/i-2", 1000))
+			for ok && c.pause(300*time.Millisecond) {
+				ok = c.send(" ")
+			}
+		}}},
+		{"headers without end", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
+			_ = c.send("PUT /config HTTP/1.1\r\nHost: c\r\n") && c.repeat("X-Filler: "+strings.Repeat("a", 4000)+"\r\n", 64*mib)
+		}}},
+		{"connections that only open", crowd{clients: over, reopen: true, play: func(*hostileConn) {}}},
+		{"large responses, not read", crowd{clients: over, readNothing: true, play: func(c *hostileConn) {
+			c.repeat("GET /config HTTP/1.1\r\nHost: c\r\n\r\n", 4000)
+		}}},
+	}
+	for i := range cases {
+		cases[i].run(t, func(all nodes) (*node, string) {
+			if strings.HasPrefix(cases[i].name, "large responses") {
+				all.control.Eventually(func() (int, error) { return send(http.MethodPut, all.control.control, "/config", large) },
+					startTimeout, "50ms").Should(Equal(http.StatusOK))
+			}
+			return all.control, all.control.control
+		}, nodes.expectHeartbeat)
+	}
+}
