conns: limits for HTTP servers and a memory budget for unfinished requests

A crowd of clients that send large parts of requests and do not finish them ran a process out of memory: only the header time and the idle time were bounded, and nothing bounded the total.

Guard makes the HTTP servers of a process with all limits: header size and time, a minimum rate of bodies, a time for each block of a response. Each use of connections (callers, control, peers, calls to workers, probes) has its own part of the memory for what clients have sent and not finished. A connection is charged for what it reads and waits for room before it reads on; when a part is used up, late and large unfinished requests are given up first (relief.go, a pure decision). Requests that are complete are never given up, so a refusal means that nothing ran. When all connections of a use are taken, the oldest late ones make room. Refusals are counted by reason and logged once per 10 s (event 712).

--- /dev/null
+++ b/conns/input.go
@@ -0,0 +1,205 @@
+package conns
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// phase is what an accepted connection is doing.
+type phase uint8
+
+const (
+	phaseIdle     phase = iota // has sent no byte of the next request
+	phaseHeader                // has sent a part of the header
+	phaseBody                  // the handler runs, the body is not complete
+	phaseRunning               // the request is complete, its response is not
+	phaseHijacked              // no longer used for HTTP requests
+)
+
+// ErrRefused is returned by reads from a connection that was given up.
+var ErrRefused = errors.New("the connection was given up because the server is overloaded")
+
+// maxRead is the most that a connection reads before its memory is charged.
+const maxRead = 16 << 10
+
+// writeBlock is the part of a response that a client must accept within
+// Limits.WriteTimeout.
+const writeBlock = 64 << 10
+
+// inputConn is an accepted connection that charges what it reads to its part of
+// the budget until the request has been answered.
+type inputConn struct {
+	net.Conn
+	part         *part
+	writeTimeout time.Duration
+	held         atomic.Int64 // bytes charged
+	refused      atomic.Bool
+	closeOnce    sync.Once
+
+	mu       sync.Mutex
+	phase    phase
+	since    time.Time // of the first byte of the request, or of the last response
+	received int64     // bytes of the request
+	readErr  bool      // a read has failed because of the client
+	ending   int64     // bytes of this connection that are counted in part.ending
+	closed   bool
+}
+
+// Read implements net.Conn. It first waits for room if the part is exhausted, and
+// reads nothing more once the connection was given up.
+func (c *inputConn) Read(p []byte) (int, error) {
+	if c.part.exhausted() && c.mayWait() && !c.part.awaitRoom() {
+		c.refuse(ReasonMemory)
+	}
+	if c.refused.Load() {
+		return 0, ErrRefused
+	}
+	n, err := c.Conn.Read(p[:min(len(p), maxRead)])
+	if n > 0 {
+		c.charge(p[:n])
+	}
+	if err != nil && c.refused.Load() {
+		return n, ErrRefused
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.mu.Lock()
+		c.readErr = true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// mayWait reports whether the next read is for a request that is not complete.
+func (c *inputConn) mayWait() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase <= phaseBody && !c.refused.Load()
+}
+
+// charge accounts for data that has arrived.
+func (c *inputConn) charge(data []byte) {
+	c.mu.Lock()
+	if c.phase == phaseHijacked {
+		c.mu.Unlock()
+		return
+	}
+	if c.phase == phaseIdle {
+		c.phase, c.since = phaseHeader, time.Now()
+	}
+	c.received += int64(len(data))
+	cost := int64(len(data)) * bodyFactor
+	if c.phase == phaseHeader {
+		cost = int64(len(data))*headerFactor + int64(bytes.Count(data, []byte{'\n'}))*headerLineBytes
+	}
+	c.mu.Unlock()
+	c.held.Add(cost)
+	c.part.used.Add(cost)
+}
+
+// Write implements net.Conn. A client that accepts no part of a response within
+// the time limit is disconnected.
+func (c *inputConn) Write(p []byte) (written int, err error) {
+	c.mu.Lock()
+	hijacked := c.phase == phaseHijacked
+	c.mu.Unlock()
+	if hijacked {
+		return c.Conn.Write(p)
+	}
+	for {
+		block := p[written:min(len(p), written+writeBlock)]
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(block)
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.part.report(ReasonNotRead, c.RemoteAddr().String())
+		}
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *inputConn) Close() error {
+	c.closeOnce.Do(func() {
+		c.mu.Lock()
+		headerRefused := c.phase == phaseHeader && !c.readErr && !c.refused.Load()
+		c.closed = true
+		c.mu.Unlock()
+		if headerRefused {
+			c.part.report(ReasonHeader, c.RemoteAddr().String())
+		}
+		c.part.remove(c)
+	})
+	return c.Conn.Close()
+}
+
+// enter records the phase that the server has reached. It reports false if the
+// connection was given up before: its request must not be carried out.
+func (c *inputConn) enter(next phase) bool {
+	c.mu.Lock()
+	if c.refused.Load() {
+		c.mu.Unlock()
+		return false
+	}
+	c.phase = next
+	if next == phaseIdle || next == phaseBody {
+		c.since = time.Now()
+	}
+	if next == phaseIdle {
+		c.received = 0
+	}
+	c.mu.Unlock()
+	if next == phaseIdle || next == phaseHijacked {
+		c.release(connBytes)
+	}
+	return true
+}
+
+// release returns what is charged beyond the given number of bytes to the part.
+func (c *inputConn) release(keep int64) {
+	c.mu.Lock()
+	c.part.ending.Add(-c.ending)
+	c.ending = 0
+	c.mu.Unlock()
+	if rest := c.held.Swap(keep) - keep; rest != 0 {
+		c.part.free(rest)
+	}
+}
+
+// pending returns what a decision has to know of the connection. It returns false
+// if the request is complete: it may have been passed on, so that disconnecting
+// its client would leave the outcome unknown.
+func (c *inputConn) pending(now time.Time) (pendingConn, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase > phaseBody || c.refused.Load() {
+		return pendingConn{}, false
+	}
+	return pendingConn{held: c.held.Load(), received: c.received, age: now.Sub(c.since), begun: c.phase != phaseIdle}, true
+}
+
+// refuse gives the connection up: reads fail from now on, so that the server
+// closes it or its handler refuses the request. Its memory is free when that has
+// ended. A request that has become complete in the meantime is not refused.
+func (c *inputConn) refuse(reason Reason) {
+	c.mu.Lock()
+	given := c.phase <= phaseBody && !c.closed && !c.refused.Swap(true)
+	if given {
+		c.ending = c.held.Load()
+		c.part.ending.Add(c.ending)
+	}
+	c.mu.Unlock()
+	if !given {
+		return
+	}
+	c.part.report(reason, c.RemoteAddr().String())
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // ends a read that waits
+}
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -26,4 +26,8 @@
 		"connections are near their limit", "On this instance, connections of this use beyond the limit wait or fail. Compare the open connections with their limit in the metrics; raise the limit of descriptors, or look for a peer that opens too many.")
 	HangupIgnored = define(711, "hangup-ignored", slog.LevelWarn,
 		"SIGHUP ignored", "This process reads its settings only when it starts. Restart it to apply a change.")
+	ClientRefused = define(712, "client-refused", slog.LevelWarn,
+		"clients were refused or disconnected", "Clients exceeded a limit, or the memory or the connections for clients of this use were used up. The line is written every 10 s at most: reason and remote are those of the last client, refused is the number since the last line. Counters by reason are in the metrics. If ordinary clients are among them, raise the limit in the settings.")
+	HandlerFailed = define(713, "request-handler-failed", slog.LevelError,
+		"request could not be handled", "A defect of this program, triggered by this one request, whose connection was closed; other requests are still handled. Report it with the stack.")
 )
