platform, daemon: bound what clients, workers and operators may send

All HTTP servers are now made by conns.Guard, with limits from the settings whose defaults no client within the promised limits reaches. Bodies are read into reused buffers; the memory that a document takes when it is decoded is estimated from its values, charged and bounded before that: 1 MiB of empty steps took hundreds of MiB. A body that is too large gets 413 (was 400), a slow one 408, one for which there is no memory 429, or 503 on the control port. Responses of workers have a part of the memory budget and a limit of their headers. Log lines repeat at most 256 bytes of a path or a reason, since 4,096 lines are buffered.

--- a/config/node.go
+++ b/config/node.go
@@ -48,6 +48,75 @@
 	// limit of the operating system.
 	Descriptors int     `yaml:"descriptors"`
 	GraceS      float64 `yaml:"grace_s"` // from SIGTERM to SIGKILL
+	// InputMiB is the memory for what callers, or operators and workers, have
+	// sent and not finished; 0 applies a quarter of MemoryMiB.
+	InputMiB int64 `yaml:"input_mib"`
+	// The following bound what one client may do. 0 applies the default.
+	HeaderKiB       int64   `yaml:"header_kib"`        // request line and headers
+	BodyKiB         int64   `yaml:"body_kib"`          // body of a submission
+	HeaderTimeoutMS float64 `yaml:"header_timeout_ms"` // for request line and headers
+	IdleTimeoutMS   float64 `yaml:"idle_timeout_ms"`   // between two requests
+	BodyGraceMS     float64 `yaml:"body_grace_ms"`     // for a body, in addition to its size divided by BodyRateKiBs
+	BodyRateKiBs    int64   `yaml:"body_rate_kib_s"`   // minimum rate of a body, in KiB/s
+	WriteTimeoutMS  float64 `yaml:"write_timeout_ms"`  // for each 64 KiB of a response
+}
+
+// Limits that operators promise to clients. Settings below them would refuse
+// clients that keep to the promise.
+const (
+	promisedHeaderKiB       = 16
+	promisedBodyKiB         = 256
+	promisedHeaderTimeoutMS = 3000
+	promisedIdleTimeoutMS   = 15000
+	// minBodyGraceMS covers two retransmissions of a lost packet.
+	minBodyGraceMS = 1000
+	// maxBodyRateKiBs is the rate of one body on a link of 2 Mbit/s, halved.
+	maxBodyRateKiBs   = 128
+	minWriteTimeoutMS = 1000
+	maxClientTimeMS   = 600_000
+	// maxRequestKiB is the largest accepted limit of a header or a body.
+	maxRequestKiB = 8 << 10
+)
+
+// validateClients checks the limits of clients and fills in defaults.
+func (l *NodeLimits) validateClients() error {
+	if l.MemoryMiB < 0 || l.InputMiB < 0 || l.MemoryMiB > 0 && l.InputMiB > l.MemoryMiB {
+		return fmt.Errorf("limits.input_mib %d is not between 0 and limits.memory_mib %d", l.InputMiB, l.MemoryMiB)
+	}
+	for _, s := range []struct {
+		name                      string
+		value                     *int64
+		standard, lowest, highest int64
+	}{
+		{"header_kib", &l.HeaderKiB, defaultHeaderKiB, promisedHeaderKiB, maxRequestKiB},
+		{"body_kib", &l.BodyKiB, defaultBodyKiB, promisedBodyKiB, maxRequestKiB},
+		{"body_rate_kib_s", &l.BodyRateKiBs, defaultBodyRateKiBs, 1, maxBodyRateKiBs},
+	} {
+		if *s.value == 0 {
+			*s.value = s.standard
+		}
+		if *s.value < s.lowest || *s.value > s.highest {
+			return fmt.Errorf("limits.%s %d is not between %d and %d", s.name, *s.value, s.lowest, s.highest)
+		}
+	}
+	for _, s := range []struct {
+		name             string
+		value            *float64
+		standard, lowest float64
+	}{
+		{"header_timeout_ms", &l.HeaderTimeoutMS, defaultHeaderTimeoutMS, promisedHeaderTimeoutMS},
+		{"idle_timeout_ms", &l.IdleTimeoutMS, defaultIdleTimeoutMS, promisedIdleTimeoutMS},
+		{"body_grace_ms", &l.BodyGraceMS, defaultBodyGraceMS, minBodyGraceMS},
+		{"write_timeout_ms", &l.WriteTimeoutMS, defaultWriteTimeoutMS, minWriteTimeoutMS},
+	} {
+		if *s.value == 0 {
+			*s.value = s.standard
+		}
+		if !(*s.value >= s.lowest && *s.value <= maxClientTimeMS) {
+			return fmt.Errorf("limits.%s %g is not between %g and %d", s.name, *s.value, s.lowest, maxClientTimeMS)
+		}
+	}
+	return nil
 }
 
 // Grace returns the time from SIGTERM to SIGKILL.
@@ -94,6 +163,16 @@
 	// defaultLostInstances results in five voters.
 	defaultLostInstances = 2
 	defaultGraceS        = 6
+
+	defaultHeaderKiB       = 32
+	defaultBodyKiB         = 1024
+	defaultHeaderTimeoutMS = 5000
+	defaultIdleTimeoutMS   = 60_000
+	// Two lost packets in a row delay a body by up to 3 s. A link of 2 Mbit/s
+	// carries 60 bodies at the minimum rate.
+	defaultBodyGraceMS    = 5000
+	defaultBodyRateKiBs   = 4
+	defaultWriteTimeoutMS = 10_000
 )
 
 func (n *Node) validate() error {
@@ -114,7 +193,7 @@
 	setDefault(&n.Workers.LeaseMS, defaultLeaseMS)
 	setDefault(&n.Workers.StopGraceMS, defaultStopGraceMS)
 	setDefault(&n.Limits.GraceS, defaultGraceS)
-	return nil
+	return n.Limits.validateClients()
 }
 
 func setDefault(setting *float64, value float64) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"apricotrouter/config"
+	"apricotrouter/conns"
 	"apricotrouter/control"
 	"apricotrouter/dispatch"
 	"apricotrouter/event"
@@ -70,6 +71,7 @@
 	dispatch      *dispatch.Dispatcher
 	operator      *operator.Service
 
+	guard *conns.Guard
 	entry *http.Server
 	peer  *http.Server
 	admin *http.Server
@@ -181,9 +183,9 @@
 		}
 		return operator.Serve(ctx, d.ports.operator, d.operator, tlsConfig)
 	})
-	d.serve(d.entry, d.ports.entry)
-	d.serve(d.peer, d.ports.peer)
-	d.serve(d.admin, d.ports.admin)
+	d.serve(d.entry, d.ports.entry, conns.Callers)
+	d.serve(d.peer, d.ports.peer, conns.Peers)
+	d.serve(d.admin, d.ports.admin, conns.Probes)
 }
 
 // runComponent starts one component. Its error stops the instance unless ctx has
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -6,43 +6,32 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"apricotrouter/conns"
 	"apricotrouter/transport"
 )
 
-// Limits of the HTTP servers.
-const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
-)
+// clientLimits are the limits of the HTTP servers.
+var clientLimits = conns.Limits{HeaderBytes: 64 << 10}
 
 func (d *Daemon) wireServers() error {
 	tlsConfig, err := d.cfg.TLS.PeerServer()
 	if err != nil {
 		return err
 	}
-	d.entry = newServer(d.entryHandler(), nil)
-	d.peer = newServer(d.peerHandler(), tlsConfig)
-	d.admin = newServer(d.adminHandler(), nil)
+	// The settings of this daemon have no limit of memory or descriptors.
+	d.guard = conns.NewGuard(conns.GuardOptions{Logger: d.logger, Registerer: d.metrics})
+	d.entry = d.guard.NewServer(conns.Callers, clientLimits, d.entryHandler())
+	d.peer = d.guard.NewServer(conns.Peers, clientLimits, d.peerHandler())
+	d.peer.TLSConfig = tlsConfig
+	d.admin = d.guard.NewServer(conns.Probes, clientLimits, d.adminHandler())
 	return nil
 }
 
-func newServer(h http.Handler, tlsConfig *tls.Config) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		TLSConfig:         tlsConfig,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
 // entryHandler serves callers' requests and endpoint announcements.
 func (d *Daemon) entryHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -78,7 +67,8 @@
 }
 
 // serve runs one HTTP server until it is shut down or closed.
-func (d *Daemon) serve(s *http.Server, l net.Listener) {
+func (d *Daemon) serve(s *http.Server, l net.Listener, use conns.Use) {
+	l = d.guard.Listen(l, use, clientLimits)
 	if s.TLSConfig != nil {
 		l = tls.NewListener(l, s.TLSConfig)
 	}
