transport, conns: charge large frames of peers; deadlines only where a read blocks

Each connection of a peer could hold a frame of 8 MiB that had not arrived completely.

The deadline of a body was set at each request. It is now set by the connection before a read for a body, which a small body that arrives with its header never needs, and the deadline of writes is used for several of them.

--- a/conns/guard.go
+++ b/conns/guard.go
@@ -21,7 +21,7 @@
 // separate, so that callers can't use up what peers, probes and operators need.
 // The sum exceeds what a process should spend, because an instance either serves
 // callers or operators and workers, not both.
-var memoryPercents = map[Use]int64{Callers: 25, Control: 25, Peers: 5, Workers: 10, Probes: 2}
+var memoryPercents = map[Use]int64{Callers: 25, Control: 25, Peers: 20, Workers: 10, Probes: 2}
 
 const (
 	// connBytes is charged for each connection: its goroutine's stack and its
@@ -325,7 +325,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &inputConn{Conn: conn, part: l.part, writeTimeout: l.limits.WriteTimeout, since: time.Now()}
+	c := &inputConn{Conn: conn, part: l.part, limits: l.limits, since: time.Now()}
 	c.held.Store(connBytes)
 	l.part.add(c)
 	return c, nil
@@ -379,7 +379,7 @@
 		switch {
 		case int64(buffer.Len()) > limit:
 			return nil, release, ErrTooLarge
-		case errors.Is(err, io.EOF):
+		case err == io.EOF: // not a wrapped one, which is that of the connection
 			return buffer.Bytes(), release, nil
 		case err != nil:
 			return nil, release, err
--- a/conns/guard_test.go
+++ b/conns/guard_test.go
@@ -221,3 +221,42 @@
 type endless struct{}
 
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// BenchmarkRequest measures a small request and its response over loopback, with
+// the limits and without them.
+func BenchmarkRequest(b *testing.B) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	request := []byte(post("/jobs/1", 300) + strings.Repeat("a", 300))
+	for _, limited := range []bool{false, true} {
+		b.Run(fmt.Sprintf("limited=%t", limited), func(b *testing.B) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+			if limited {
+				guard := conns.NewGuard(conns.GuardOptions{MemoryBytes: 200 << 20})
+				server = guard.NewServer(conns.Callers, conns.Limits{}, handler)
+				l = guard.Listen(l, conns.Callers, conns.Limits{})
+			}
+			go func() { _ = server.Serve(l) }()
+			defer func() { _ = server.Close() }()
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			r := bufio.NewReader(c)
+			for b.Loop() {
+				if _, err := c.Write(request); err != nil {
+					b.Fatal(err)
+				}
+				resp, err := http.ReadResponse(r, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+			}
+		})
+	}
+}
--- a/conns/input.go
+++ b/conns/input.go
@@ -35,16 +35,21 @@
 // the budget until the request has been answered.
 type inputConn struct {
 	net.Conn
-	part         *part
-	writeTimeout time.Duration
-	held         atomic.Int64 // bytes charged
-	refused      atomic.Bool
-	closeOnce    sync.Once
+	part      *part
+	limits    Limits
+	held      atomic.Int64 // bytes charged
+	refused   atomic.Bool
+	closeOnce sync.Once
+	// writeDeadline is that of the connection. It belongs to the goroutine that
+	// writes.
+	writeDeadline time.Time
 
 	mu       sync.Mutex
 	phase    phase
 	since    time.Time // of the first byte of the request, or of the last response
 	received int64     // bytes of the request
+	header   int64     // of these, bytes that arrived before the handler ran
+	deadline time.Time // for reads, set because of a body; zero if none is
 	readErr  bool      // a read has failed because of the client
 	ending   int64     // bytes of this connection that are counted in part.ending
 	closed   bool
@@ -59,6 +64,9 @@
 	if c.refused.Load() {
 		return 0, ErrRefused
 	}
+	if err := c.limitBody(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(p[:min(len(p), maxRead)])
 	if n > 0 {
 		c.charge(p[:n])
@@ -66,14 +74,61 @@
 	if err != nil && c.refused.Load() {
 		return n, ErrRefused
 	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.mu.Lock()
-		c.readErr = true
-		c.mu.Unlock()
+	if err != nil {
+		c.readFailed(err)
 	}
 	return n, err
 }
 
+// readFailed records the end of what the client sends.
+func (c *inputConn) readFailed(err error) {
+	c.mu.Lock()
+	late := errors.Is(err, os.ErrDeadlineExceeded)
+	c.readErr = c.readErr || !late
+	slow := late && c.phase == phaseBody
+	c.mu.Unlock()
+	if slow {
+		c.part.report(ReasonBodySlow, c.RemoteAddr().String())
+	}
+}
+
+// deadlineStep is the least extension of the deadline of a body. Smaller ones
+// would change it at each read.
+const deadlineStep = 500 * time.Millisecond
+
+// limitBody sets the deadline of the next read if it is for a body. A small body
+// that arrives with its header needs no further read and no deadline. The
+// deadline also holds for the rest of a body that the handler does not read and
+// that net/http discards.
+func (c *inputConn) limitBody() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phaseBody || c.refused.Load() {
+		return nil
+	}
+	deadline := c.since.Add(c.limits.bodyTime(c.received - c.header))
+	if !c.deadline.IsZero() && deadline.Sub(c.deadline) < deadlineStep {
+		return nil
+	}
+	c.deadline = deadline
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// bodyComplete ends the deadline of the body. It reports false if the connection
+// was given up before.
+func (c *inputConn) bodyComplete() bool {
+	if !c.enter(phaseRunning) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.deadline.IsZero() {
+		return true
+	}
+	c.deadline = time.Time{}
+	return c.Conn.SetReadDeadline(time.Time{}) == nil
+}
+
 // mayWait reports whether the next read is for a request that is not complete.
 func (c *inputConn) mayWait() bool {
 	c.mu.Lock()
@@ -112,8 +167,13 @@
 	}
 	for {
 		block := p[written:min(len(p), written+writeBlock)]
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-			return written, err
+		// A deadline is used for several writes, because changing it costs as
+		// much as a small write.
+		if now := time.Now(); c.writeDeadline.Sub(now) < c.limits.WriteTimeout {
+			c.writeDeadline = now.Add(c.limits.WriteTimeout + c.limits.WriteTimeout/4)
+			if err := c.Conn.SetWriteDeadline(c.writeDeadline); err != nil {
+				return written, err
+			}
 		}
 		n, err := c.Conn.Write(block)
 		written += n
@@ -126,6 +186,19 @@
 	}
 }
 
+// SetWriteDeadline implements net.Conn. It does nothing while the connection is
+// used for HTTP requests: net/http would end the deadline after each response,
+// and Write sets its own.
+func (c *inputConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	hijacked := c.phase == phaseHijacked
+	c.mu.Unlock()
+	if hijacked {
+		return c.Conn.SetWriteDeadline(t)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *inputConn) Close() error {
 	c.closeOnce.Do(func() {
@@ -150,11 +223,11 @@
 		return false
 	}
 	c.phase = next
-	if next == phaseIdle || next == phaseBody {
-		c.since = time.Now()
-	}
-	if next == phaseIdle {
-		c.received = 0
+	switch next {
+	case phaseIdle:
+		c.since, c.received, c.deadline = time.Now(), 0, time.Time{}
+	case phaseBody:
+		c.since, c.header = time.Now(), c.received
 	}
 	c.mu.Unlock()
 	if next == phaseIdle || next == phaseHijacked {
--- a/conns/server.go
+++ b/conns/server.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"time"
 
 	"apricotrouter/event"
 )
@@ -26,7 +25,7 @@
 func (g *Guard) NewServer(use Use, limits Limits, h http.Handler) *http.Server {
 	limits = limits.withDefaults()
 	return &http.Server{
-		Handler:           &guardedHandler{next: h, limits: limits},
+		Handler:           &guardedHandler{next: h},
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
@@ -64,11 +63,8 @@
 	}
 }
 
-// guardedHandler bounds the time for the bodies of requests.
-type guardedHandler struct {
-	next   http.Handler
-	limits Limits
-}
+// guardedHandler records the phases of requests and wraps their bodies.
+type guardedHandler struct{ next http.Handler }
 
 // ServeHTTP implements http.Handler.
 func (h *guardedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -91,14 +87,7 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
-	b := &boundedBody{ReadCloser: r.Body, conn: c, limits: h.limits, control: http.NewResponseController(w), start: time.Now()}
-	// The deadline also holds for the rest of a body that the handler does not
-	// read and that the server discards.
-	if b.extend(); b.err != nil {
-		http.Error(w, b.err.Error(), http.StatusInternalServerError)
-		return
-	}
-	r.Body = b
+	r.Body = &boundedBody{ReadCloser: r.Body, conn: c}
 	h.next.ServeHTTP(w, r)
 	if c.refused.Load() {
 		c.release(connBytes) // net/http may keep the connection for another 500 ms
@@ -108,48 +97,26 @@
 // boundedBody is a request's body that must arrive at a minimum rate.
 type boundedBody struct {
 	io.ReadCloser
-	conn     *inputConn
-	limits   Limits
-	control  *http.ResponseController
-	start    time.Time
-	read     int64
-	deadline time.Duration // since start
-	err      error         // of the last change of the deadline
-}
-
-// deadlineStep is the least extension of the deadline. Smaller ones would change
-// it at each read.
-const deadlineStep = 500 * time.Millisecond
-
-func (b *boundedBody) extend() {
-	if d := b.limits.bodyTime(b.read); b.deadline == 0 || d >= b.deadline+deadlineStep {
-		b.deadline = d
-		b.err = b.control.SetReadDeadline(b.start.Add(d))
-	}
+	conn *inputConn
+	done bool
 }
 
 // Read implements io.Reader.
 func (b *boundedBody) Read(p []byte) (int, error) {
-	if b.err != nil {
-		return 0, b.err
+	if b.done {
+		return 0, io.EOF
 	}
 	n, err := b.ReadCloser.Read(p)
-	b.read += int64(n)
 	switch {
 	case err == nil:
-		b.extend()
 	case errors.Is(err, io.EOF):
-		if !b.conn.enter(phaseRunning) {
+		if !b.conn.bodyComplete() {
 			return n, ErrRefused
 		}
-		b.err = b.control.SetReadDeadline(time.Time{})
-		if b.err == nil {
-			b.err = io.EOF
-		}
+		b.done = true
 	case b.conn.refused.Load():
 		err = ErrRefused
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		b.conn.part.report(ReasonBodySlow, b.conn.RemoteAddr().String())
 		err = ErrBodySlow
 	}
 	return n, err
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -1,8 +1,10 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
+	"apricotrouter/conns"
 	"apricotrouter/steperr"
 )
 
@@ -50,6 +53,8 @@
 	mux      *Mux
 	metrics  *metrics
 	outgoing chan frame
+	memory   *conns.Memory         // for large frames that are being read; nil means that there is no limit
+	small    [smallFrameBytes]byte // for frames that fit
 	cancel   context.CancelFunc
 	done     chan struct{} // closed when the connection has ended
 	nextID   atomic.Uint64
@@ -63,13 +68,18 @@
 	wg             sync.WaitGroup
 }
 
-func newConn(peer string, ws *websocket.Conn, mux *Mux, m *metrics) *peerConn {
+// smallFrameBytes is the size up to which a frame is read into the buffer of its
+// connection. Heartbeats and most messages of the log are smaller.
+const smallFrameBytes = 4 << 10
+
+func newConn(peer string, ws *websocket.Conn, mux *Mux, m *metrics, memory *conns.Memory) *peerConn {
 	ws.SetReadLimit(MaxFrameBytes)
 	c := &peerConn{
 		peer:         peer,
 		ws:           ws,
 		mux:          mux,
 		metrics:      m,
+		memory:       memory,
 		outgoing:     make(chan frame, sendQueueCapacity),
 		done:         make(chan struct{}),
 		pendingCalls: make(map[uint64]chan frame),
@@ -127,7 +137,8 @@
 
 func (c *peerConn) readFrame() (frame, error) {
 	var f frame
-	_, data, err := c.ws.Read(context.Background())
+	data, release, err := c.readMessage()
+	defer release()
 	if err != nil {
 		return f, steperr.Wrap(err, "read frame", c.peer)
 	}
@@ -139,6 +150,24 @@
 	return f, nil
 }
 
+// readMessage returns the data of the next message, which is valid until release
+// and the next call. The memory for a large one is charged while it arrives.
+func (c *peerConn) readMessage() (data []byte, release func(), err error) {
+	release = func() {}
+	_, r, err := c.ws.Reader(context.Background())
+	if err != nil {
+		return nil, release, err
+	}
+	n, err := io.ReadFull(r, c.small[:])
+	switch {
+	case err == io.EOF || err == io.ErrUnexpectedEOF: // not a wrapped one, which is that of the connection
+		return c.small[:n], release, nil
+	case err != nil:
+		return nil, release, err
+	}
+	return c.memory.ReadAll(io.MultiReader(bytes.NewReader(c.small[:]), r), MaxFrameBytes)
+}
+
 // FrameError reports that a frame from a peer could not be decoded.
 type FrameError struct{ Err error }
 
--- a/transport/mesh.go
+++ b/transport/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"apricotrouter/conns"
 	"apricotrouter/event"
 	"apricotrouter/steperr"
 )
@@ -43,7 +44,10 @@
 	// TLS is the client configuration; nil dials without TLS.
 	TLS *tls.Config
 	// Dial opens connections; nil uses the default dialer of net/http.
-	Dial       func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Memory is for large frames while they arrive; nil means that there is no
+	// limit.
+	Memory     *conns.Memory
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 }
@@ -240,7 +244,7 @@
 	if err != nil {
 		return nil, steperr.Wrap(err, "dial peer", peer)
 	}
-	return newConn(peer, ws, m.opts.Mux, m.metrics), nil
+	return newConn(peer, ws, m.opts.Mux, m.metrics, m.opts.Memory), nil
 }
 
 func (m *Mesh) setConn(peer string, c *peerConn) {
@@ -279,7 +283,7 @@
 	if err != nil {
 		return // Accept has sent the error response.
 	}
-	c := newConn(from, ws, m.opts.Mux, m.metrics)
+	c := newConn(from, ws, m.opts.Mux, m.metrics, m.opts.Memory)
 	select {
 	case m.accepted <- c:
 		// Run serves the connection, so the HTTP handler returns.
--- a/transport/mesh_test.go
+++ b/transport/mesh_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,8 @@
 	"github.com/coder/websocket"
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
+
+	"apricotrouter/conns"
 )
 
 type echo struct {
@@ -264,3 +267,34 @@
 	g.Expect(call(KindFormation)).To(Succeed())
 	g.Expect(resp.Text).To(Equal("a:x"))
 }
+
+// Guards against peers whose large frames together take the memory of the
+// process, against memory that stays charged, and against frames of any size up
+// to the limit that are not read whole.
+func TestLargeFramesAreChargedWhileTheyArrive(t *testing.T) {
+	g := NewWithT(t)
+	call := func(memory int64, size int) error {
+		la, addrA := listener(t)
+		lb, addrB := listener(t)
+		addrs := map[string]string{"a": addrA, "b": addrB}
+		a := startMesh(t, "a", la, addrs, echoMux())
+		guard := conns.NewGuard(conns.GuardOptions{MemoryBytes: memory})
+		serveMesh(t, NewMesh(MeshOptions{Self: "b", Addresses: addrs, Mux: echoMux(), Memory: guard.Memory(conns.Peers)}), lb)
+		g.Eventually(func() bool { return a.Connected("b") }, "5s").Should(BeTrue())
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		for range 3 {
+			var out echo
+			if err := a.Call(ctx, "b", KindFormation, echo{Text: strings.Repeat("x", size)}, &out); err != nil {
+				return err
+			}
+			g.Expect(out.Text).To(HaveLen(size + len("a:")))
+		}
+		return nil
+	}
+	for _, size := range []int{0, smallFrameBytes - 100, smallFrameBytes - 20, smallFrameBytes, smallFrameBytes + 1, 100_000, MaxFrameBytes / 2} {
+		g.Expect(call(200<<20, size)).To(Succeed(), "%d bytes", size)
+	}
+	g.Expect(call(1<<20, 100)).To(Succeed())
+	g.Expect(call(1<<20, 1<<20)).To(MatchError(ErrConnLost))
+}
