conns: serve small requests while the memory is used up; close refused headers

A connection that waits for its next request no longer waits for room: its buffer is charged with the connection, and a request of up to 4 KiB needs no more. A client that is given up within its header is disconnected; net/http answered it with 400, which says that the request is wrong. The charge of a connection is 12 KiB instead of 16, so that all connections of callers on an instance with 184 MiB and 4,100 descriptors stay within their part.

--- a/conns/guard.go
+++ b/conns/guard.go
@@ -25,8 +25,9 @@
 
 const (
 	// connBytes is charged for each connection: its goroutine's stack and its
-	// buffers, which also hold the next bytes that it reads.
-	connBytes = 16 << 10
+	// buffers, which also hold the next bytes that it reads. All connections that
+	// 4,100 descriptors leave to callers take 38 MiB.
+	connBytes = 12 << 10
 	// headerFactor and headerLineBytes are charged for each byte and each line of
 	// a header: the line is assembled in growing buffers and copied, and a header
 	// takes a map entry, a slice and two strings.
@@ -274,13 +275,14 @@
 }
 
 // reserve charges n bytes to the part. It reports false, and charges nothing, if
-// they are not available even after other clients have been disconnected.
+// they are not available even after other clients have been disconnected. A small
+// number is always available: the number of connections bounds it.
 func (p *part) reserve(n int64) bool {
 	if p.limit > 0 && n > p.limit {
 		return false
 	}
 	p.used.Add(n)
-	if !p.awaitRoom() {
+	if n > connBytes && !p.awaitRoom() {
 		p.free(n)
 		return false
 	}
--- a/conns/guard_test.go
+++ b/conns/guard_test.go
@@ -134,6 +134,26 @@
 	s.Eventually(s.metrics, eventuallyTimeout).Should(ContainSubstring("apricotrouter_input_bytes{use=\"callers\"} 0\n"))
 }
 
+// Guards against ordinary requests that are refused while requests that can't be
+// given up, because they run, use up the memory.
+func TestSmallRequestsAreServedWhileMemoryIsUsedUp(t *testing.T) {
+	s := newGuarded(t, 1<<20, 400, conns.Limits{})
+	idle := s.connect(t, post("/", 2)+"{}")
+	s.Expect(s.status(idle)).To(Equal(http.StatusOK))
+	for range 2 {
+		s.connect(t, post("/wait", 300_000)+strings.Repeat("a", 300_000))
+	}
+	s.Eventually(s.running, eventuallyTimeout).Should(Receive())
+	large := s.connect(t, post("/", 300_000)+strings.Repeat("a", 100_000))
+	s.Eventually(func() bool { return s.haveRefused(conns.ReasonMemory) }, eventuallyTimeout).Should(BeTrue())
+	s.Expect(s.status(large)).To(Or(Equal(http.StatusTooManyRequests), BeZero()))
+	_, err := io.WriteString(idle, post("/", 1000)+strings.Repeat("a", 1000))
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(s.status(idle)).To(Equal(http.StatusOK))
+	s.Expect(s.status(s.connect(t, post("/", 1000)+strings.Repeat("a", 1000)))).To(Equal(http.StatusOK))
+	close(s.release)
+}
+
 // Guards against a body that arrives below the minimum rate and keeps its
 // connection, also where the handler has answered without reading it.
 func TestSlowBodyIsRefused(t *testing.T) {
--- a/conns/input.go
+++ b/conns/input.go
@@ -22,7 +22,21 @@
 )
 
 // ErrRefused is returned by reads from a connection that was given up.
-var ErrRefused = errors.New("the connection was given up because the server is overloaded")
+var ErrRefused net.Error = refusedError{}
+
+// refusedError is a timeout for net/http, which closes a connection after a
+// timeout in a header, and after another error responds with status 400, which
+// tells a client not to send the request again.
+type refusedError struct{}
+
+// Error implements error.
+func (refusedError) Error() string { return "the server is overloaded" }
+
+// Timeout implements net.Error.
+func (refusedError) Timeout() bool { return true }
+
+// Temporary implements net.Error.
+func (refusedError) Temporary() bool { return true }
 
 // maxRead is the most that a connection reads before its memory is charged.
 const maxRead = 16 << 10
@@ -55,8 +69,8 @@
 	closed   bool
 }
 
-// Read implements net.Conn. It first waits for room if the part is exhausted, and
-// reads nothing more once the connection was given up.
+// Read implements net.Conn. It first waits for room if the part is exhausted and
+// the request has begun, and reads nothing more once the connection was given up.
 func (c *inputConn) Read(p []byte) (int, error) {
 	if c.part.exhausted() && c.mayWait() && !c.part.awaitRoom() {
 		c.refuse(ReasonMemory)
@@ -129,11 +143,13 @@
 	return c.Conn.SetReadDeadline(time.Time{}) == nil
 }
 
-// mayWait reports whether the next read is for a request that is not complete.
+// mayWait reports whether the next read is for a request that has begun and is
+// not complete. The start of a request needs no room: its buffer is charged with
+// the connection, so that small requests are served while large ones wait.
 func (c *inputConn) mayWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase <= phaseBody && !c.refused.Load()
+	return (c.phase == phaseHeader || c.phase == phaseBody) && !c.refused.Load()
 }
 
 // charge accounts for data that has arrived.
