--- a/conns/guard.go
+++ b/conns/guard.go
@@ -109,6 +109,9 @@
 	return g
 }
 
+// Used returns the bytes charged to a use.
+func (g *Guard) Used(use Use) int64 { return g.parts[use].used.Load() }
+
 // part is the part of the budget for one use.
 type part struct {
 	guard *Guard
