--- a/integration/hostile_test.go
+++ b/integration/hostile_test.go
@@ -1,6 +1,7 @@
 package integration_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -308,3 +309,43 @@
 		}, nodes.expectHeartbeat)
 	}
 }
+
+// Guards against limits that refuse a client at the limits that operators
+// promise: a header of 16 KiB that takes 2 s, and a body of 256 KiB that takes 2 s
+// more. A heartbeat of 4 MiB and a configuration near the largest that the log
+// stores are accepted, too.
+func TestRequestsAtThePromisedLimitsAreServed(t *testing.T) {
+	all := startNodes(t)
+	g := all.entry
+	const (
+		kib          = 1 << 10
+		promisedBody = 256 * kib
+		steps        = 10 // in which header and body are sent
+	)
+	conn, err := net.Dial("tcp", all.entry.callers)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	slowly := func(text string) {
+		for part := range steps {
+			_, err := io.WriteString(conn, text[len(text)*part/steps:len(text)*(part+1)/steps])
+			g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+	head := strings.TrimSuffix(bodyHead(promisedBody), "\r\n") + "X-Deadline-Ms: 10000\r\nX-Filler: "
+	const filler, tail = `{"steps":[{"count":1,"cpu":500}],"filler":"`, `"}`
+	slowly(head + strings.Repeat("a", 16*kib-len(head)-4) + "\r\n\r\n")
+	slowly(filler + strings.Repeat("a", promisedBody-len(filler)-len(tail)) + tail)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(resp.StatusCode).To(Equal(http.StatusOK), all.entry.log())
+	_ = resp.Body.Close()
+
+	heartbeat := `{"filler":"` + strings.Repeat("a", 4*kib*kib-kib) + `","service":"s","address":"127.33.0.9:9","zone":"z","state":"ready","seq":1,
+"born":5,"clockMs":1,"capacity":{"cpu":4000,"memMb":4000},"labels":["a","r1"],"version":"v1","slots":8,"coldRemainingMs":0}`
+	g.Eventually(func() (int, error) { return send(http.MethodPut, all.control.control, "/instances/i-1", heartbeat) },
+		requestGivenUp, "100ms").Should(Equal(http.StatusOK), all.control.log)
+	config := strings.Replace(hostileConfig, `{"version":1,`, `{"version":2,"filler":"`+strings.Repeat("a", 900*kib)+`",`, 1)
+	g.Eventually(func() (int, error) { return send(http.MethodPut, all.control.control, "/config", config) },
+		requestGivenUp, "100ms").Should(Equal(http.StatusOK), all.control.log)
+}
