--- a/conns/relief_test.go
+++ b/conns/relief_test.go
@@ -97,7 +97,13 @@
 			return chosen
 		}
 		g := NewWithT(t)
-		before, after := lost(newest()), lost(chooseForMemory(all, used-budget))
+		chosen := chooseForMemory(all, used-budget)
+		freed := int64(0)
+		for _, i := range chosen {
+			freed += all[i].held
+		}
+		g.Expect(freed).To(BeNumerically(">=", used-budget), "seed %d", seed)
+		before, after := lost(newest()), lost(chosen)
 		g.Expect(after).To(BeNumerically("<", before), "seed %d", seed)
 		g.Expect(after).To(BeZero(), "seed %d", seed)
 	}
