--- a/runtimes/distribution.go
+++ b/runtimes/distribution.go
@@ -11,6 +11,10 @@
 	// slowest hundredth.
 	halfLifeRuns   = 256
 	halfLifeMillis = 60_000
+	// forgetMillis is the time without a run after which a distribution starts
+	// anew. The weight of the last run is then below a millionth of a run, and the
+	// growth of weights could exceed the range of numbers after hours.
+	forgetMillis = 20 * halfLifeMillis
 	// binsPerDoubling is the number of bins per factor of two of the ratio, 2.2%
 	// each. Ratios are counted between 2^-maxDoublings and 2^maxDoublings.
 	binsPerDoubling = 32
@@ -163,6 +167,11 @@
 // changed, it starts anew with these and returns the geometric mean of the ratio
 // before.
 func (d *distribution) observe(s sample, now int64) (before float64, changed bool) {
+	if now-d.at > forgetMillis {
+		prior := d.correlation()
+		*d = *newDistribution(now)
+		d.prior = prior
+	}
 	recent := d.change.add(d, s)
 	if recent == nil {
 		d.record(s, now)
