fleet: a lost copy is not started again beside its first run

Review: the copy of a task that was lost or refused started again at once beside the first run, on any worker and as often as it was refused. While the first run continues, the task doesn't start now; a first run that is slow is moved. TestLostCopyIsNotStartedAgainBesideTheFirstRun failed before.

Tasks of tenants with a cap are not copied: after a change of leader, a first run on a silent worker counted nowhere. Steps with many unfinished tasks are not searched for stragglers, and tasks that a cap holds back make no pool busy. Suspects know whether their pool is half idle.

--- a/fleet/copies.go
+++ b/fleet/copies.go
@@ -26,6 +26,9 @@
 	if e.Runs() == 0 || now < a.noCopyUntil || a.runStats.rate == 0 || !t.mayBeCopied() || c.poolBusy(t.workflow.spec.Pool, now) {
 		return false
 	}
+	if t.workflow.openTasks[t.pos.Occurrence][t.pos.Step] > runtimes.MaxStragglers(t.step.Count) {
+		return false // without a look at each task of a wide step
+	}
 	left, ok := a.runStats.projectedMillis(now)
 	if !ok {
 		left = e.Left((now - a.startedAt).Milliseconds())
@@ -97,7 +100,7 @@
 			continue
 		}
 		i := -1
-		if !busy[name] && c.capAllows(t) && copies[name] < runtimes.MaxCopies(len(p.sessions)) {
+		if !busy[name] && c.usage.Cap(t.workflow.spec.Tenant) == (state.Resources{}) && copies[name] < runtimes.MaxCopies(len(p.sessions)) {
 			i = c.idleWorker(t, p)
 		}
 		if i < 0 {
@@ -118,7 +121,7 @@
 		if f.readyTasks == 0 || busy[f.spec.Pool] {
 			continue
 		}
-		busy[f.spec.Pool] = slices.ContainsFunc(f.tasks, func(t *task) bool { return t.phase == taskReady && !t.step.LongRunning })
+		busy[f.spec.Pool] = slices.ContainsFunc(f.tasks, func(t *task) bool { return t.phase == taskReady && !t.step.LongRunning && c.capAllows(t) })
 	}
 	return busy
 }
--- a/fleet/copies_test.go
+++ b/fleet/copies_test.go
@@ -153,6 +153,31 @@
 	h.expectAtMostTwoRuns(workers)
 }
 
+// Guards against a third run beside a first one that continues after its copy was
+// lost. It may start on the worker of the first run, and a task that crashes its
+// workers would crash another one.
+func TestLostCopyIsNotStartedAgainBesideTheFirstRun(t *testing.T) {
+	h := newHarness(t)
+	workers := h.startSlowTask(unevenRuns(4*time.Second, func(uint64) time.Duration { return time.Minute }), duplicates)
+	h.Eventually(func() int { return len(runsOf(workers)) }, waitTimeout).Should(Equal(2))
+	for _, w := range workers {
+		for _, r := range w.Records() {
+			if r.Position.Workflow == copiedID && r.Number == 2 {
+				w.Crash()
+			}
+		}
+	}
+	workers = append(workers, h.addWorker("d", unevenRuns(4*time.Second, usual)))
+	h.expectCopiedPhase(state.WorkflowCompleted)
+	runs := runsOf(workers)
+	for number, r := range runs {
+		if number > 2 { // the first run was moved
+			h.Expect(runs[1].Ended.IsZero()).To(BeFalse(), "%+v", runs)
+			h.Expect(r.Started).To(BeTemporally(">=", runs[1].Ended), "%+v", runs)
+		}
+	}
+}
+
 // expectAtMostTwoRuns checks that no more than two runs of a task overlap.
 func (h *harness) expectAtMostTwoRuns(workers []*pool.Worker) {
 	h.t.Helper()
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -162,8 +162,10 @@
 		(t.phase == taskReady || t.phase == taskOnWorker && t.attempt != nil && t.attempt.phase == attemptEnded)
 }
 
-// mayStart reports whether the bound on crashed workers permits another run.
-func (t *task) mayStart() bool { return t.evidence.MayStart(t.unresolved) }
+// mayStart reports whether the bound on crashed workers permits another run. While
+// the first run of a task continues after its copy was lost or refused, the task
+// does not start again.
+func (t *task) mayStart() bool { return t.original == nil && t.evidence.MayStart(t.unresolved) }
 
 // waitingSuspects returns the tasks that wait for a worker on which they run
 // alone, by pool, those that have waited longest first.
@@ -218,6 +220,9 @@
 	}
 	free := placement.MaxIsolated(len(sessions)+inUse) - inUse
 	p := &pool{sessions: sessions, reducedRates: true}
+	for i := range workers {
+		p.allWorkers = append(p.allWorkers, workers[i].Capacity)
+	}
 	for _, t := range tasks {
 		if free <= 0 || c.journal.full() {
 			return
--- a/fleet/straggler.go
+++ b/fleet/straggler.go
@@ -69,7 +69,7 @@
 		if placement.Stalled(p) && !a.runStats.stallCounted {
 			stalled = append(stalled, a)
 		}
-		if a.task.original != nil || c.considerCopy(a, e, now) {
+		if a.task.original != nil && a.task.phase == taskOnWorker || c.considerCopy(a, e, now) {
 			continue
 		}
 		if a.task.moves < maxMoves && !a.task.step.Gang && placement.IsStraggler(p) {
--- a/runtimes/copies.go
+++ b/runtimes/copies.go
@@ -30,12 +30,15 @@
 // step of 20 tasks nearly every second time one does, and the step ends with it
 // although capacity is idle.
 func CopyPays(s Straggler) bool {
-	if s.Waiting > 0 || s.Unfinished > max(1, s.Tasks/stragglerShare) {
+	if s.Waiting > 0 || s.Unfinished > MaxStragglers(s.Tasks) {
 		return false
 	}
 	return float64(s.RemainingMillis) > minCopyGain*float64(s.ElsewhereMillis+s.RestartMillis)
 }
 
+// MaxStragglers returns how many unfinished tasks of a step may be stragglers.
+func MaxStragglers(tasks int) int { return max(1, tasks/stragglerShare) }
+
 // MaxCopies returns how many copies may run in a pool at a time. Copies never
 // delay other work, but they interfere with the tasks beside them.
 func MaxCopies(poolWorkers int) int { return max(1, poolWorkers/maxCopyShare) }
