fleet: a pass looks at the tasks of a workflow once

Whether the image runs in the pool decides alone now. Best-effort classes that did not fit at the full rate are tried again at lower rates, and don't count as unplaced if they fit there.

--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -107,6 +108,13 @@
 	return p.images[image]
 }
 
+// offerReducedRates permits best-effort tasks to start below the full rate. Those
+// that fitted nowhere at the full rate are tried again.
+func (p *pool) offerReducedRates() {
+	p.reducedRates = true
+	maps.DeleteFunc(p.smallestUnplaced, func(class placementClass, _ state.Resources) bool { return class.bestEffort })
+}
+
 // halfIdle reports whether at most half of the CPU of the pool is in use.
 func (p *pool) halfIdle() bool {
 	if p.halfIdleState == 0 {
--- a/fleet/task_group.go
+++ b/fleet/task_group.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 
 	"apricotrouter/placement"
 )
@@ -176,7 +175,7 @@
 	f := t.workflow
 	return placement.MinStartRate(placement.StartWait{
 		WaitedMillis: c.waited(t), EstimateMillis: c.estimate(f, t.pos.Step).Mean(), HalfIdle: p.halfIdle(),
-		ImageRuns: p.runsImage(t.step.Image) || slices.ContainsFunc(f.tasks, func(t *task) bool { return t.phase == taskOnWorker }),
+		ImageRuns: p.runsImage(t.step.Image),
 	})
 }
 
--- a/placement/start_rate.go
+++ b/placement/start_rate.go
@@ -38,8 +38,8 @@
 type StartWait struct {
 	WaitedMillis   int64
 	EstimateMillis int64 // duration of the task at the full rate
-	// ImageRuns is set if tasks of its image, or of its workflow, are running in
-	// the pool. The model then learns from them.
+	// ImageRuns is set if tasks of its image are running in the pool. The model
+	// then learns from them.
 	ImageRuns bool
 	// HalfIdle is set if at most half of the CPU of the pool is in use.
 	HalfIdle bool
