fleet: a failed check of a key does not say that a submission never runs

Review: a leader that was cut off answered 503 to a submission whose earlier copy another leader had stored. The outcome is unknown, and so is one after an attempt without a response.

--- a/fleet/admission_internal_test.go
+++ b/fleet/admission_internal_test.go
@@ -227,18 +227,20 @@
 	g.Expect(r.until).To(HaveLen(1))
 }
 
-// refusingPeers fails the first call with an error and refuses the others.
+// refusingPeers fails the first call with an error and answers the others with
+// an outcome.
 type refusingPeers struct {
 	transport.Peers
-	first error
-	calls int
+	first   error
+	outcome Outcome
+	calls   int
 }
 
 func (p *refusingPeers) Call(_ context.Context, _ string, _ transport.Kind, _, resp any) error {
 	if p.calls++; p.calls == 1 && p.first != nil {
 		return p.first
 	}
-	*resp.(*Response) = Response{Outcome: OutcomeRefused, RetryAfterMillis: 2000}
+	*resp.(*Response) = Response{Outcome: p.outcome, RetryAfterMillis: 2000}
 	return nil
 }
 
@@ -246,16 +248,22 @@
 // the same call may still arrive.
 func TestRefusalAfterAnAttemptWithoutResponseIsNotFinal(t *testing.T) {
 	for name, tc := range map[string]struct {
-		first error
-		want  Outcome
+		first   error
+		unknown bool
 	}{
-		"first attempt":           {nil, OutcomeRefused},
-		"not sent before":         {transport.ErrNotConnected, OutcomeRefused},
-		"without response before": {errors.New("connection broke"), OutcomeUnknown},
+		"first attempt":           {nil, false},
+		"not sent before":         {transport.ErrNotConnected, false},
+		"without response before": {errors.New("connection broke"), true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := NewClient(ClientOptions{Peers: &refusingPeers{first: tc.first}, Seeds: func() []string { return []string{"a"} }})
-			NewWithT(t).Expect(c.Call(t.Context(), &Request{Op: OpSubmit}).Outcome).To(Equal(tc.want))
+			for _, outcome := range []Outcome{OutcomeRefused, OutcomeUnavailable} {
+				c := NewClient(ClientOptions{Peers: &refusingPeers{first: tc.first, outcome: outcome}, Seeds: func() []string { return []string{"a"} }})
+				want := outcome
+				if tc.unknown {
+					want = OutcomeUnknown
+				}
+				NewWithT(t).Expect(c.Call(t.Context(), &Request{Op: OpSubmit}).Outcome).To(Equal(want))
+			}
 		})
 	}
 }
--- a/fleet/authorize.go
+++ b/fleet/authorize.go
@@ -61,7 +61,11 @@
 	c, ok := s.identify(st.Queues, req)
 	if !ok && st.Queues != nil {
 		if err := s.group.ReadBarrier(ctx); err != nil {
-			return nil, caller{}, &Response{Outcome: OutcomeUnavailable, Reason: err.Error()}
+			outcome := OutcomeUnavailable
+			if req.Op == OpSubmit || req.Op == OpCancel {
+				outcome = OutcomeUnknown // an earlier copy may have reached another leader
+			}
+			return nil, caller{}, &Response{Outcome: outcome, Reason: err.Error()}
 		}
 		st = s.group.State()
 		c, ok = s.identify(st.Queues, req)
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -58,7 +58,7 @@
 		for _, instance := range c.targets() {
 			resp, err := c.attempt(ctx, instance, req)
 			if err == nil && resp.Outcome != OutcomeNotLeader {
-				if mayHaveRun && resp.Outcome == OutcomeRefused {
+				if mayHaveRun && (resp.Outcome == OutcomeRefused || resp.Outcome == OutcomeUnavailable) {
 					resp.Outcome = OutcomeUnknown
 				}
 				return resp
