--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -230,7 +230,7 @@
 	case RefusedTicket, RefusedInvalid:
 		a.task.recordRefusal(s.worker.ID, now) // an immediate retry would be refused again
 	case RefusedOtherIncarnation:
-		c.crashed(s, "another life has its address")
+		c.crashed(s, "another incarnation has its address")
 	}
 }
 
@@ -398,7 +398,7 @@
 	if err != nil {
 		a.nextStop = now + stopRetry
 		if refusal(err) == RefusedOtherIncarnation {
-			c.crashed(s, "another life has its address")
+			c.crashed(s, "another incarnation has its address")
 		}
 		return
 	}
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -118,7 +118,7 @@
 		c.closeSession(s, "it left")
 	case s.lastPoll > s.leaveNoticeAt:
 		s.removeAt = 0
-		event.Log(c.opts.Logger, event.WorkerResponsive, slog.String("worker", s.worker.ID), slog.String("reason", "the notice was of an earlier life"))
+		event.Log(c.opts.Logger, event.WorkerResponsive, slog.String("worker", s.worker.ID), slog.String("reason", "the notice was of an earlier incarnation"))
 	}
 }
 
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		switch refusal(err) {
 		case RefusedOtherIncarnation:
-			c.crashed(s, "another life has its address")
+			c.crashed(s, "another incarnation has its address")
 		case RefusedFence:
 			c.deactivate("a worker has seen a higher fence")
 		default:
--- a/fleet/runtimes.go
+++ b/fleet/runtimes.go
@@ -152,7 +152,7 @@
 const (
 	runWhole   = "whole"
 	runResumed = "resumed"
-	runReduced = "paced"
+	runReduced = "reduced-rate"
 	runSlow    = "slow-worker"
 	runNotUsed = "not-used"
 )
--- a/fleet/straggler.go
+++ b/fleet/straggler.go
@@ -59,7 +59,7 @@
 			} else if now-a.startedAt > timeout && now-a.runStats.lastProgressAt > timeout {
 				a.task.moves++
 				c.avoid(a)
-				c.stop(a, "it is not at work")
+				c.stop(a, "its startup takes too long")
 			}
 			continue
 		}
