fleet: a placement pass reads the clock once

Cause: a pass read the clock for each waiting task, a fifth of its time in a profile, and offered lower execution rates to all waiting best-effort tasks also while the pool is in use, when none may start below the full rate.

Change: the pass has one time. Lower rates are offered only to tasks that may use them.

--- a/fleet/admission_internal_test.go
+++ b/fleet/admission_internal_test.go
@@ -38,7 +38,7 @@
 	c.recordBegun(begun)
 	newWaitingWorkflow(c, "serving", 1, func(s *state.WorkflowStep) { s.LongRunning, s.BestEffort = true, false })
 	ranks := func(idle int64) map[string]int {
-		p := newPool(1)
+		p := newPool(1, 0)
 		p.workers = append(p.workers, &placement.WorkerCapacity{IdleCPU: idle, Free: state.Resources{MilliCPU: idle}})
 		waiting := c.waitingJobs()
 		c.rankJobs(c.now(), waiting, map[string]*pool{"pool": p})
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -219,7 +219,7 @@
 		workers = append(workers, placement.IsolationWorker{Capacity: &s.resources, Runs: len(s.attempts)})
 	}
 	free := placement.MaxIsolated(len(sessions)+inUse) - inUse
-	p := &pool{sessions: sessions, reducedRates: true}
+	p := &pool{now: now, sessions: sessions, reducedRates: true}
 	for i := range workers {
 		p.allWorkers = append(p.allWorkers, workers[i].Capacity)
 	}
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -16,6 +16,9 @@
 
 // pool is the state of one pool during one placement pass.
 type pool struct {
+	// now is the time of the pass. Tasks are placed by the thousand, and a reading
+	// of the clock for each took a fifth of the pass.
+	now      time.Duration
 	sessions []*session
 	workers  []*placement.WorkerCapacity
 	// allWorkers includes the reserved workers, which are nil in workers.
@@ -56,8 +59,9 @@
 	changes, releases int
 }
 
-func newPool(size int) *pool {
+func newPool(size int, now time.Duration) *pool {
 	return &pool{
+		now:      now,
 		sessions: make([]*session, 0, size), workers: make([]*placement.WorkerCapacity, 0, size),
 		smallestUnplaced: make(map[placementClass]state.Resources), reserved: make(map[int]bool), reservedInPass: make(map[int]bool),
 		shares: make(map[shareKey]*placement.BatchReservation), aside: make(map[*task]int),
@@ -115,6 +119,15 @@
 	maps.DeleteFunc(p.smallestUnplaced, func(class placementClass, _ state.Resources) bool { return class.bestEffort })
 }
 
+// waited returns how long a task has waited for a worker, in milliseconds; 0 if
+// the end of its run is not committed yet.
+func (p *pool) waited(t *task) int64 {
+	if t.phase != taskReady {
+		return 0
+	}
+	return (p.now - t.waitingSince).Milliseconds()
+}
+
 // halfIdle reports whether at most half of the CPU of the pool is in use.
 func (p *pool) halfIdle() bool {
 	if p.halfIdleState == 0 {
@@ -188,7 +201,7 @@
 		if p == nil || name != w.worker.Pool {
 			name = w.worker.Pool
 			if p = all[name]; p == nil {
-				p = newPool(len(c.sorted))
+				p = newPool(len(c.sorted), now)
 				all[name] = p
 			}
 		}
--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -160,7 +160,7 @@
 	if !found || !placement.AdmitsWithoutBatch(p.workers[i], t.step) {
 		return -1
 	}
-	t.expireRefusals(c.now())
+	t.expireRefusals(p.now)
 	if request := c.placementRequest(t, p, nil); request.Excluded != nil && request.Excluded(i) {
 		return -1
 	}
@@ -170,7 +170,7 @@
 // exceedsShare reports whether the task is not overdue and would exceed the
 // share of serving tasks on the worker.
 func (c *Controller) exceedsShare(t *task, p *pool, worker int) bool {
-	if placement.RestartOverdue(c.waited(t), true) {
+	if placement.RestartOverdue(p.waited(t), true) {
 		return false
 	}
 	c.ensureShare(t.workflow.spec.Pool, p, t.workflow.spec.Priority)
@@ -198,12 +198,3 @@
 func (t *task) awaitsRun() bool {
 	return t.phase == taskReady || t.phase == taskBlocked || t.phase == taskOnWorker && t.attempt != nil && t.attempt.phase == attemptEnded
 }
-
-// waited returns how long the task has waited for a worker, in milliseconds; 0
-// if the end of its run is not committed yet.
-func (c *Controller) waited(t *task) int64 {
-	if t.phase != taskReady {
-		return 0
-	}
-	return (c.now() - t.waitingSince).Milliseconds()
-}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"apricotrouter/placement"
 )
@@ -42,19 +43,30 @@
 		c.backlogs.Store(nil) // capacity may be free for the rest
 		return
 	}
-	// Best-effort tasks that found no worker for the full rate.
-	for _, p := range pools {
-		p.offerReducedRates()
-	}
-	if !c.placeJobs(pools, slices.DeleteFunc(waiting, func(j placement.WaitingJob) bool {
-		return j.Restart || j.ExceedsShare || !c.workflows[j.ID].bestEffortWaits()
-	})) {
+	if !c.placeReduced(now, pools, waiting) {
 		c.backlogs.Store(nil)
 		return
 	}
 	c.publishBacklogs(now, pools, jobs)
 }
 
+// placeReduced offers lower execution rates to best-effort tasks that found no
+// worker for the full rate, where they may start below it.
+func (c *Controller) placeReduced(now time.Duration, pools map[string]*pool, waiting []placement.WaitingJob) bool {
+	candidates := slices.DeleteFunc(waiting, func(j placement.WaitingJob) bool {
+		f := c.workflows[j.ID]
+		p := pools[f.spec.Pool]
+		return j.Restart || j.ExceedsShare || p == nil || !f.bestEffortWaits(now, placement.ReducedRateWait(p.halfIdle()))
+	})
+	if len(candidates) == 0 {
+		return true
+	}
+	for _, p := range pools {
+		p.offerReducedRates()
+	}
+	return c.placeJobs(pools, candidates)
+}
+
 // placeJobs places the ready tasks of jobs in their order. It returns false if
 // the journal was full before the last job.
 func (c *Controller) placeJobs(pools map[string]*pool, jobs []placement.WaitingJob) bool {
@@ -95,9 +107,9 @@
 		if !c.capAllows(t) {
 			continue // other tasks of the class may start; nothing is reserved for this one
 		}
-		t.expireRefusals(c.now())
+		t.expireRefusals(p.now)
 		excludedWorkers, avoided := c.excludedWorkers(t, p), t.avoidedWorkers()
-		waited := (c.now() - t.waitingSince).Milliseconds()
+		waited := (p.now - t.waitingSince).Milliseconds()
 		usesReserved := j.ExceedsShare && placement.RestartOverdue(waited, t.ranBefore()) ||
 			j.Starved() && t.step.LongRunning && placement.Overdue(waited)
 		minRate := c.minStartRate(t, p)
--- a/fleet/task_group.go
+++ b/fleet/task_group.go
@@ -96,7 +96,7 @@
 // task itself is then at fault, or if it is a serving task that has waited too
 // long.
 func (c *Controller) excludedWorkers(t *task, p *pool) map[string]bool {
-	if len(t.avoid)*2 >= len(p.sessions) || t.step.LongRunning && placement.IsStarved((c.now()-t.waitingSince).Milliseconds()) {
+	if len(t.avoid)*2 >= len(p.sessions) || t.step.LongRunning && placement.IsStarved((p.now-t.waitingSince).Milliseconds()) {
 		return nil
 	}
 	return t.avoid
@@ -156,7 +156,7 @@
 			continue
 		}
 		for _, t := range f.tasks {
-			if t.phase == taskReady && t.step.BestEffort && c.waited(t) >= excessWait {
+			if t.phase == taskReady && t.step.BestEffort && p.waited(t) >= excessWait {
 				d := demand[t.step.Image]
 				demand[t.step.Image] = placement.WaitingCPU{Tasks: d.Tasks + 1, MilliCPU: d.MilliCPU + t.step.Size.MilliCPU}
 			}
@@ -174,7 +174,7 @@
 	}
 	f := t.workflow
 	return placement.MinStartRate(placement.StartWait{
-		WaitedMillis: c.waited(t), EstimateMillis: c.estimate(f, t.pos.Step).Mean(), HalfIdle: p.halfIdle(),
+		WaitedMillis: p.waited(t), EstimateMillis: c.estimate(f, t.pos.Step).Mean(), HalfIdle: p.halfIdle(),
 		ImageRuns: p.runsImage(t.step.Image),
 	})
 }
--- a/placement/start_rate.go
+++ b/placement/start_rate.go
@@ -71,6 +71,15 @@
 	return maxStartRate
 }
 
+// ReducedRateWait returns how long a best-effort task waits, in milliseconds, until
+// it may start below the full rate.
+func ReducedRateWait(halfIdle bool) int64 {
+	if halfIdle {
+		return 0
+	}
+	return busyProbeWait
+}
+
 // StartRate returns the execution rate, in percent, at which a task starts on a
 // worker, or 0 if interference forbids that. Only best-effort tasks start below
 // the full rate.
