state, fleet: a refused submission is refused for all of its copies, under any leader

Cause: a refusal was kept in the memory of the leader. If the leader changed while a copy was on its way through another entry instance, the next one could store it, although its client had been told (429) that it never runs. The same held for a client with a deadline beyond the timeout of its queue.

Change: a refusal is an entry of the log. A copy that precedes it makes the submission stored, one that follows within the time of a call is refused by whoever leads. The leader's own list, and its read barrier, are gone.

--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -318,10 +318,14 @@
 	return sizes
 }
 
+// maxCallMillis is the longest time for which an instance tries to carry out a
+// client's call.
+const maxCallMillis = 60_000
+
 // submission returns what decides about the admission of a workflow, and whether
 // it may be refused: serving tasks, and workflows that run several times, have
 // no end that could be forecast.
-func submission(spec *state.WorkflowSpec, q *state.WorkflowQueue, now int64) (*admission.Submission, bool) {
+func submission(spec *state.WorkflowSpec, q *state.WorkflowQueue, req *Request, now int64) (*admission.Submission, bool) {
 	if spec.Occurrences > 0 {
 		return nil, false
 	}
@@ -331,7 +335,7 @@
 			ID: spec.ID, Priority: spec.Priority, Queue: spec.Queue, SubmittedAt: now, Deadline: now + objective,
 			LateDeadline: now + lateFactor*objective, Work: work, WorkLeft: work, CriticalPathMillis: criticalPathMillis(spec),
 		},
-		CopiesMillis: q.TimeoutMillis + attemptTimeout.Milliseconds(),
+		CopiesMillis: min(max(q.TimeoutMillis, req.TimeoutMillis), maxCallMillis) + attemptTimeout.Milliseconds(),
 	}
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
--- a/fleet/admission_internal_test.go
+++ b/fleet/admission_internal_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"testing"
 	"time"
 
@@ -92,27 +91,34 @@
 	g.Expect(c.backlogs.Load()).To(BeNil())
 }
 
-// barrierGroup is a control group that stores a workflow during a read barrier.
-type barrierGroup struct {
+// racingGroup is a control group in whose log an earlier copy of a submission
+// precedes the next refusal.
+type racingGroup struct {
 	*replica.FakeLog
 	store *state.WorkflowSpec
 	err   error
 }
 
-func (g *barrierGroup) Members() []string { return nil }
+func (g *racingGroup) Members() []string { return nil }
 
-func (g *barrierGroup) ReadBarrier(ctx context.Context) error {
-	if g.store != nil {
-		_, err := g.Propose(ctx, state.NewCommand(state.SubmitWorkflow{Spec: *g.store}))
-		return err
+func (g *racingGroup) ReadBarrier(context.Context) error { return g.err }
+
+func (g *racingGroup) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	if g.err != nil {
+		return state.Result{}, g.err
+	}
+	if g.store != nil && c.Kind == state.KindRefuseWorkflow {
+		if _, err := g.FakeLog.Propose(ctx, state.NewCommand(state.SubmitWorkflow{Spec: *g.store})); err != nil {
+			return state.Result{}, err
+		}
 	}
-	return g.err
+	return g.FakeLog.Propose(ctx, c)
 }
 
 // newRefusingService returns a service whose leader has an hour of urgent work.
-func newRefusingService(t *testing.T) (*Service, *barrierGroup, *clockwork.FakeClock) {
+func newRefusingService(t *testing.T) (*Service, *racingGroup, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
-	group := &barrierGroup{FakeLog: replica.NewFakeLog(clock)}
+	group := &racingGroup{FakeLog: replica.NewFakeLog(clock)}
 	cfg := state.QueueConfig{
 		Version: 1, Pools: []state.Pool{{Name: "pool"}},
 		Queues: []state.WorkflowQueue{{
@@ -193,38 +199,43 @@
 }
 
 // Guards against a copy that is stored although another copy was refused: one
-// that is being handled, or one that arrives late.
+// that arrives late, at the same leader or at the next one, which neither knows a
+// rate nor what the earlier leader decided.
 func TestCopiesOfARefusedSubmissionAreNotStored(t *testing.T) {
 	g := NewWithT(t)
 	s, group, clock := newRefusingService(t)
-	const first, second = "00000000000000c1", "00000000000000c2"
-	leave := s.refusals.enter(first)
-	g.Expect(s.submitTest(t.Context(), first, unchanged).Outcome).To(Equal(OutcomeDone), "the other copy may be stored")
-	leave()
-
-	refused := s.submitTest(t.Context(), second, unchanged)
+	const id = "00000000000000c2"
+	refused := s.submitTest(t.Context(), id, unchanged)
 	g.Expect(refused.Outcome).To(Equal(OutcomeRefused))
-	s.controller.backlogs.Store(nil)
 	clock.Advance(3900 * time.Millisecond)
-	again := s.submitTest(t.Context(), second, unchanged)
-	g.Expect(again.Outcome).To(Equal(OutcomeRefused))
-	g.Expect(again.RetryAfterMillis).To(BeNumerically("~", 100, 1))
-	g.Expect(group.State().Workflows.Len()).To(Equal(1))
+	next := NewService(group, New(Options{Clock: clock, Log: group}), transport.NewMux(), nil)
+	close(next.controller.done) // no loop runs
+	for _, leader := range []*Service{s, next} {
+		leader.controller.backlogs.Store(nil)
+		again := leader.submitTest(t.Context(), id, unchanged)
+		g.Expect(again.Outcome).To(Equal(OutcomeRefused))
+		g.Expect(again.RetryAfterMillis).To(BeNumerically("~", 100, 1))
+	}
+	g.Expect(group.State().Workflows.Len()).To(BeZero())
 	clock.Advance(time.Duration(refused.RetryAfterMillis)*time.Millisecond - 3900*time.Millisecond)
-	g.Expect(s.submitTest(t.Context(), second, unchanged).Outcome).To(Equal(OutcomeDone))
-	g.Expect(s.refusals.handling).To(BeEmpty())
+	g.Expect(next.submitTest(t.Context(), id, unchanged).Outcome).To(Equal(OutcomeDone))
 }
 
-// Guards against refusals that use up the memory of the leader.
-func TestRefusalsAreBounded(t *testing.T) {
+// Guards against a refusal that ends before the call of a client with a deadline
+// beyond the timeout of its queue.
+func TestRefusalLastsAsLongAsTheCall(t *testing.T) {
 	g := NewWithT(t)
-	r := newRefusals()
-	for i := range maxRefusals {
-		g.Expect(r.add(strconv.Itoa(i), 0, 10)).To(BeTrue())
-	}
-	g.Expect(r.add("one more", 5, 15)).To(BeFalse())
-	g.Expect(r.add("one more", 10, 20)).To(BeTrue())
-	g.Expect(r.until).To(HaveLen(1))
+	s, group, _ := newRefusingService(t)
+	spec := &state.WorkflowSpec{Payload: "p", Steps: []state.WorkflowStep{{
+		Count: 2, Size: state.Resources{MilliCPU: 1000, MemoryMiB: 1000}, EstimateMillis: 500,
+	}}}
+	const id, timeout = "00000000000000c3", 20_000
+	resp := s.execute(t.Context(), &Request{Op: OpSubmit, Host: "host", Path: "/jobs/" + id, Workflow: spec, TimeoutMillis: timeout})
+	g.Expect(resp.Outcome).To(Equal(OutcomeRefused))
+	g.Expect(resp.RetryAfterMillis).To(BeNumerically(">", timeout))
+	r, ok := group.State().RefusedWorkflows.Get(id)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(r.Until - group.State().Time).To(BeNumerically(">", timeout))
 }
 
 // refusingPeers fails the first call with an error and answers the others with
--- a/fleet/protocol.go
+++ b/fleet/protocol.go
@@ -53,6 +53,9 @@
 	// Key is the SHA-256 hash of the key that identifies the caller; empty if the
 	// call has none. It is used by OpSubmit, OpStatus and OpCancel.
 	Key []byte `cbor:"10,keyasint,omitempty"`
+	// TimeoutMillis is how long the instance that received the call tries to carry
+	// it out. A copy of the call may reach a leader until then.
+	TimeoutMillis int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Outcome is the result of a call.
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -31,7 +31,6 @@
 	controller *Controller
 	logger     *slog.Logger
 	metrics    *metrics
-	refusals   refusals
 	// tenants is the table of the last configuration that was used.
 	tenants      atomic.Pointer[tenantTable]
 	unauthorized unauthorizedLog
@@ -39,7 +38,7 @@
 
 // NewService registers the handler of calls from other instances.
 func NewService(g Group, c *Controller, mux *transport.Mux, logger *slog.Logger) *Service {
-	s := &Service{group: g, controller: c, logger: logger, metrics: c.metrics, refusals: newRefusals()}
+	s := &Service{group: g, controller: c, logger: logger, metrics: c.metrics}
 	transport.OnCall(mux, transport.KindFleet, func(ctx context.Context, from string, req *Request) (*Response, error) {
 		return s.handle(ctx, from, req), nil
 	})
@@ -194,7 +193,6 @@
 	if err := CheckWorkflow(&spec); err != nil {
 		return &Response{Outcome: OutcomeInvalid, Reason: err.Error()}
 	}
-	defer s.refusals.enter(id)()
 	if resp := s.refuse(ctx, q, &spec, req, c); resp != nil {
 		return resp
 	}
@@ -202,6 +200,9 @@
 	if err != nil {
 		return &Response{Outcome: OutcomeUnknown, Reason: err.Error()}
 	}
+	if result.Code == state.CodeRefused {
+		return s.refusedCopy(result)
+	}
 	if result.Code != state.CodeOK {
 		return &Response{Outcome: OutcomeInvalid, Reason: result.Message}
 	}
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -107,11 +107,49 @@
 	return tx.changed("pool-workers")
 }
 
+// MaxRefusedWorkflows bounds the refused submissions that are remembered. Without
+// room for another one, submissions are accepted.
+const MaxRefusedWorkflows = 10_000
+
+// refuseWorkflow refuses a submission unless it is stored.
+func (tx *txn) refuseWorkflow(b *RefuseWorkflow) Result {
+	object := "workflow/" + b.ID
+	if _, ok := tx.workflows.get(b.ID); ok {
+		return tx.refuse(CodeConflict, object, "%s exists", object)
+	}
+	if r, ok := tx.RefusedWorkflows.Get(b.ID); ok && r.Until > tx.now {
+		return tx.refusedUntil(object, r)
+	}
+	for id, r := range tx.RefusedWorkflows.All() {
+		if r.Until <= tx.now {
+			tx.RefusedWorkflows = tx.RefusedWorkflows.Delete(id)
+		}
+	}
+	if tx.RefusedWorkflows.Len() >= MaxRefusedWorkflows {
+		return tx.refuse(CodeConflict, object, "%d submissions are refused already", MaxRefusedWorkflows)
+	}
+	r := &RefusedWorkflow{ID: b.ID, Until: tx.now + b.ForMillis}
+	tx.RefusedWorkflows = tx.RefusedWorkflows.Put(b.ID, r)
+	return tx.refusedUntil(object, r)
+}
+
+func (tx *txn) refusedUntil(object string, r *RefusedWorkflow) Result {
+	result := tx.refuse(CodeRefused, object, "a copy of the submission was refused")
+	result.ObjectVersion = uint64(r.Until)
+	return result
+}
+
 func (tx *txn) submitWorkflow(b *SubmitWorkflow) Result {
 	object := "workflow/" + b.Spec.ID
 	if _, ok := tx.workflows.get(b.Spec.ID); ok {
 		return Result{Code: CodeOK, Object: object}
 	}
+	if r, ok := tx.RefusedWorkflows.Get(b.Spec.ID); ok {
+		if r.Until > tx.now {
+			return tx.refusedUntil(object, r)
+		}
+		tx.RefusedWorkflows = tx.RefusedWorkflows.Delete(b.Spec.ID)
+	}
 	tasks, ok := b.Spec.taskCount()
 	if !ok {
 		return tx.refuse(CodeInvalid, object, "a workflow has 1 to %d tasks, and none of its steps is empty", MaxWorkflowTasks)
--- a/state/command.go
+++ b/state/command.go
@@ -44,6 +44,7 @@
 	KindSetPoolWorkers
 	KindSetEvacuation
 	KindSetInterference
+	KindRefuseWorkflow
 )
 
 // Body is the typed content of a command.
@@ -93,6 +94,7 @@
 	CodeInvalid         Code = "invalid"
 	CodeNotFound        Code = "not-found"
 	CodeStale           Code = "stale"
+	CodeRefused         Code = "refused" // ObjectVersion is until when, in Unix milliseconds
 )
 
 // Result is the result of applying a command. It is the same on every instance.
--- a/state/kind.go
+++ b/state/kind.go
@@ -35,6 +35,7 @@
 	KindSetPoolWorkers:     "set-pool-workers",
 	KindSetEvacuation:      "set-evacuation",
 	KindSetInterference:    "set-pressures",
+	KindRefuseWorkflow:     "refuse-workflow",
 }
 
 // String returns the name of the kind as written to the audit trail, or its
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -35,6 +35,8 @@
 	Evacuated      []string         `cbor:"21,keyasint,omitempty"`
 	Interference   *SetInterference `cbor:"22,keyasint,omitempty"`
 	RemovedWorkers []*RemovedWorker `cbor:"23,keyasint,omitempty"`
+
+	RefusedWorkflows []*RefusedWorkflow `cbor:"24,keyasint,omitempty"`
 }
 
 // snapshotDecoding raises the limit on array elements to 2^27, because the
@@ -72,7 +74,9 @@
 		PoolWorkers:    values(s.PoolWorkers),
 		Evacuated:      values(s.Evacuated),
 		RemovedWorkers: values(s.RemovedWorkers),
-		Interference:   s.Interference,
+
+		RefusedWorkflows: values(s.RefusedWorkflows),
+		Interference:     s.Interference,
 	})
 }
 
@@ -114,6 +118,7 @@
 	s.Queues = sn.Queues
 	s.Workflows = newTable(sn.Workflows, func(v *Workflow) string { return v.Spec.ID })
 	s.PoolWorkers = newTable(sn.PoolWorkers, func(v *PoolWorker) string { return v.ID })
+	s.RefusedWorkflows = newTable(sn.RefusedWorkflows, func(v *RefusedWorkflow) string { return v.ID })
 	s.RemovedWorkers = newTable(sn.RemovedWorkers, func(v *RemovedWorker) string { return v.ID })
 	s.Evacuated = newTable(sn.Evacuated, func(v string) string { return v })
 	s.Interference = sn.Interference
--- a/state/state.go
+++ b/state/state.go
@@ -27,7 +27,9 @@
 	Workflows      Table[*Workflow]
 	PoolWorkers    Table[*PoolWorker]
 	RemovedWorkers Table[*RemovedWorker] // pool worker incarnations removed after a drain
-	Evacuated      Table[string]         // availability zones excluded from workflow placement
+	// RefusedWorkflows are the submissions that were refused a short time ago.
+	RefusedWorkflows Table[*RefusedWorkflow]
+	Evacuated        Table[string] // availability zones excluded from workflow placement
 	// Interference are the last saved interference estimates, from which a new
 	// leader starts; nil if there are none.
 	Interference *SetInterference
--- a/state/txn.go
+++ b/state/txn.go
@@ -298,6 +298,8 @@
 		return applyBody(c, tx.setEvacuation)
 	case KindSetInterference:
 		return applyBody(c, tx.setInterference)
+	case KindRefuseWorkflow:
+		return applyBody(c, tx.refuseWorkflow)
 	default:
 		return Result{Code: CodeInvalid, Message: fmt.Sprintf("unknown kind of command %d", c.Kind)}
 	}
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -311,6 +311,20 @@
 	Spec WorkflowSpec `cbor:"1,keyasint"`
 }
 
+// RefuseWorkflow refuses a submission and all copies of it that follow in the log
+// within ForMillis. It has no effect if the workflow exists. A copy may be on its
+// way through another instance, and reach the log under another leader.
+type RefuseWorkflow struct {
+	ID        string `cbor:"1,keyasint"`
+	ForMillis int64  `cbor:"2,keyasint"`
+}
+
+// RefusedWorkflow is a submission that was refused.
+type RefusedWorkflow struct {
+	ID    string `cbor:"1,keyasint"`
+	Until int64  `cbor:"2,keyasint"` // Unix milliseconds
+}
+
 // CancelWorkflow cancels a workflow that has not ended.
 type CancelWorkflow struct {
 	ID string `cbor:"1,keyasint"`
@@ -444,6 +458,9 @@
 // Kind implements Body.
 func (SubmitWorkflow) Kind() Kind { return KindSubmitWorkflow }
 
+// Kind implements Body.
+func (RefuseWorkflow) Kind() Kind { return KindRefuseWorkflow }
+
 // Kind implements Body.
 func (CancelWorkflow) Kind() Kind { return KindCancelWorkflow }
 
