platform, conns: no memory for a submission doesn't mean that it never runs

Cause: an entry instance without memory answered 429, which tells a client that its submission never runs.

--- a/conns/server.go
+++ b/conns/server.go
@@ -78,10 +78,8 @@
 		next = phaseRunning
 	}
 	if !c.enter(next) {
-		w.Header().Set("Connection", "close")
-		w.Header().Set("Retry-After", "1")
-		http.Error(w, ErrRefused.Error(), http.StatusTooManyRequests)
-		return
+		// A response could be taken for the outcome of an earlier copy of the request.
+		panic(http.ErrAbortHandler)
 	}
 	if next == phaseRunning {
 		h.next.ServeHTTP(w, r)
