integration, runtimes: tests without the platform's names and a customer's queue

Cause: tests outside platform/ had names of the wire, and one a customer's queue. Change: they use platformtest; crowds, sizes and bounds are the same, byte by byte but for one line break.

--- a/integration/hostile_node_test.go
+++ b/integration/hostile_node_test.go
@@ -20,6 +20,7 @@
 
 	"apricotrouter/integration"
 	"apricotrouter/platform"
+	"apricotrouter/platform/platformtest"
 )
 
 const (
@@ -54,9 +55,6 @@
 	entry, control *node
 }
 
-const hostileConfig = `{"version":1,"routes":[{"name":"r","host":"jobs.example","pathPrefix":"/jobs/","timeoutMs":3000,
-"completionTargetMs":300,"priority":0,"service":"s","maxAttempts":3,"stretch":1.5}],"services":[{"name":"s","rejectsOverload":true}]}`
-
 func startNodes(t *testing.T) nodes {
 	t.Helper()
 	g := NewWithT(t)
@@ -77,7 +75,9 @@
 	entry := startNode(t, "entry", settings(entryIP, fmt.Sprintf("listen: {callers: %q, readiness: %q}\n", listener(entryIP, 1), listener(entryIP, 2))))
 	entry.callers = listener(entryIP, 1)
 	all := nodes{entry: entry, control: control}
-	g.Eventually(func() (int, error) { return send(http.MethodPut, control.control, "/config", hostileConfig) },
+	g.Eventually(func() (int, error) {
+		return send(http.MethodPut, control.control, platformtest.ConfigPath, platformtest.Config(1, 0))
+	},
 		startTimeout, "50ms").Should(Equal(http.StatusOK), control.log)
 	all.expectSubmission()
 	return all
@@ -174,14 +174,14 @@
 // expectSubmission sends an ordinary submission until it is stored.
 func (n nodes) expectSubmission() {
 	n.entry.Eventually(func() (int, error) {
-		return send(http.MethodPost, n.entry.callers, "/jobs/00000000000000aa", `{"taskSpec":"p","steps":[{"count":1,"cpu":500}]}`)
+		return send(http.MethodPost, n.entry.callers, "/jobs/00000000000000aa", platformtest.Submission())
 	}, requestGivenUp, "100ms").Should(Equal(http.StatusOK), "an ordinary submission is not answered")
 }
 
 // expectHeartbeat sends a worker's ordinary heartbeat until it is accepted.
 func (n nodes) expectHeartbeat() {
-	const heartbeat = `{"service":"s","address":"127.33.0.9:9","zone":"z","state":"ready","seq":1,"born":5,"clockMs":1,
-"capacity":{"cpu":4000,"memMb":4000},"labels":["a","r1"],"version":"v1","slots":8,"coldRemainingMs":0}`
-	n.control.Eventually(func() (int, error) { return send(http.MethodPut, n.control.control, "/instances/i-1", heartbeat) },
+	n.control.Eventually(func() (int, error) {
+		return send(http.MethodPut, n.control.control, platformtest.WorkerPath("i-1"), platformtest.HeartbeatBody(0))
+	},
 		requestGivenUp, "100ms").Should(Equal(http.StatusOK), "an ordinary heartbeat is not answered")
 }
--- a/integration/hostile_test.go
+++ b/integration/hostile_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"apricotrouter/platform/platformtest"
 )
 
 // hostileTime is how long a crowd goes on before the checks. It is longer than
@@ -124,6 +126,9 @@
 	chunkedHead = requestLine + "Transfer-Encoding: chunked\r\n\r\n"
 )
 
+// openChunk is the first chunk of the body of a submission.
+var openChunk = fmt.Sprintf("%x\r\n%s\r\n", len(platformtest.OpenSubmission), platformtest.OpenSubmission)
+
 func bodyHead(length int) string {
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n", requestLine, length)
 }
@@ -167,7 +172,7 @@
 	}
 	many := uniqueHeaders(80_000)
 	deep := strings.Repeat("[", mib-200)
-	steps := `{"steps":[` + strings.Repeat("{},", (mib-100)/3) + `{}]}`
+	steps := platformtest.EmptySteps((mib-100)/3 + 1)
 	var (
 		over    = callersSlots + 20 // clients that take all connections
 		crowded = 150               // clients that take most connections
@@ -199,10 +204,10 @@
 			_ = c.send(requestLine) && c.send(many) && c.send("\r\n")
 		}}},
 		{"chunked body without end", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
-			_ = c.send(chunkedHead+"d\r\n{\"taskSpec\":\"\r\n") && c.repeat("1000\r\n"+strings.Repeat("a", 0x1000)+"\r\n", 64*mib)
+			_ = c.send(chunkedHead+openChunk) && c.repeat("1000\r\n"+strings.Repeat("a", 0x1000)+"\r\n", 64*mib)
 		}}},
 		{"chunked bodies up to the limit, not finished", crowd{clients: crowded, play: func(c *hostileConn) {
-			_ = c.send(chunkedHead+"d\r\n{\"taskSpec\":\"\r\n") && c.repeat("1000\r\n"+strings.Repeat("a", 0x1000)+"\r\n", mib-8<<10)
+			_ = c.send(chunkedHead+openChunk) && c.repeat("1000\r\n"+strings.Repeat("a", 0x1000)+"\r\n", mib-8<<10)
 		}}},
 		{"chunk extensions without end", crowd{clients: crowded, reopen: true, play: func(c *hostileConn) {
 			_ = c.send(chunkedHead+"1;x=") && c.repeat(strings.Repeat("a", 4096), 64*mib)
@@ -211,12 +216,12 @@
 			_ = c.send(chunkedHead) && c.repeat("1;x="+strings.Repeat("a", 1000)+"\r\n \r\n", 64*mib)
 		}}},
 		{"large bodies, slowly", crowd{clients: crowded, play: func(c *hostileConn) {
-			_ = c.send(bodyHead(mib-1)+`{"taskSpec":"`) && c.repeat(strings.Repeat("a", 4096), mib-16<<10)
+			_ = c.send(bodyHead(mib-1)+platformtest.OpenSubmission) && c.repeat(strings.Repeat("a", 4096), mib-16<<10)
 			for c.pause(time.Second) && c.send("a") {
 			}
 		}}},
 		{"small bodies, slowly", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
-			ok := c.send(bodyHead(1000) + `{"taskSpec":"`)
+			ok := c.send(bodyHead(1000) + platformtest.OpenSubmission)
 			for ok && c.pause(300*time.Millisecond) {
 				ok = c.send("a")
 			}
@@ -238,7 +243,7 @@
 		}}},
 		{"connections that only open", crowd{clients: over, reopen: true, play: func(*hostileConn) {}}},
 		{"half-closed connections", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
-			if c.send(bodyHead(1000) + `{"taskSpec":"`) {
+			if c.send(bodyHead(1000) + platformtest.OpenSubmission) {
 				_ = c.Conn.(*net.TCPConn).CloseWrite()
 			}
 		}}},
@@ -269,40 +274,40 @@
 	put := func(path string, length int) string {
 		return fmt.Sprintf("PUT %s HTTP/1.1\r\nHost: c\r\nContent-Length: %d\r\n\r\n", path, length)
 	}
-	routes := `{"version":2,"routes":[` + strings.Repeat("{},", 2*mib) + `{}]}`
-	labels := `{"service":"s","labels":[` + strings.Repeat(`"",`, mib) + `""]}`
-	large := strings.Replace(hostileConfig, `{"version":1,`, `{"version":2,"filler":"`+strings.Repeat("a", 700<<10)+`",`, 1)
+	routes := platformtest.EmptyQueues(2*mib + 1)
+	labels := platformtest.EmptyLabels(mib + 1)
+	large := platformtest.Config(2, 700<<10)
 	over := controlSlots + 10
 	cases := []hostileCase{
 		{"configurations with millions of routes", crowd{clients: 10, reopen: true, play: func(c *hostileConn) {
-			_ = c.send(put("/config", len(routes))) && c.send(routes)
+			_ = c.send(put(platformtest.ConfigPath, len(routes))) && c.send(routes)
 		}}},
 		{"heartbeats with a million labels", crowd{clients: 20, reopen: true, play: func(c *hostileConn) {
-			_ = c.send(put("/instances/i-2", len(labels))) && c.send(labels)
+			_ = c.send(put(platformtest.WorkerPath("i-2"), len(labels))) && c.send(labels)
 		}}},
 		{"large configurations, slowly", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
-			_ = c.send(put("/config", 8*mib)) && c.repeat(strings.Repeat(" ", 4096), 7*mib)
+			_ = c.send(put(platformtest.ConfigPath, 8*mib)) && c.repeat(strings.Repeat(" ", 4096), 7*mib)
 			for c.pause(time.Second) && c.send(" ") {
 			}
 		}}},
 		{"heartbeats, slowly", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
-			ok := c.send(put("/instances/i-2", 1000))
+			ok := c.send(put(platformtest.WorkerPath("i-2"), 1000))
 			for ok && c.pause(300*time.Millisecond) {
 				ok = c.send(" ")
 			}
 		}}},
 		{"headers without end", crowd{clients: over, reopen: true, play: func(c *hostileConn) {
-			_ = c.send("PUT /config HTTP/1.1\r\nHost: c\r\n") && c.repeat("X-Filler: "+strings.Repeat("a", 4000)+"\r\n", 64*mib)
+			_ = c.send("PUT "+platformtest.ConfigPath+" HTTP/1.1\r\nHost: c\r\n") && c.repeat("X-Filler: "+strings.Repeat("a", 4000)+"\r\n", 64*mib)
 		}}},
 		{"connections that only open", crowd{clients: over, reopen: true, play: func(*hostileConn) {}}},
 		{"large responses, not read", crowd{clients: over, readNothing: true, play: func(c *hostileConn) {
-			c.repeat("GET /config HTTP/1.1\r\nHost: c\r\n\r\n", 4000)
+			c.repeat("GET "+platformtest.ConfigPath+" HTTP/1.1\r\nHost: c\r\n\r\n", 4000)
 		}}},
 	}
 	for i := range cases {
 		cases[i].run(t, func(all nodes) (*node, string) {
 			if strings.HasPrefix(cases[i].name, "large responses") {
-				all.control.Eventually(func() (int, error) { return send(http.MethodPut, all.control.control, "/config", large) },
+				all.control.Eventually(func() (int, error) { return send(http.MethodPut, all.control.control, platformtest.ConfigPath, large) },
 					startTimeout, "50ms").Should(Equal(http.StatusOK))
 			}
 			return all.control, all.control.control
@@ -332,20 +337,20 @@
 			time.Sleep(200 * time.Millisecond)
 		}
 	}
-	head := strings.TrimSuffix(bodyHead(promisedBody), "\r\n") + "X-Deadline-Ms: 10000\r\nX-Filler: "
-	const filler, tail = `{"steps":[{"count":1,"cpu":500}],"filler":"`, `"}`
+	head := strings.TrimSuffix(bodyHead(promisedBody), "\r\n") + platformtest.DeadlineHeader + ": 10000\r\nX-Filler: "
 	slowly(head + strings.Repeat("a", 16*kib-len(head)-4) + "\r\n\r\n")
-	slowly(filler + strings.Repeat("a", promisedBody-len(filler)-len(tail)) + tail)
+	slowly(platformtest.SubmissionOf(promisedBody))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(resp.StatusCode).To(Equal(http.StatusOK), all.entry.log())
 	_ = resp.Body.Close()
 
-	heartbeat := `{"filler":"` + strings.Repeat("a", 4*kib*kib-kib) + `","service":"s","address":"127.33.0.9:9","zone":"z","state":"ready","seq":1,
-"born":5,"clockMs":1,"capacity":{"cpu":4000,"memMb":4000},"labels":["a","r1"],"version":"v1","slots":8,"coldRemainingMs":0}`
-	g.Eventually(func() (int, error) { return send(http.MethodPut, all.control.control, "/instances/i-1", heartbeat) },
+	heartbeat := platformtest.HeartbeatBody(4*kib*kib - kib)
+	g.Eventually(func() (int, error) {
+		return send(http.MethodPut, all.control.control, platformtest.WorkerPath("i-1"), heartbeat)
+	},
 		requestGivenUp, "100ms").Should(Equal(http.StatusOK), all.control.log)
-	config := strings.Replace(hostileConfig, `{"version":1,`, `{"version":2,"filler":"`+strings.Repeat("a", 900*kib)+`",`, 1)
-	g.Eventually(func() (int, error) { return send(http.MethodPut, all.control.control, "/config", config) },
+	config := platformtest.Config(2, 900*kib)
+	g.Eventually(func() (int, error) { return send(http.MethodPut, all.control.control, platformtest.ConfigPath, config) },
 		requestGivenUp, "100ms").Should(Equal(http.StatusOK), all.control.log)
 }
--- a/runtimes/replay_test.go
+++ b/runtimes/replay_test.go
@@ -60,7 +60,7 @@
 	return declared, actual
 }
 
-var key = runtimes.Key{Queue: "billing-clean", Image: "a", Size: runtimes.SizeRange(1800)}
+var key = runtimes.Key{Queue: "batch", Image: "a", Size: runtimes.SizeRange(1800)}
 
 // errors are the distances of estimates from the truth, as factors in logarithms.
 type errors []float64
