fleet: the order of starts of one commit is not that of their arrival

Cause: TestOnlyTenantIsServedByDeadline compared the order in which starts arrived at a worker. Change: the runs last, so that what runs shows what came first. A wrong order still fails, always now instead of often.

--- a/fleet/shares_test.go
+++ b/fleet/shares_test.go
@@ -111,24 +111,15 @@
 // Guards against an order by rate within the only tenant that waits, which would
 // make work with an early deadline wait for work with a late one.
 func TestOnlyTenantIsServedByDeadline(t *testing.T) {
-	g := NewWithT(t)
 	h := newHarness(t)
-	w := h.addWorker("w", pool.Options{RunTime: func(p fleet.TaskPosition, n uint64) time.Duration {
-		if p.Workflow == jobID {
-			return runForever(p, n)
-		}
-		return 20 * time.Millisecond
-	}})
+	w := h.addWorker("w", pool.Options{RunTime: runForever})
 	h.submitAs(jobID, step(4))
 	h.Eventually(runningOf(jobID, w), waitTimeout, "5ms").Should(Equal(4))
 	h.setConfig(withWeights(state.Tenant{Weight: 1}, state.Tenant{Weight: 1}))
 	h.submitFor("a", workA, step(4, func(s *state.WorkflowStep) { s.EstimateMillis = 5000 })) // within the rate
 	h.submitFor("a", workB, step(4))                                                          // beyond it, with an earlier deadline
 	h.Expect(h.callAs("a", fleet.OpCancel, "/jobs/"+jobID)).To(Equal(fleet.OutcomeDone))
-	h.Eventually(func() int { return len(w.Records()) }, waitTimeout, "5ms").Should(Equal(12))
-	var order []string
-	for _, r := range w.Records()[4:] {
-		order = append(order, r.Position.Workflow)
-	}
-	g.Expect(order[:4]).To(HaveEach(workB))
+	// The starts of one commit reach the worker in any order, so that only what
+	// runs at the end tells which tasks came first.
+	h.Eventually(runningOf(workB, w), waitTimeout, "5ms").Should(Equal(4))
 }
