fleet, admission: stored workflows stay within the memory of an instance

Cause: a submission of 60 bytes may have 65,536 tasks, and every control instance holds each open workflow in memory. Limits on single requests don't bound what is accepted. 20 clients with such submissions took 1.5 GiB of a control instance with 96 MiB within 3 s; as the log holds what was accepted, no instance would start again. Change: the leader accounts for the memory of open and kept workflows and of submissions that are being stored (limits.workflows_mib, by default a third of the memory). What doesn't fit is refused with 429 in the log, workflows of more than a 64th once half is used, so that huge ones leave room for ordinary ones; what never fits gets 400. Expired refusals are removed from the log's state only when their table is full, instead of a search at each refusal.

--- a/config/node.go
+++ b/config/node.go
@@ -51,6 +51,9 @@
 	// InputMiB is the memory for what callers, or operators and workers, have
 	// sent and not finished; 0 applies a quarter of MemoryMiB.
 	InputMiB int64 `yaml:"input_mib"`
+	// WorkflowsMiB is the memory for stored workflows of a control instance; 0
+	// applies a third of MemoryMiB.
+	WorkflowsMiB int64 `yaml:"workflows_mib"`
 	// The following bound what one client may do. 0 applies the default.
 	HeaderKiB       int64   `yaml:"header_kib"`        // request line and headers
 	BodyKiB         int64   `yaml:"body_kib"`          // body of a submission
@@ -78,11 +81,23 @@
 	maxRequestKiB = 8 << 10
 )
 
+// DefaultNodeLimits returns the limits of settings that name none.
+func DefaultNodeLimits() NodeLimits {
+	var l NodeLimits
+	if err := l.validateClients(); err != nil {
+		panic(err) // the defaults are valid
+	}
+	return l
+}
+
 // validateClients checks the limits of clients and fills in defaults.
 func (l *NodeLimits) validateClients() error {
 	if l.MemoryMiB < 0 || l.InputMiB < 0 || l.MemoryMiB > 0 && l.InputMiB > l.MemoryMiB {
 		return fmt.Errorf("limits.input_mib %d is not between 0 and limits.memory_mib %d", l.InputMiB, l.MemoryMiB)
 	}
+	if l.WorkflowsMiB < 0 || l.MemoryMiB > 0 && l.WorkflowsMiB > l.MemoryMiB {
+		return fmt.Errorf("limits.workflows_mib %d is not between 0 and limits.memory_mib %d", l.WorkflowsMiB, l.MemoryMiB)
+	}
 	for _, s := range []struct {
 		name                      string
 		value                     *int64
@@ -119,6 +134,20 @@
 	return nil
 }
 
+// workflowsShare is the reciprocal of the default part of the memory for stored
+// workflows. Half of it holds a workflow with the highest number of tasks on the
+// smallest control instances (280 MiB); ordinary load takes a few percent of it.
+const workflowsShare = 3
+
+// WorkflowBytes returns the memory for stored workflows, in bytes; 0 means no
+// limit.
+func (l NodeLimits) WorkflowBytes() int64 {
+	if l.WorkflowsMiB > 0 {
+		return l.WorkflowsMiB << 20
+	}
+	return l.MemoryMiB << 20 / workflowsShare
+}
+
 // Grace returns the time from SIGTERM to SIGKILL.
 func (l NodeLimits) Grace() time.Duration { return time.Duration(l.GraceS * float64(time.Second)) }
 
--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -318,9 +318,9 @@
 	return sizes
 }
 
-// maxCallMillis is the longest time for which an instance tries to carry out a
+// MaxCallMillis is the longest time for which an instance tries to carry out a
 // client's call.
-const maxCallMillis = 60_000
+const MaxCallMillis = 60_000
 
 // submission returns what decides about the admission of a workflow, and whether
 // it may be refused: serving tasks, and workflows that run several times, have
@@ -335,7 +335,7 @@
 			ID: spec.ID, Priority: spec.Priority, Queue: spec.Queue, SubmittedAt: now, Deadline: now + objective,
 			LateDeadline: now + lateFactor*objective, Work: work, WorkLeft: work, CriticalPathMillis: criticalPathMillis(spec),
 		},
-		CopiesMillis: min(max(q.TimeoutMillis, req.TimeoutMillis), maxCallMillis) + attemptTimeout.Milliseconds(),
+		CopiesMillis: copiesMillis(q, req),
 	}
 	for i := range spec.Steps {
 		step := &spec.Steps[i]
@@ -348,3 +348,8 @@
 	}
 	return s, true
 }
+
+// copiesMillis returns how long copies of a submission may be on their way.
+func copiesMillis(q *state.WorkflowQueue, req *Request) int64 {
+	return min(max(q.TimeoutMillis, req.TimeoutMillis), MaxCallMillis) + attemptTimeout.Milliseconds()
+}
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -51,6 +51,8 @@
 	MaxOverTarget time.Duration
 	// Calls is the maximum number of worker calls in flight; 0 means unlimited.
 	Calls int
+	// WorkflowBytes is the memory for stored workflows; 0 means unlimited.
+	WorkflowBytes int64
 }
 
 // Options configures a Controller. Log and Dial are required.
@@ -78,6 +80,7 @@
 	// backlogs are the waiting work by pool, as of the last placement pass. It is
 	// nil while the controller is idle.
 	backlogs atomic.Pointer[map[string]*admission.Backlog]
+	storage  storage
 
 	// Owned by the loop.
 	term uint64 // in which the controller is active
@@ -144,6 +147,7 @@
 		interference: placement.NewInterferenceModel(), calls: callQueue{limit: o.Limits.Calls},
 		imageUse: make(map[string]float64), callPool: newCallPool(), usage: tenant.NewUsage(),
 	}
+	c.storage.capacity = o.Limits.WorkflowBytes
 	c.resetAdmission()
 	return c
 }
@@ -324,6 +328,7 @@
 	c.journal = journal{}
 	c.poolDemand = make(map[string]*poolDemand)
 	c.resetAdmission()
+	c.resetStored()
 	c.dirty = true
 	s := c.opts.Log.State()
 	c.adopted = s.Workflows.Len() > 0
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -31,6 +31,7 @@
 	drain       *prometheus.GaugeVec
 	refused     *prometheus.CounterVec
 	retryAfter  prometheus.Histogram
+	stored      prometheus.Gauge
 
 	runTimes       *prometheus.CounterVec
 	runTimeRatio   *prometheus.HistogramVec
@@ -119,12 +120,15 @@
 			Name: "apricotrouter_fleet_backlog_seconds", Help: "Least time until the waiting work of a pool that can be of use has been started; 0 while it fits or the rate of the pool is not known.",
 		}, []string{"pool"}),
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "apricotrouter_fleet_refused_workflows_total", Help: "Submissions that were refused for lack of capacity, by queue.",
+			Name: "apricotrouter_fleet_refused_workflows_total", Help: "Submissions that were refused for lack of capacity or memory, by queue.",
 		}, []string{"queue"}),
 		retryAfter: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "apricotrouter_fleet_retry_after_seconds", Help: "Time after which refused submissions may be sent again.",
 			Buckets: []float64{1, 2, 5, 10, 20, 50, 100, 200},
 		}),
+		stored: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "apricotrouter_fleet_stored_bytes", Help: "Estimated memory of the open workflows on the leader, in bytes.",
+		}),
 		tenantUse: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "apricotrouter_fleet_tenant_processors", Help: "Processors that the runs of a tenant use as declared, and its cap (0 is unlimited), by use. The 50 tenants with the highest weights are named.",
 		}, []string{"tenant", "use"}),
@@ -137,7 +141,7 @@
 	}
 	if r != nil {
 		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting,
-			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers, m.copies, m.short, m.drain, m.refused, m.retryAfter,
+			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers, m.copies, m.short, m.drain, m.refused, m.retryAfter, m.stored,
 			m.tenantUse, m.tenantHeld, m.tenantShare)
 	}
 	return m
--- a/fleet/refuse.go
+++ b/fleet/refuse.go
@@ -23,20 +23,30 @@
 	if !d.Refuse {
 		return nil
 	}
-	result, err := s.group.Propose(ctx, state.NewCommand(state.RefuseWorkflow{ID: spec.ID, ForMillis: sub.CopiesMillis}))
-	if err != nil {
-		return &Response{Outcome: OutcomeUnknown, Reason: err.Error()}
-	}
-	if result.Code != state.CodeRefused {
-		if w, ok := s.group.State().Workflows.Get(spec.ID); ok {
-			return c.resendResponse(w)
-		}
-		return nil // also if an instance of an earlier version applied it first
+	refused, resp := s.commitRefusal(ctx, spec, sub.CopiesMillis, c)
+	if !refused {
+		return resp
 	}
 	s.recordRefusal(q, spec, req, sub, d, now)
 	return &Response{Outcome: OutcomeRefused, Reason: d.Reason, RetryAfterMillis: d.RetryAfterMillis}
 }
 
+// commitRefusal commits the refusal of a submission. If it was not refused, resp is
+// the response to it, or nil if it is not stored either.
+func (s *Service) commitRefusal(ctx context.Context, spec *state.WorkflowSpec, copiesMillis int64, c caller) (refused bool, resp *Response) {
+	result, err := s.group.Propose(ctx, state.NewCommand(state.RefuseWorkflow{ID: spec.ID, ForMillis: copiesMillis}))
+	if err != nil {
+		return false, &Response{Outcome: OutcomeUnknown, Reason: err.Error()}
+	}
+	if result.Code == state.CodeRefused {
+		return true, nil
+	}
+	if w, ok := s.group.State().Workflows.Get(spec.ID); ok {
+		return false, c.resendResponse(w)
+	}
+	return false, nil // also if an instance of an earlier version applied it first
+}
+
 // refusedCopy returns the response to a submission of which a copy was refused.
 func (s *Service) refusedCopy(result state.Result) *Response {
 	now := s.controller.opts.Clock.Now().UnixMilli()
@@ -52,8 +62,13 @@
 		slog.Int64("start_ms", d.StartMillis), slog.Int64("critical_path_ms", sub.CriticalPathMillis),
 		slog.Int64("useless_ms", sub.LateDeadline-now), slog.Float64("work_milli_cpu_ms", sub.Work),
 		slog.Float64("rate_cpu", d.Rate), slog.Int64("age_ms", d.AgeMillis))
+	s.recordRetry(q, d.RetryAfterMillis)
+}
+
+// recordRetry records a refusal in the metrics.
+func (s *Service) recordRetry(q *state.WorkflowQueue, retryAfterMillis int64) {
 	s.metrics.refused.WithLabelValues(q.Name).Inc()
-	s.metrics.retryAfter.Observe(float64(d.RetryAfterMillis) / 1000)
+	s.metrics.retryAfter.Observe(float64(retryAfterMillis) / 1000)
 }
 
 // decide decides a submission from the backlog of its pool.
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -92,8 +92,11 @@
 	return &Response{Outcome: OutcomeInvalid, Reason: "operation " + req.Op.String() + " is not supported"}
 }
 
+// WorkflowIDDigits is the number of digits of a workflow's id.
+const WorkflowIDDigits = 16
+
 // idPattern is the format of workflow ids, which clients choose.
-var idPattern = regexp.MustCompile(`^[0-9a-f]{16}$`)
+var idPattern = regexp.MustCompile(fmt.Sprintf(`^[0-9a-f]{%d}$`, WorkflowIDDigits))
 
 // route returns the queue with the longest matching prefix, and the rest of the
 // path.
@@ -196,10 +199,19 @@
 	if resp := s.refuse(ctx, q, &spec, req, c); resp != nil {
 		return resp
 	}
+	if resp := s.reserveStorage(ctx, q, &spec, req, c); resp != nil {
+		return resp
+	}
 	result, err := s.group.Propose(ctx, state.NewCommand(state.SubmitWorkflow{Spec: spec}))
 	if err != nil {
+		s.releaseStorage(&spec, false)
 		return &Response{Outcome: OutcomeUnknown, Reason: err.Error()}
 	}
+	if result.Code == state.CodeOK {
+		defer s.countSubmitted(&spec)
+	} else {
+		s.releaseStorage(&spec, true)
+	}
 	if result.Code == state.CodeRefused {
 		return s.refusedCopy(result)
 	}
@@ -213,10 +225,20 @@
 		slog.String("queue", q.Name), slog.String("tenant", c.tenant), slog.Uint64("config_version", st.Queues.Version), slog.Int("tasks", spec.TasksPerOccurrence()),
 		slog.Int64("work_milli_cpu_ms", totalWork(&spec)), slog.Int64("largest_milli_cpu", largestTaskCPU(&spec)),
 		slog.Int64("objective_ms", objectiveMillis(&spec)), slog.Uint64("index", result.Index))
-	s.resync(id)
 	return &Response{Outcome: OutcomeDone}
 }
 
+// countSubmitted notifies the controller of a stored submission, which replaces
+// the reservation of its memory.
+func (s *Service) countSubmitted(spec *state.WorkflowSpec) {
+	s.controller.post(func() {
+		if s.controller.active {
+			s.controller.syncWorkflow(s.group.State(), spec.ID)
+		}
+		s.releaseStorage(spec, true)
+	})
+}
+
 // resync notifies the controller of a change of a workflow.
 func (s *Service) resync(id string) {
 	s.controller.post(func() {
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -131,6 +131,7 @@
 		f.smallest = f.smallest.Min(spec.Steps[i].Size)
 	}
 	c.workflows[spec.ID] = f
+	c.countStored(storedBytes(spec))
 	c.addServingDemand(spec, 1)
 	if spec.Occurrences == 0 {
 		c.addBatchDemand(spec, w.SubmittedAt)
@@ -266,6 +267,7 @@
 // closeWorkflow stops the remaining runs of a workflow that has ended.
 func (c *Controller) closeWorkflow(f *workflow, w *state.Workflow) {
 	delete(c.workflows, f.spec.ID)
+	c.countStored(-storedBytes(f.spec))
 	c.addServingDemand(f.spec, -1)
 	for _, t := range f.tasks {
 		t.phase = taskDone
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -120,9 +120,11 @@
 	if r, ok := tx.RefusedWorkflows.Get(b.ID); ok && r.Until > tx.now {
 		return tx.refusedUntil(object, r)
 	}
-	for id, r := range tx.RefusedWorkflows.All() {
-		if r.Until <= tx.now {
-			tx.RefusedWorkflows = tx.RefusedWorkflows.Delete(id)
+	if tx.RefusedWorkflows.Len() >= MaxRefusedWorkflows {
+		for id, r := range tx.RefusedWorkflows.All() {
+			if r.Until <= tx.now {
+				tx.RefusedWorkflows = tx.RefusedWorkflows.Delete(id)
+			}
 		}
 	}
 	if tx.RefusedWorkflows.Len() >= MaxRefusedWorkflows {
--- a/state/state.go
+++ b/state/state.go
@@ -54,6 +54,9 @@
 // OpenWorkflows yields the ids of the workflows that have not ended.
 func (s *State) OpenWorkflows() iter.Seq2[string, struct{}] { return s.openWorkflows.All() }
 
+// EndedCount returns the number of stored workflows that have ended.
+func (s *State) EndedCount() int { return s.endedWorkflows.Len() }
+
 // EndedWorkflows yields the ids of the workflows that have ended, oldest first.
 func (s *State) EndedWorkflows() iter.Seq2[string, string] { return s.endedWorkflows.All() }
 
