--- a/cli/root.go
+++ b/cli/root.go
@@ -113,7 +113,7 @@
 		o.initCommand(), o.statusCommand(), o.auditCommand(), o.explainCommand(),
 		o.zoneCommand(), o.serviceCommand(), o.teamCommand(), o.jobCommand(),
 		o.taskCommand(), o.workerCommand(), o.endpointCommand(),
-		configCommand(), versionCommand(),
+		o.queuesCommand(), configCommand(), versionCommand(),
 	)
 	return root
 }
--- a/fleet/validate.go
+++ b/fleet/validate.go
@@ -99,30 +99,47 @@
 // CheckQueues returns an error that says why the configuration is invalid, or
 // nil.
 func CheckQueues(c *state.QueueConfig) error {
+	if errs := QueueErrors(c); len(errs) > 0 {
+		return errs[0]
+	}
+	return nil
+}
+
+// QueueErrors returns all reasons for which the configuration is invalid. Of
+// those of its tenants it returns the first.
+func QueueErrors(c *state.QueueConfig) []error {
 	type route struct{ host, prefix string }
+	var errs []error
+	add := func(format string, args ...any) { errs = append(errs, fmt.Errorf(format, args...)) }
 	queueByRoute := make(map[route]string)
 	names := make(map[string]bool)
 	for _, p := range c.Pools {
 		if p.Name == "" {
-			return fmt.Errorf("a pool has no name")
+			add("a pool has no name")
 		}
 	}
 	for i := range c.Queues {
 		q := &c.Queues[i]
 		key := route{q.Host, q.PathPrefix}
-		switch {
-		case q.Name == "" || q.Host == "" || q.PathPrefix == "":
-			return fmt.Errorf("queue %q lacks a name, a host or a path prefix", q.Name)
-		case names[q.Name]:
-			return fmt.Errorf("two queues are called %s", q.Name)
-		case c.Pool(q.Pool) == nil:
-			return fmt.Errorf("queue %s names an unknown pool %q", q.Name, q.Pool)
-		case queueByRoute[key] != "":
-			return fmt.Errorf("queues %s and %s have the same host and prefix", queueByRoute[key], q.Name)
-		case q.TimeoutMillis <= 0:
-			return fmt.Errorf("queue %s has no timeout", q.Name)
+		if q.Name == "" || q.Host == "" || q.PathPrefix == "" {
+			add("queue %q lacks a name, a host or a path prefix", q.Name)
+		}
+		if names[q.Name] {
+			add("two queues are called %s", q.Name)
+		}
+		if c.Pool(q.Pool) == nil {
+			add("queue %s names an unknown pool %q", q.Name, q.Pool)
+		}
+		if queueByRoute[key] != "" {
+			add("queues %s and %s have the same host and prefix", queueByRoute[key], q.Name)
+		}
+		if q.TimeoutMillis <= 0 {
+			add("queue %s has no timeout", q.Name)
 		}
 		names[q.Name], queueByRoute[key] = true, q.Name
 	}
-	return tenant.Check(c.Tenants)
+	if err := tenant.Check(c.Tenants); err != nil {
+		errs = append(errs, err)
+	}
+	return errs
 }
