fleet, placement: log which bound keeps best-effort tasks waiting

Cause: with thousands of best-effort tasks waiting and idle processors, logs didn't tell whether memory, processors or interference kept them out.

--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -94,6 +94,7 @@
 		}
 		event.Log(c.opts.Logger, event.PoolCapacity, attrs...)
 		c.logServingWait(name, p, o.waiting[kindServing].task)
+		c.logBestEffortWait(name, p, o.waiting[kindBestEffort].task)
 	}
 }
 
@@ -123,6 +124,29 @@
 		slog.Int("failed_on", len(t.avoid)), slog.Int64("share_room_milli_cpu", batchFree), slog.Int64("share_kept_milli_cpu", batchReserved), slog.Int64("share_unit_milli_cpu", batchUnit), slog.Int("idle", p.idleCapacity))
 }
 
+// logBestEffortWait logs what keeps the longest-waiting best-effort task from the
+// workers of its pool: the bound that the least workers meet is the one to raise.
+func (c *Controller) logBestEffortWait(name string, p *pool, t *task) {
+	if t == nil || c.now()-t.waitingSince < occupancyLogInterval {
+		return
+	}
+	r := placement.CountRejections(p.workers, c.placementRequest(t, p, c.excludedWorkers(t, p)), nil)
+	var runs, withServing int
+	var used, idle int64
+	for _, w := range p.allWorkers {
+		runs, used, idle = runs+w.BestEffort, used+w.BestEffortCPU, idle+max(0, w.IdleCPU)
+		if len(w.ServingGroups) > 0 {
+			withServing++
+		}
+	}
+	event.Log(c.opts.Logger, event.BestEffortTaskWaiting,
+		slog.String("workflow", t.workflow.spec.ID), slog.Int("task", t.number), slog.String("pool", name), slog.String("image", t.step.Image),
+		slog.Int64("waited_ms", (c.now()-t.waitingSince).Milliseconds()), slog.Int64("milli_cpu", t.step.Size.MilliCPU), slog.Int64("memory_mib", t.step.Size.MemoryMiB),
+		slog.Int("admitted", r.Admitted), slog.Int("memory", r.Memory), slog.Int("idle_processors", r.IdleProcessors), slog.Int("interference", r.Interference),
+		slog.Int("accelerators", r.Accelerators), slog.Int("label", r.Label), slog.Int("excluded", r.Excluded), slog.Int("held", r.ReservedForOthers),
+		slog.Int("workers_with_serving_tasks", withServing), slog.Int("running", runs), slog.Int64("running_milli_cpu", used), slog.Int64("idle_milli_cpu", idle))
+}
+
 // unusableWorkers counts the workers of a pool that are excluded from the
 // placement pass.
 func (c *Controller) unusableWorkers(name string, p *pool) int {
--- a/placement/rejection.go
+++ b/placement/rejection.go
@@ -16,6 +16,8 @@
 	Accelerators      int
 	Excluded          int // by the task's limit per worker, or after a failure there
 	BatchReservation  int // reserved for batch tasks
+	IdleProcessors    int // idle CPU, for a best-effort task
+	Interference      int // a serving task would exceed its limit, for a best-effort task
 	// LargestAdmitted is the most free CPU of any worker that is admitted or
 	// rejected only because of the batch reservation, in thousandths of a
 	// processor.
@@ -27,7 +29,7 @@
 // tasks; it is nil if it does not apply to the task.
 func CountRejections(workers []*WorkerCapacity, t PoolTask, share *BatchReservation) Rejections {
 	var n Rejections
-	size := t.Step.Reservation()
+	size, coefficients := t.Step.Reservation(), t.interferenceCoefficients()
 	for i, r := range workers {
 		switch {
 		case r == nil:
@@ -42,6 +44,10 @@
 			n.Accelerators++
 		case t.Excluded != nil && t.Excluded(i):
 			n.Excluded++
+		case !canPlace(r, t.Step):
+			n.IdleProcessors++
+		case !t.fitsBeside(r, coefficients):
+			n.Interference++
 		case share != nil && !share.Admits(r, size.MilliCPU):
 			n.BatchReservation++
 			n.LargestAdmitted = max(n.LargestAdmitted, r.Free.MilliCPU)
@@ -53,6 +59,16 @@
 	return n
 }
 
+// fitsBeside reports whether the interference of the task permits its start beside
+// the serving tasks of a worker.
+func (t *PoolTask) fitsBeside(r *WorkerCapacity, coefficients InterferenceCoefficients) bool {
+	if !t.Step.BestEffort || t.InterferenceModel == nil {
+		return true
+	}
+	fit, _ := interferenceFit(r, fractionOf(t.Step.Size.MilliCPU, r.Capacity.MilliCPU), coefficients)
+	return t.startRate(r, fit) > 0
+}
+
 // Available returns the CPU that is available for batch tasks, the part of it
 // that is reserved for them, and the smallest piece of free CPU that counts as
 // available, in thousandths of a processor. Of the size ranges it describes the
