fleet, placement: cheaper placement passes and reports under overload

Change: an upper bound of the CPU that any worker takes for an image rejects these tasks without a search. While more waits than fits, passes leave four times their duration to other work instead of twice. Reports are compared with attempts by a number instead of a map of all runs; estimates are made once a pass.

--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -68,11 +68,12 @@
 }
 
 // workLeft returns the estimated work of the unfinished tasks of a workflow, in
-// thousandths of a processor times milliseconds.
-func (c *Controller) workLeft(f *workflow) float64 {
+// thousandths of a processor times milliseconds, by the estimates of this
+// placement pass.
+func (f *workflow) workLeft() float64 {
 	means := make([]float64, len(f.spec.Steps))
 	for i := range means {
-		means[i] = float64(c.estimate(f, i).Mean())
+		means[i] = float64(f.estimates[i].Mean())
 	}
 	left := 0.0
 	for _, t := range f.tasks {
@@ -117,7 +118,7 @@
 		}
 		p.jobs = append(p.jobs, admission.Job{
 			ID: j.ID, Priority: j.Priority, Queue: f.queue, SubmittedAt: f.submittedAt, Deadline: j.Deadline,
-			LateDeadline: j.LateDeadline, Work: f.work, WorkLeft: c.workLeft(f), WorkReady: work, Ready: size,
+			LateDeadline: j.LateDeadline, Work: f.work, WorkLeft: f.workLeft(), WorkReady: work, Ready: size,
 			CriticalPathMillis: j.RemainingMillis, Observed: j.Observed, Begun: f.inProgress,
 		})
 	}
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -47,6 +47,7 @@
 	startedAt      time.Duration
 	fence          uint64        // of the start; 0 if an earlier leader sent it
 	seenAt         time.Duration // last report that lists the run
+	report         uint64        // number of the last report that lists the run or its end
 	// beside and younger are the numbers of other runs on the worker, and of
 	// those that started later, when the worker was lost.
 	beside, younger int
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -32,6 +32,10 @@
 	// passPauseFactor is the delay after a placement pass, as a multiple of its
 	// duration, so that long queues leave time for worker calls.
 	passPauseFactor = 2
+	// shortPassPauseFactor replaces passPauseFactor while more work waits than
+	// fits. Most passes then find that little fits, and calls to workers, which
+	// free capacity, need the time: the leader of 490 workers has none left.
+	shortPassPauseFactor = 4
 	// proposeTimeout bounds one proposal. It covers a commit while disks are
 	// many times slower than usual.
 	proposeTimeout = 3 * time.Second
@@ -105,6 +109,7 @@
 	held           []*session          // kept for tasks that have to run alone
 	reserved       map[*task]bool      // tasks with capacity set aside
 	pollDue        map[*session]bool   // sessions to poll after this step, if necessary
+	reports        uint64              // applied reports of all workers
 	journal        journal
 	interference   *placement.InterferenceModel
 	poolDemand     map[string]*poolDemand           // by pool
@@ -418,7 +423,7 @@
 		begin := c.now()
 		c.schedule()
 		c.placeCopies()
-		c.nextPass = c.now() + passPauseFactor*(c.now()-begin)
+		c.nextPass = c.now() + c.passPause(c.now()-begin)
 	}
 	c.commit()
 	for s := range c.pollDue {
@@ -427,6 +432,14 @@
 	clear(c.pollDue)
 }
 
+// passPause returns the delay after a placement pass.
+func (c *Controller) passPause(pass time.Duration) time.Duration {
+	if len(c.shortPools) > 0 {
+		return shortPassPauseFactor * pass
+	}
+	return passPauseFactor * pass
+}
+
 // passDue reports whether a placement pass may run now. Starts that are placed
 // while an entry is being committed have to wait for the next entry anyway, so
 // one pass per entry suffices.
--- a/fleet/pass_bench_internal_test.go
+++ b/fleet/pass_bench_internal_test.go
@@ -11,6 +11,7 @@
 
 	"apricotrouter/placement"
 	"apricotrouter/replica"
+	"apricotrouter/runtimes"
 	"apricotrouter/state"
 )
 
@@ -67,6 +68,27 @@
 	return c, clock
 }
 
+// learnRunTimes makes the run times of all waiting tasks known, as they are after
+// a few seconds of load.
+func learnRunTimes(c *Controller) {
+	const runs = 200
+	r := rand.New(rand.NewPCG(2, 1))
+	seen := make(map[runtimes.Key]bool)
+	for _, f := range c.workflows {
+		for i := range f.spec.Steps {
+			step := &f.spec.Steps[i]
+			key := runTimeKey(f.queue, step)
+			if seen[key] {
+				continue
+			}
+			seen[key] = true
+			for n := range uint64(runs) {
+				c.learned.model.Observe(key, n/10, step.EstimateMillis, int64(float64(step.EstimateMillis)*(0.5+1.5*r.Float64())), c.now().Milliseconds())
+			}
+		}
+	}
+}
+
 // BenchmarkPass measures a placement pass over a full pool with the largest
 // planned number of workers and 10,000 waiting tasks. Passes take at most a
 // third of the leader's time, so a waiting task is considered every three times
@@ -75,6 +97,7 @@
 	for _, tasks := range []int{20, 1} {
 		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
 			c, clock := newLoadedController(tasks)
+			learnRunTimes(c)
 			for range 10 { // until the rate of the pool is known
 				clock.Advance(time.Second)
 				c.recordCompleted(c.workflows["0000000000000000"].tasks[0])
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -142,13 +142,12 @@
 // applyReport reconciles the attempts on the worker with a report.
 func (c *Controller) applyReport(s *session, begin time.Duration, r *Report) {
 	c.checkEnds(s, r)
-	seen := make(map[runKey]bool, len(r.Running)+len(r.Ended))
+	c.reports++
+	s.report = c.reports
 	for _, e := range r.Ended {
-		seen[runKey{e.Position, e.Number}] = true
 		c.applyEnd(s, e)
 	}
 	for i := range r.Running {
-		seen[runKey{r.Running[i].Position, r.Running[i].Number}] = true
 		c.applyRunning(s, &r.Running[i])
 	}
 	if s.lastEnd > s.ackedEnd {
@@ -159,12 +158,12 @@
 			c.pollDue[s] = true
 		})
 	}
-	c.forgetUnknownRuns(s, seen)
+	c.forgetUnknownRuns(s, r.unknown(s))
 	if len(r.Ended) >= maxReportedEnds {
 		return
 	}
-	for k, a := range s.attempts {
-		if !seen[k] && a.startDecided() && a.startDecidedAt < begin {
+	for _, a := range s.attempts {
+		if a.report != s.report && a.startDecided() && a.startDecidedAt < begin {
 			// The worker of an adopted run was replaced under an earlier leader.
 			a.crashed = a.crashed || a.adopted && a.incarnation != 0 && s.worker.StartedAt > a.incarnation
 			c.endAsLost(a, "not on the worker")
@@ -172,6 +171,22 @@
 	}
 }
 
+// unknown returns the runs of a report that may be unknown; nil if no run of the
+// worker is.
+func (r *Report) unknown(s *session) map[runKey]bool {
+	if len(s.unknownRuns) == 0 {
+		return nil
+	}
+	runs := make(map[runKey]bool, len(r.Running)+len(r.Ended))
+	for _, e := range r.Ended {
+		runs[runKey{e.Position, e.Number}] = true
+	}
+	for i := range r.Running {
+		runs[runKey{r.Running[i].Position, r.Running[i].Number}] = true
+	}
+	return runs
+}
+
 // startDecided reports whether the worker has carried out the start or never
 // will.
 func (a *attempt) startDecided() bool {
@@ -200,6 +215,10 @@
 
 // applyEnd records an ended run from a report.
 func (c *Controller) applyEnd(s *session, e RunEnd) {
+	a := s.attempts[runKey{e.Position, e.Number}]
+	if a != nil {
+		a.report = s.report
+	}
 	if e.Sequence <= s.lastEnd {
 		return
 	}
@@ -211,7 +230,7 @@
 	case EndFailed:
 		outcome = state.OutcomeFailed
 	}
-	if a := s.attempts[runKey{e.Position, e.Number}]; a != nil {
+	if a != nil {
 		if outcome != state.OutcomeLost {
 			s.failures.record(c, s, a, outcome == state.OutcomeFailed)
 		}
@@ -259,7 +278,7 @@
 func (c *Controller) applyRunning(s *session, r *RunStatus) {
 	k := runKey{r.Position, r.Number}
 	if a := s.attempts[k]; a != nil {
-		a.seenAt = c.now()
+		a.seenAt, a.report = c.now(), s.report
 		a.listed()
 		if a.suspect && placement.Settled(a.workedFor().Milliseconds()) {
 			s.markSuspect(a, false)
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -42,6 +42,9 @@
 	// waitingImages are the images of the best-effort tasks that do not fit; nil
 	// until they are needed.
 	waitingImages []placement.WaitingImage
+	// largestBestEffort has, by image, the largest CPU of a best-effort task that
+	// starts at the full rate.
+	largestBestEffort map[string]cpuBound
 	// reducedRates is set while best-effort tasks may start below the full rate.
 	reducedRates bool
 	// halfIdleState caches halfIdle: 0 if it is not known, 1 if false, 2 if
@@ -64,10 +67,34 @@
 		now:      now,
 		sessions: make([]*session, 0, size), workers: make([]*placement.WorkerCapacity, 0, size),
 		smallestUnplaced: make(map[placementClass]state.Resources), reserved: make(map[int]bool), reservedInPass: make(map[int]bool),
-		shares: make(map[shareKey]*placement.BatchReservation), aside: make(map[*task]int),
+		shares: make(map[shareKey]*placement.BatchReservation), aside: make(map[*task]int), largestBestEffort: make(map[string]cpuBound),
 	}
 }
 
+// cpuBound is an upper bound of the CPU of a task, in thousandths of a processor,
+// after a number of changes and of releases of the workers' free capacity.
+type cpuBound struct {
+	milliCPU          int64
+	changes, releases int
+}
+
+// exceedsLargest reports whether a best-effort task asks for more CPU than any
+// worker takes at the full rate. A bound remains valid until capacity is released.
+// If the task is below it, and the free capacity has changed since, a new one may
+// reject it.
+func (c *Controller) exceedsLargest(p *pool, s *state.WorkflowStep, minRate int) bool {
+	if !s.BestEffort || minRate > 0 && minRate < fullRate {
+		return false
+	}
+	b, ok := p.largestBestEffort[s.Image]
+	if ok && b.releases == p.releases && (s.Size.MilliCPU > b.milliCPU || b.changes == p.changes) {
+		return s.Size.MilliCPU > b.milliCPU
+	}
+	b = cpuBound{placement.LargestBestEffort(p.allWorkers, c.interference, s.Image), p.changes, p.releases}
+	p.largestBestEffort[s.Image] = b
+	return s.Size.MilliCPU > b.milliCPU
+}
+
 // placementClass is everything that decides whether a task fits, except its
 // size.
 type placementClass struct {
--- a/fleet/runtimes.go
+++ b/fleet/runtimes.go
@@ -59,6 +59,16 @@
 	return e.Given(n, math.Exp(f.completedLogs[step]/float64(n)))
 }
 
+// updateEstimates returns the current estimates of all steps of a workflow and
+// keeps them for the rest of a placement pass.
+func (c *Controller) updateEstimates(f *workflow) []runtimes.Estimate {
+	f.estimates = f.estimates[:0]
+	for i := range f.spec.Steps {
+		f.estimates = append(f.estimates, c.estimate(f, i))
+	}
+	return f.estimates
+}
+
 // path is the estimated critical path of a workflow, in milliseconds.
 type path struct {
 	left  int64 // of the remaining work
@@ -70,10 +80,9 @@
 // criticalPath estimates the critical path of a workflow.
 func (c *Controller) criticalPath(f *workflow) path {
 	now := c.now()
-	estimates := make([]runtimes.Estimate, len(f.spec.Steps))
+	estimates := c.updateEstimates(f)
 	steps := make([]stepPath, len(f.spec.Steps))
-	for i := range f.spec.Steps {
-		estimates[i] = c.estimate(f, i)
+	for i := range steps {
 		steps[i].whole = f.longestRuns[i]
 	}
 	var p path
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -133,7 +133,7 @@
 			group = c.taskGroup(t, p, j, usesReserved, avoided)
 		}
 		i := -1
-		if !p.unplaceable(t.step, class) {
+		if !p.unplaceable(t.step, class) && !c.exceedsLargest(p, t.step, minRate) {
 			i = group.bestWorker(j, waited, t.ranBefore())
 			if i < 0 && len(avoided) > len(excludedWorkers) {
 				group = c.taskGroup(t, p, j, usesReserved, excludedWorkers)
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -47,6 +47,7 @@
 	nextPoll     time.Duration
 	lastPoll     time.Duration // when the last poll with a response began
 	respondedAt  time.Duration // when the worker last carried out a call
+	report       uint64        // number of the last applied report
 	unresponsive bool
 	silentUntil  time.Duration // when the worker last responded again after it had not
 	loss         *workerLoss   // set while the worker is unresponsive
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -8,6 +8,7 @@
 	"apricotrouter/admission"
 	"apricotrouter/event"
 	"apricotrouter/placement"
+	"apricotrouter/runtimes"
 	"apricotrouter/state"
 )
 
@@ -38,6 +39,7 @@
 	// longestRuns are the longest run times of completed tasks at full speed, by
 	// step, in milliseconds; 0 if none is known.
 	longestRuns []int64
+	estimates   []runtimes.Estimate // by step, as of the last placement pass in which tasks waited
 	// loads are the load filters of the serving tasks, by step.
 	loads []placement.Load
 	// smallest has, for each resource, the smallest request of any task.
