--- a/cli/queues.go
+++ b/cli/queues.go
@@ -63,11 +63,11 @@
 		}
 	}
 	if against != "" {
-		inForce, err := queuesInForce(ctx, against)
+		inForce, former, err := queuesInForce(ctx, against)
 		if err != nil {
 			return err
 		}
-		for _, line := range queuecheck.Diff(inForce, c) {
+		for _, line := range append(queuecheck.Diff(inForce, c), queuecheck.DiffPromises(former, promises)...) {
 			fmt.Fprintf(out, "change: %s\n", line)
 		}
 	}
@@ -92,15 +92,13 @@
 
 // queuesInForce reads the configuration in force from a file, or else from a
 // control instance.
-func queuesInForce(ctx context.Context, source string) (*state.QueueConfig, error) {
+func queuesInForce(ctx context.Context, source string) (*state.QueueConfig, queuecheck.Promises, error) {
 	if _, err := os.Stat(source); err == nil {
-		c, _, err := loadQueues(source)
-		return c, err
+		return loadQueues(source)
 	}
 	data, err := platform.FetchConfig(ctx, source)
 	if err != nil {
-		return nil, &exitError{ExitUnavailable, err}
+		return nil, queuecheck.Promises{}, &exitError{ExitUnavailable, err}
 	}
-	c, _, err := platform.DecodeConfig(data)
-	return c, err
+	return platform.DecodeConfig(data)
 }
--- a/queuecheck/check_test.go
+++ b/queuecheck/check_test.go
@@ -126,3 +126,14 @@
 		"tenant gone is removed",
 	}))
 }
+
+// Guards against changed limits of clients that are not shown.
+func TestDiffPromises(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(queuecheck.DiffPromises(promises, promises)).To(BeEmpty())
+	other := promises
+	other.BodyBytes, other.IdleTimeoutMillis = 1, 2
+	g.Expect(queuecheck.DiffPromises(promises, other)).To(Equal([]string{
+		"limits: body in bytes 262144 -> 1", "limits: time between requests in ms 15000 -> 2",
+	}))
+}
--- a/queuecheck/diff.go
+++ b/queuecheck/diff.go
@@ -20,6 +20,15 @@
 	return append(d, diffEntries("tenant", inForce.Tenants, c.Tenants, func(t *state.Tenant) string { return t.Name }, diffTenant)...)
 }
 
+// DiffPromises returns which limits a configuration promises to clients other than
+// the one in force.
+func DiffPromises(inForce, p Promises) []string {
+	d := changed(nil, "limits: header in bytes", inForce.HeaderBytes, p.HeaderBytes)
+	d = changed(d, "limits: body in bytes", inForce.BodyBytes, p.BodyBytes)
+	d = changed(d, "limits: time for a header in ms", inForce.HeaderTimeoutMillis, p.HeaderTimeoutMillis)
+	return changed(d, "limits: time between requests in ms", inForce.IdleTimeoutMillis, p.IdleTimeoutMillis)
+}
+
 // diffEntries compares entries by their names, in the order of the old ones and
 // then of the new ones.
 func diffEntries[T any](kind string, before, after []T, name func(*T) string, changes func(before, after *T) []string) []string {
