fleet, state: a task starts where its unanswered start may still arrive

A start got no answer, its stop was acknowledged, and the task started on another worker. The first worker crashed, came back under its id and address within a second, and carried the old start out before its first poll.

Cause: evidence about one incarnation of a worker was used for another. An acknowledged stop, a report under a higher fence and the end of a lease each ended the run so that the task could start anywhere. An incarnation that has not answered yet knows neither fence nor stop. Which starts had no answer was known to one process only.

A run that is lost without an answer to its start now confines its task to the worker for the 12 s in which the call may arrive. An incarnation that has answered refuses the earlier start; one that has not runs nothing else of the task. The capacity is set aside there, so that the task starts again as soon as the end of its run is committed. The log has the confinement, so that the next leader continues it. For serving tasks it also has that their start was carried out: they must not wait longer than a lease after their worker is lost under another leader. Another worker at the same address refuses the call and ends the confinement.

TestStartSettledByOneIncarnationReachesTheNext expected the next run on the other worker within 10 s while the start could still arrive, which no scheduler can meet together with its check. It now requires that the task doesn't start there, starts as soon as the next incarnation has answered, and never runs twice, also with an expired lease and another leader.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -88,6 +88,10 @@
 		"shares of tenants decide the order", "At most one line per second while more waits than fits: the tenant that lacks most of its share and the one that exceeds its share most, in parts of the capacity of their dominant resource. A share that is missing for more than the duration of the running tasks points to tasks that fit nowhere; see `pool-room`.")
 	CallUnauthorized = define(849, "call-unauthorized", slog.LevelWarn,
 		"calls without the key of a tenant were refused", "At most one line per second on the leader: the number of client calls that were answered 401 since the last line, and the operation, host and path of the last one. `key` is whether it had a key, which is not in the configuration of this `config_version`. Check the keys in the configuration with the caller.")
+	TaskConfined = define(852, "task-confined", slog.LevelInfo,
+		"start without an answer confines a task to its worker", "The start may still arrive, and any incarnation of the worker that has not answered a later call would carry it out. Until then (`for_ms`) the next run of the task starts on the same worker. `adopted` means that an earlier leader recorded the start. Nothing to do; if it repeats, check the worker and the network to it.")
+	TaskReleased = define(853, "task-released", slog.LevelWarn,
+		"task waited until its start could no longer arrive", "The worker to which an unanswered start had confined the task did not take it: it was lost, draining, full or in an evacuated availability zone. The task starts on any worker now. Check the worker.")
 	PoolShort = define(861, "pool-short", slog.LevelInfo,
 		"shortage of a pool began or ended", "While `short` is true, more work waits than fits: useless work comes last, workflows in progress and those with the highest value per work left come first. The fields give what waits and what is free. If it persists, the pool is too small for the demand.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -63,8 +63,13 @@
 	adopted        bool // started by an earlier leader
 	mayHaveStarted bool // the run may have started
 	startInFlight  bool // the start call has not ended yet
-	ticket         string
-	runStats       runStats
+	// startKnown is set if no incarnation can carry the start out any more: it was
+	// answered or refused, was never sent, or a report has listed the run.
+	startKnown   bool
+	sentTo       string        // address of the start; empty if an earlier leader sent it
+	startEndedAt time.Duration // when the start call ended
+	ticket       string
+	runStats     runStats
 	// noCopyUntil is the time until which the run is not considered for a copy,
 	// because no worker was idle.
 	noCopyUntil time.Duration
@@ -157,6 +162,7 @@
 		return nil
 	}
 	a.phase, a.startedAt, a.fence, a.startInFlight = attemptStarting, c.now(), s.fence, true
+	a.sentTo = s.worker.Address
 	c.pollDue[s] = true
 	call := StartCall{
 		Run: a.run, Position: a.position(), Payload: a.task.workflow.spec.Payload, Fence: a.fence,
@@ -175,9 +181,9 @@
 }
 
 func (c *Controller) handleStartResponse(a *attempt, begin time.Duration, err error) {
-	a.startInFlight = false
 	s := a.session
 	now := c.now()
+	a.startInFlight, a.startEndedAt = false, now
 	c.metrics.start.Observe((now - begin).Seconds())
 	if a.phase != attemptStarting {
 		c.handleLateStartResponse(a, now-begin, err)
@@ -191,6 +197,7 @@
 	if err == nil {
 		c.startRoundTrip.observe(now - begin)
 		s.markResponsive(c)
+		c.startAnswered(a)
 		a.startDecidedAt, a.mayHaveStarted, a.task.workflow.begun = now, true, true
 		a.phase = attemptRunning
 		if a.stopping {
@@ -204,6 +211,7 @@
 			slog.Int("task", a.run.Task), slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID),
 			slog.String("reason", "not-sent"), slog.Any("error", err))
 		s.recordCallFailure(c, now, err)
+		a.startKnown = true
 		c.endAsLost(a, "its start was not sent")
 		return
 	}
@@ -222,6 +230,7 @@
 		slog.Int("task", a.run.Task), slog.Uint64("run", a.run.Number), slog.String("worker", s.worker.ID),
 		slog.String("reason", reason.String()))
 	c.metrics.countRefusal(reason)
+	a.startKnown = true
 	c.endAsLost(a, reason.String()) // before its worker is known to have crashed
 	switch reason {
 	case RefusedCapacity:
@@ -231,7 +240,7 @@
 	case RefusedTicket, RefusedInvalid:
 		a.task.recordRefusal(s.worker.ID, now) // an immediate retry would be refused again
 	case RefusedOtherIncarnation:
-		c.crashed(s, "another incarnation has its address")
+		c.replaced(s)
 	}
 }
 
@@ -243,15 +252,20 @@
 		return // a report has listed the run before the response arrived
 	}
 	c.logLateStart(a, inFlight, err)
+	neverSent, _ := unsent(err)
+	noEffect := neverSent || refusal(err) != 0
+	if noEffect {
+		c.startResolved(a)
+	}
 	if a.phase != attemptUnknown {
 		return
 	}
 	c.pollDue[a.session] = true
-	neverSent, _ := unsent(err)
 	switch {
 	case err == nil:
+		c.startAnswered(a)
 		a.mayHaveStarted, a.task.workflow.begun = true, true
-	case neverSent || refusal(err) != 0:
+	case noEffect:
 		a.crashed = false
 		c.endAsLost(a, "its start had no effect: "+startOutcome(err))
 	}
@@ -262,9 +276,10 @@
 	neverSent, _ := unsent(err)
 	switch {
 	case err == nil:
+		c.startAnswered(a)
 		a.mayHaveStarted, a.task.workflow.begun = true, true
 	case neverSent || refusal(err) != 0:
-		a.crashed = false
+		a.startKnown, a.crashed = true, false
 	}
 	c.endAsLost(a, "its worker was lost while its start was in flight: "+startOutcome(err))
 	c.closeCalls(a.session)
@@ -303,6 +318,7 @@
 	if a.phase == attemptEnded {
 		return
 	}
+	sent := a.phase != attemptRecording
 	a.phase = attemptEnded
 	a.session.remove(a)
 	c.usage.Remove(a.task.workflow.spec.Tenant, a.task.counted())
@@ -332,6 +348,7 @@
 	end := state.TaskEnd{
 		Workflow: a.run.Workflow, Task: a.run.Task, Run: a.run.Number, Outcome: outcome, Checkpoint: checkpoint,
 		NotStarted: !a.mayHaveStarted, LeaseExpired: a.leaseExpired && outcome == state.OutcomeLost,
+		Unanswered: sent && outcome == state.OutcomeLost && c.confineUnanswered(a),
 	}
 	if a.crashed && outcome == state.OutcomeLost && (a.task.attempt == a || a.task.original == a) && a.task.phase != taskDone {
 		c.judgeCrash(a, &end)
@@ -399,7 +416,7 @@
 	if err != nil {
 		a.nextStop = now + stopRetry
 		if refusal(err) == RefusedOtherIncarnation {
-			c.crashed(s, "another incarnation has its address")
+			c.replaced(s)
 		}
 		return
 	}
--- a/fleet/controller.go
+++ b/fleet/controller.go
@@ -53,6 +53,9 @@
 	// MaxOverTarget is how long co-located tasks may keep the tail latency of a
 	// serving task above its target without interruption; 0 means unlimited.
 	MaxOverTarget time.Duration
+	// CallDelay is how late a worker may carry out a call without a response; 0 means
+	// defaultCallDelay.
+	CallDelay time.Duration
 	// Calls is the maximum number of worker calls in flight; 0 means unlimited.
 	Calls int
 	// WorkflowBytes is the memory for stored workflows; 0 means unlimited.
@@ -108,6 +111,7 @@
 	suspects       map[*task]bool      // open tasks that have to run alone
 	held           []*session          // kept for tasks that have to run alone
 	reserved       map[*task]bool      // tasks with capacity set aside
+	confined       map[*task]bool      // tasks that may start on one worker only
 	pollDue        map[*session]bool   // sessions to poll after this step, if necessary
 	reports        uint64              // applied reports of all workers
 	journal        journal
@@ -328,6 +332,7 @@
 	c.sessions, c.sorted, c.losses = make(map[string]*session), nil, nil
 	c.closing = make(map[*session]bool)
 	c.suspects, c.held, c.reserved = make(map[*task]bool), nil, make(map[*task]bool)
+	c.confined = make(map[*task]bool)
 	c.stragglers, c.busyPools = make(map[*task]int64), nil
 	c.pollDue = make(map[*session]bool)
 	c.journal = journal{}
@@ -394,6 +399,7 @@
 		c.dirty = true
 	}
 	c.settleLeftover(now)
+	c.releaseConfined()
 	c.saveInterference(now)
 	for _, s := range c.sessions {
 		c.checkTimeouts(s, now)
--- a/fleet/crash.go
+++ b/fleet/crash.go
@@ -41,6 +41,12 @@
 	c.closeSession(s, reason)
 }
 
+// replaced ends the session of a worker whose address another one has.
+func (c *Controller) replaced(s *session) {
+	c.addressTaken(s)
+	c.crashed(s, "another incarnation has its address")
+}
+
 // resolveExpired records what became of the worker of runs that were given up
 // when its lease expired: it has crashed, responds again or is gone.
 func (c *Controller) resolveExpired(runs []*attempt) {
--- a/fleet/gang.go
+++ b/fleet/gang.go
@@ -20,6 +20,11 @@
 		m.expireRefusals(c.now())
 		number = max(number, m.run+1)
 	}
+	confined, usable := confinedMembers(members, p, c.sessions)
+	if !usable {
+		return
+	}
+	defer p.releaseAside(members, confined)()
 	workers := slices.Clone(p.workers)
 	if usesReserved {
 		copy(workers, p.allWorkers)
@@ -31,7 +36,7 @@
 	}
 	request := c.placementRequest(t, p, nil)
 	for _, rack := range gangRacks(t.step, p) {
-		if chosen := chooseGang(t, request, len(members), p, workers, rack); chosen != nil {
+		if chosen := chooseGang(t, request, len(members), confined, p, workers, rack); chosen != nil {
 			for i, m := range members {
 				c.startOn(m, p, chosen[i], request, number)
 			}
@@ -63,8 +68,9 @@
 	return append(racks, "")
 }
 
-// chooseGang returns the index of a worker for each member of a gang, or nil.
-func chooseGang(t *task, request placement.PoolTask, members int, p *pool, workers []*placement.WorkerCapacity, label string) []int {
+// chooseGang returns the index of a worker for each member of a gang, or nil. The
+// workers of confined members are given by member.
+func chooseGang(t *task, request placement.PoolTask, members int, confined map[int]int, p *pool, workers []*placement.WorkerCapacity, label string) []int {
 	trial := make([]*placement.WorkerCapacity, len(workers))
 	for i, r := range workers {
 		if r != nil && (label == "" || slices.Contains(r.Labels, label)) {
@@ -74,16 +80,31 @@
 		}
 	}
 	onWorker := make(map[int]int)
-	request.Excluded = func(i int) bool { return p.sessions[i].stepRuns.exceedLimit(t, onWorker[i]+1) }
-	chosen := make([]int, 0, members)
-	for range members {
+	only := -1 // worker of a confined member
+	request.Excluded = func(i int) bool {
+		return only >= 0 && i != only || p.sessions[i].stepRuns.exceedLimit(t, onWorker[i]+1)
+	}
+	chosen := make([]int, members)
+	choose := func(member int) bool {
 		i := placement.ChooseWorker(trial, request)
 		if i < 0 {
-			return nil
+			return false
 		}
 		trial[i].Reserve(request)
 		onWorker[i]++
-		chosen = append(chosen, i)
+		chosen[member] = i
+		return true
+	}
+	for m, i := range confined {
+		if only = i; !choose(m) {
+			return nil
+		}
+	}
+	only = -1
+	for m := range members {
+		if _, placed := confined[m]; !placed && !choose(m) {
+			return nil
+		}
 	}
 	return chosen
 }
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -66,6 +66,8 @@
 	for _, old := range replaced {
 		if old.worker.ID == b.Worker.ID {
 			undecided = append(undecided, c.takeUndecidedAttempts(old)...)
+		} else {
+			c.addressTaken(old)
 		}
 		c.crashed(old, "a later life has reported")
 	}
@@ -84,7 +86,7 @@
 		s.add(a)
 		a.phase, a.stopAcked, a.startDecidedAt = attemptUnknown, false, c.now()
 		// A start that this incarnation carries out late takes a whole lease.
-		s.leaseEnd = max(s.leaseEnd, a.startedAt+maxCallDelay+c.leaseBound())
+		s.leaseEnd = max(s.leaseEnd, a.startedAt+c.callDelay()+c.leaseBound())
 	}
 	c.pollDue[s] = true
 	s.heartbeatSequence, s.clock, s.clockReadAt = b.Sequence, b.Clock, c.now()
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -150,7 +150,10 @@
 	for name, between := range map[string]func(h *harness){"same leader": func(*harness) {}, "next leader": changeLeader} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			h := newHarness(t, func(o *fleet.Options) { o.Limits.Heartbeat = 200 * time.Millisecond })
+			h := newHarness(t, func(o *fleet.Options) {
+				// The start arrives later than a worker may carry one out.
+				o.Limits.Heartbeat, o.Limits.CallDelay = 200*time.Millisecond, time.Second
+			})
 			r := startInDoubt(h, false)
 			removed := func() bool {
 				_, known := h.log.State().PoolWorkers.Get("a")
@@ -192,28 +195,135 @@
 }
 
 // Guards against a run that was settled with one incarnation of its worker, by a
-// stop or a poll, and is carried out by the next before its first poll.
+// stop, a poll or the end of its lease, and is carried out by the next before its
+// first poll, beside the next run of its task on another worker.
 func TestStartSettledByOneIncarnationReachesTheNext(t *testing.T) {
-	for name, restarted := range map[string]bool{"stop acknowledged": false, "polled under a higher fence": true} {
+	sameLeader := func(*harness) {}
+	for name, tc := range map[string]struct {
+		restarted, lost bool
+		between         func(h *harness)
+	}{
+		"stop acknowledged":                        {between: sameLeader},
+		"stop acknowledged, next leader":           {between: changeLeader},
+		"polled under a higher fence":              {restarted: true, between: sameLeader},
+		"polled under a higher fence, next leader": {restarted: true, between: changeLeader},
+		"lease expired":                            {lost: true, between: sameLeader},
+		"lease expired, next leader":               {lost: true, between: changeLeader},
+	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			h := newHarness(t)
 			r := startInDoubt(h, false)
 			settling := r.incarnations[0]
-			if restarted {
+			if tc.restarted {
 				settling = r.restart(unreachable)
 			}
 			b := h.addWorker("b", pool.Options{RunTime: runForever})
-			r.shrink() // the task starts elsewhere
-			settling.SetUnreachable(false)
-			h.Eventually(func() int { return running(b) }, waitTimeout, "1ms").Should(Equal(1))
+			r.shrink() // no room for the task where its start may still arrive
+			settling.SetUnreachable(tc.lost)
+			h.Eventually(func() state.WorkflowTaskPhase { return h.taskOf(jobID).Phase }, waitTimeout, "1ms").Should(Equal(state.TaskWaiting))
+			tc.between(h)
+			h.Consistently(func() int { return running(b) }, "500ms", "1ms").Should(BeZero())
 			settling.Crash()
 			last := r.restart(unreachable)
 			r.incarnations[0].DeliverDelayedStartsTo(last)
-			h.Expect(running(last) + running(b)).To(BeNumerically("<=", 1))
+			h.Expect(running(last)).To(Equal(1))
+			h.Consistently(func() int { return running(last) + running(b) }, "300ms", "1ms").Should(BeNumerically("<=", 1))
+			last.SetUnreachable(false)
+			h.Eventually(func() state.WorkflowTask { return h.taskOf(jobID) }, waitTimeout, "1ms").Should(HaveField("Run", BeNumerically(">", 1)))
+			h.Eventually(func() int { return running(last) + running(b) }, waitTimeout, "1ms").Should(Equal(1))
+			h.expectNoDuplicateRuns(append(r.incarnations, b)...)
 		})
 	}
 }
 
+// Guards against a task that waits although the worker that left its start without
+// an answer has the room that the run had reserved.
+func TestTaskStartsAgainWhereItsStartHadNoAnswer(t *testing.T) {
+	for name, gang := range map[string]bool{"task": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			a := h.addWorker("a", pool.Options{RunTime: runForever}, func(w *pool.Worker) { w.DelayStarts(1) })
+			whole := func(s *state.WorkflowStep) {
+				s.Gang = gang
+				s.Size = state.Resources{MilliCPU: 4000, MemoryMiB: 4000}
+			}
+			h.Expect(h.submit(step(1, untilStopped, whole))).To(Equal(fleet.OutcomeDone))
+			h.Eventually(a.DelayedStarts, waitTimeout, "1ms").Should(Equal(1))
+			h.submitAs(otherID(0), step(1, untilStopped, whole)) // waits for the same capacity
+			began := time.Now()
+			h.Eventually(func() uint64 { return runNumber(a, jobID) }, waitTimeout, "1ms").Should(BeNumerically(">", 1))
+			h.Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+			b := h.addWorker("b", pool.Options{RunTime: runForever})
+			h.Eventually(func() int { return running(b) }, waitTimeout, "1ms").Should(Equal(1))
+			a.DeliverDelayedStarts()
+			h.Consistently(func() int { return running(a) + running(b) }, "200ms", "1ms").Should(Equal(2))
+			h.expectNoDuplicateRuns(a, b)
+		})
+	}
+}
+
+// runNumber returns the highest number of the runs of a workflow on a worker.
+func runNumber(w *pool.Worker, workflow string) uint64 {
+	highest := uint64(0)
+	for _, r := range w.Records() {
+		if r.Position.Workflow == workflow {
+			highest = max(highest, r.Number)
+		}
+	}
+	return highest
+}
+
+// Guards against a task that waits for its worker for longer than a start without
+// an answer may take to arrive, and against one that does not wait that long.
+func TestTaskStartsElsewhereOnceItsStartCanNoLongerArrive(t *testing.T) {
+	const delay = 1500 * time.Millisecond
+	for name, between := range map[string]func(h *harness){"same leader": func(*harness) {}, "next leader": changeLeader} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, func(o *fleet.Options) { o.Limits.CallDelay = delay })
+			r := startInDoubt(h, false)
+			began := time.Now()
+			b := h.addWorker("b", pool.Options{RunTime: runForever})
+			r.shrink()
+			r.incarnations[0].SetUnreachable(false)
+			h.Eventually(func() state.WorkflowTaskPhase { return h.taskOf(jobID).Phase }, waitTimeout, "1ms").Should(Equal(state.TaskWaiting))
+			between(h)
+			h.Eventually(func() int { return running(b) }, waitTimeout, "1ms").Should(Equal(1))
+			h.Expect(time.Since(began)).To(And(BeNumerically(">=", delay), BeNumerically("<", 2*delay)))
+			h.Eventually(func() string { return h.taskOf(jobID).UnansweredOn }, waitTimeout, "1ms").Should(BeEmpty())
+		})
+	}
+}
+
+// Guards against a task that waits although its start had no effect: it was
+// refused, or never sent, after its run had been given up.
+func TestStartWithoutEffectDoesNotConfineItsTask(t *testing.T) {
+	h := newHarness(t)
+	r := &restartedWorker{harness: h}
+	r.restart()
+	h.blockConnections(r.addresses[0])
+	h.Expect(h.submit(step(1, untilStopped))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() state.WorkflowTaskPhase { return h.taskOf(jobID).Phase }, waitTimeout, "1ms").Should(Equal(state.TaskStarted))
+	b := h.addWorker("b", pool.Options{RunTime: runForever})
+	h.Eventually(func() int { return running(b) }, waitTimeout, "1ms").Should(Equal(1))
+	h.Expect(h.taskOf(jobID).UnansweredOn).To(BeEmpty())
+}
+
+// Guards against serving tasks that wait longer than the lease of a lost worker
+// because the next leader does not know that their starts were carried out.
+func TestNextLeaderKnowsWhichServingTasksHaveStarted(t *testing.T) {
+	h := newHarness(t, func(o *fleet.Options) { o.Limits.CallDelay = 2 * waitTimeout })
+	a := h.addWorker("a", pool.Options{RunTime: runForever})
+	serving := func(s *state.WorkflowStep) { s.LongRunning = true }
+	h.Expect(h.submit(step(1, serving))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() bool { return h.taskOf(jobID).StartAnswered }, waitTimeout, "1ms").Should(BeTrue())
+	a.Crash()
+	changeLeader(h)
+	b := h.addWorker("b", pool.Options{RunTime: runForever})
+	h.Eventually(func() int { return running(b) }, waitTimeout, "1ms").Should(Equal(1))
+}
+
 // Guards against a task that waits for anything but the first response of the
 // next incarnation once its start can't be carried out any more.
 func TestTaskStartsAgainOnceItsStartIsKnownToBeVoid(t *testing.T) {
--- a/fleet/journal.go
+++ b/fleet/journal.go
@@ -23,13 +23,31 @@
 type journal struct {
 	ends     []state.TaskEnd
 	starts   []startRecord
-	onCommit []func() // run once the entry is committed
+	answered []state.TaskRun // serving tasks whose start was carried out
+	settled  []state.TaskRun // tasks whose unanswered starts can no longer arrive
+	onCommit []func()        // run once the entry is committed
 	inFlight bool
 }
 
 func (j *journal) full() bool { return len(j.starts) >= maxStartsPerCommit }
 
-func (j *journal) empty() bool { return len(j.ends) == 0 && len(j.starts) == 0 && len(j.onCommit) == 0 }
+func (j *journal) empty() bool { return !j.recordsAny() && len(j.onCommit) == 0 }
+
+// recordsAny reports whether the journal has records to commit.
+func (j *journal) recordsAny() bool {
+	return len(j.ends) > 0 || len(j.starts) > 0 || len(j.answered) > 0 || len(j.settled) > 0
+}
+
+// settle records that starts of a task can no longer arrive. The ends that are
+// recorded with it are applied after it.
+func (j *journal) settle(r state.TaskRun) {
+	j.settled = append(j.settled, r)
+	for i := range j.ends {
+		if e := &j.ends[i]; e.Workflow == r.Workflow && e.Task == r.Task {
+			e.Unanswered = false
+		}
+	}
+}
 
 // commit proposes the content of the journal.
 func (c *Controller) commit() {
@@ -38,7 +56,7 @@
 	}
 	batch := c.journal
 	c.journal = journal{inFlight: true}
-	body := state.RecordTasks{Ends: batch.ends}
+	body := state.RecordTasks{Ends: batch.ends, Answered: batch.answered, Settled: batch.settled}
 	for _, s := range batch.starts {
 		body.Starts = append(body.Starts, s.start)
 	}
@@ -46,7 +64,7 @@
 	done := c.inGeneration(func() { c.committed(batch, err) })
 	begin := c.now()
 	go func() {
-		if len(body.Ends) > 0 || len(body.Starts) > 0 {
+		if batch.recordsAny() {
 			err = c.propose(state.NewCommand(body))
 		}
 		c.metrics.commit.Observe((c.now() - begin).Seconds())
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -13,8 +13,6 @@
 	// worker.
 	leaseClockFactor       = 1.05
 	leaseDeliveryAllowance = 500 * time.Millisecond
-	// maxCallDelay is how late a worker may carry out a call without a response.
-	maxCallDelay = 12 * time.Second
 	// leaveGrace is how long a worker may take to shut down after its leave
 	// notice.
 	leaveGrace = 500 * time.Millisecond
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -15,6 +15,10 @@
 	crashes     prometheus.Counter
 	givenUp     prometheus.Counter
 	missingEnds prometheus.Counter
+
+	unansweredStarts prometheus.Counter
+	confinedWaits    prometheus.Histogram
+
 	start       prometheus.Histogram
 	commit      prometheus.Histogram
 	refusals    *prometheus.CounterVec
@@ -64,6 +68,13 @@
 		missingEnds: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "apricotrouter_fleet_missing_ends_total", Help: "Ends of runs that workers discarded before they were read.",
 		}),
+		unansweredStarts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_unanswered_starts_total", Help: "Starts without an answer that confined their task to one worker.",
+		}),
+		confinedWaits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "apricotrouter_fleet_confined_wait_seconds", Help: "Time that confined tasks waited until they started on their worker or could start on any.",
+			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 6, 12, 15},
+		}),
 		start: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "apricotrouter_fleet_start_seconds", Help: "Time until a worker answered a start.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
@@ -140,7 +151,7 @@
 		}, []string{"tenant"}),
 	}
 	if r != nil {
-		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.duration, m.calls, m.late, m.processors, m.waiting,
+		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.unansweredStarts, m.confinedWaits, m.duration, m.calls, m.late, m.processors, m.waiting,
 			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers, m.copies, m.short, m.drain, m.refused, m.retryAfter, m.stored,
 			m.tenantUse, m.tenantHeld, m.tenantShare)
 	}
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		switch refusal(err) {
 		case RefusedOtherIncarnation:
-			c.crashed(s, "another incarnation has its address")
+			c.replaced(s)
 		case RefusedFence:
 			c.deactivate("a worker has seen a higher fence")
 		default:
@@ -234,7 +234,7 @@
 		if outcome != state.OutcomeLost {
 			s.failures.record(c, s, a, outcome == state.OutcomeFailed)
 		}
-		a.listed()
+		c.listed(a)
 		c.endAttempt(a, outcome, e.Checkpoint, e.Kind.String())
 		return
 	}
@@ -264,8 +264,9 @@
 
 // listed records that a report of the worker lists the run or its end, so that it
 // was not lost with an earlier incarnation.
-func (a *attempt) listed() {
+func (c *Controller) listed(a *attempt) {
 	s := a.session
+	c.startAnswered(a)
 	a.mayHaveStarted, a.task.workflow.begun = true, true
 	a.incarnation, a.crashed = s.worker.StartedAt, false
 	if a.loss != nil && a.loss.session != s {
@@ -279,7 +280,7 @@
 	k := runKey{r.Position, r.Number}
 	if a := s.attempts[k]; a != nil {
 		a.seenAt, a.report = c.now(), s.report
-		a.listed()
+		c.listed(a)
 		if a.suspect && placement.Settled(a.workedFor().Milliseconds()) {
 			s.markSuspect(a, false)
 			c.dirty = true
--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -153,7 +153,7 @@
 // reservedWorker returns the index of the worker on which capacity is set aside
 // for the task, or -1 if the task no longer waits or can't start there.
 func (c *Controller) reservedWorker(t *task, p *pool) int {
-	if p == nil || !t.awaitsRun() || c.workflows[t.workflow.spec.ID] != t.workflow || t.waitsAlone() || !t.mayStart() || !c.capAllows(t) {
+	if p == nil || !t.awaitsRun() || c.workflows[t.workflow.spec.ID] != t.workflow || t.waitsAlone() || !t.mayStart() || t.confinedTo() != "" || !c.capAllows(t) {
 		return -1
 	}
 	i, found := p.indexOf(t.reservedOn)
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -27,6 +27,7 @@
 	if len(waiting) == 0 {
 		return
 	}
+	c.placeConfined(pools)
 	c.placeReserved(pools)
 	jobs := c.rankJobs(now, waiting, pools)
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
@@ -104,6 +105,9 @@
 		if t.phase != taskReady || t.waitsAlone() || !t.mayStart() || j.Restart != t.restarts() && !j.ExceedsShare || p.reducedRates && !t.step.BestEffort {
 			continue
 		}
+		if t.confinedTo() != "" && !t.step.Gang {
+			continue // placeConfined starts it
+		}
 		if !c.capAllows(t) {
 			continue // other tasks of the class may start; nothing is reserved for this one
 		}
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -42,6 +42,7 @@
 	fence        uint64 // of all calls; higher than that of any call to an earlier incarnation
 	polled       bool   // polled in this term, so that all its runs are known
 	closed       bool
+	addressTaken bool // another worker has its address
 	polling      bool
 	endsPending  bool // ended runs are being committed
 	nextPoll     time.Duration
--- a/fleet/task_group.go
+++ b/fleet/task_group.go
@@ -130,11 +130,13 @@
 	if t.step.LongRunning && t.step.TailMillis > 0 {
 		request.WaitingImages = c.waitingImages(t.workflow.spec.Pool, p)
 	}
-	if t.step.MaxPerWorker > 0 || len(avoid) > 0 || len(t.refusedUntil) > 0 {
+	confinedTo := t.confinedTo()
+	if t.step.MaxPerWorker > 0 || len(avoid) > 0 || len(t.refusedUntil) > 0 || confinedTo != "" {
 		request.Excluded = func(i int) bool {
 			s := p.sessions[i]
 			_, refused := t.refusedUntil[s.worker.ID]
-			return s.stepRuns.exceedLimit(t, 1) || avoid[s.worker.ID] || refused
+			return s.stepRuns.exceedLimit(t, 1) || avoid[s.worker.ID] || refused ||
+				confinedTo != "" && s.worker.ID != confinedTo
 		}
 	}
 	return request
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -86,7 +86,9 @@
 	// unresolved is the number of runs on workers that stopped responding and
 	// may have crashed.
 	unresolved int
-	reservedOn *session    // worker on which capacity is set aside for the task
+	reservedOn *session // worker on which capacity is set aside for the task
+	unanswered unansweredStarts
+	releasing  bool        // the end of its confinement is being committed
 	lostWith   *workerLoss // last loss that counts in evidence; nil if an earlier leader recorded it
 }
 
@@ -171,6 +173,7 @@
 		})
 	}
 	t.unresolved = len(r.LostRuns)
+	c.followConfinement(t, r)
 	if t.endPending {
 		return // this state precedes the entry that records the end
 	}
@@ -182,6 +185,7 @@
 			return
 		}
 		c.adopt(t, r.Worker, r.WorkerStartedAt)
+		t.attempt.startKnown = r.StartAnswered
 	case state.TaskWaiting:
 		if t.phase == taskOnWorker && (t.attempt == nil || t.attempt.run.Number <= r.Run) {
 			c.dropAttempt(t.attempt)
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -220,6 +220,16 @@
 		changed[id] = &w
 		return &w
 	}
+	for _, r := range b.Answered {
+		if w := open(r.Workflow); w != nil {
+			w.recordAnswered(r)
+		}
+	}
+	for _, r := range b.Settled {
+		if w := open(r.Workflow); w != nil {
+			w.recordSettled(r)
+		}
+	}
 	for _, e := range b.Ends {
 		if w := open(e.Workflow); w != nil {
 			w.recordEnd(e, tx.now)
@@ -260,10 +270,27 @@
 	if t.Phase != TaskWaiting || s.Run <= t.Run {
 		return
 	}
-	t.Phase, t.Run, t.Worker, t.WorkerStartedAt = TaskStarted, s.Run, s.Worker, s.WorkerStartedAt
+	t.Phase, t.Run, t.Worker, t.WorkerStartedAt, t.StartAnswered = TaskStarted, s.Run, s.Worker, s.WorkerStartedAt, false
 	w.Phase = WorkflowActive
 }
 
+// recordAnswered records that the start of the current run was carried out.
+func (w *Workflow) recordAnswered(r TaskRun) {
+	if r.Task < 0 || r.Task >= len(w.Tasks) {
+		return
+	}
+	if t := &w.Tasks[r.Task]; t.Phase == TaskStarted && t.Run == r.Run {
+		t.StartAnswered = true
+	}
+}
+
+// recordSettled records that starts of earlier runs can no longer be carried out.
+func (w *Workflow) recordSettled(r TaskRun) {
+	if r.Task >= 0 && r.Task < len(w.Tasks) {
+		w.Tasks[r.Task].UnansweredOn = ""
+	}
+}
+
 // recordEnd records how a run ended. A run that completed or failed counts even
 // if it was abandoned and a later run was started, because its work is done or
 // its attempt is used up.
@@ -296,7 +323,10 @@
 	if e.LeaseExpired {
 		t.LostRuns = append(slices.Clip(t.LostRuns), LostRun{Run: e.Run, Worker: t.Worker, WorkerStartedAt: t.WorkerStartedAt})
 	}
-	t.Phase, t.Worker, t.WorkerStartedAt = TaskWaiting, "", 0
+	if e.Unanswered {
+		t.UnansweredOn = t.Worker
+	}
+	t.Phase, t.Worker, t.WorkerStartedAt, t.StartAnswered = TaskWaiting, "", 0, false
 	if e.Checkpoint != "" {
 		w.storeCheckpoint(e.Task, e.Checkpoint)
 	}
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -258,6 +258,12 @@
 	// run that ended with a crash had been at work, in milliseconds.
 	ExplainedRuns []uint64 `cbor:"13,keyasint,omitempty"`
 	LongestCrash  int64    `cbor:"14,keyasint,omitempty"`
+	// StartAnswered means that the start of the current run was carried out. It is
+	// recorded for long-running tasks only.
+	StartAnswered bool `cbor:"15,keyasint,omitempty"`
+	// UnansweredOn is the worker of earlier starts without an answer, which may
+	// still be carried out there; empty if there are none.
+	UnansweredOn string `cbor:"16,keyasint,omitempty"`
 }
 
 // LostRun is a run whose worker stopped responding.
@@ -393,13 +399,28 @@
 	Explained bool `cbor:"12,keyasint,omitempty"`
 	// WorkedMillis is how long the run had been at work when its worker crashed.
 	WorkedMillis int64 `cbor:"13,keyasint,omitempty"`
+	// Unanswered means that the start had no answer and may still be carried out by
+	// a later incarnation of the worker.
+	Unanswered bool `cbor:"14,keyasint,omitempty"`
 }
 
-// RecordTasks records the ends and then the starts of runs. Entries that no
-// longer apply are ignored.
+// TaskRun identifies a run of a task.
+type TaskRun struct {
+	Workflow string `cbor:"1,keyasint"`
+	Task     int    `cbor:"2,keyasint"`
+	Run      uint64 `cbor:"3,keyasint"`
+}
+
+// RecordTasks records what is known of earlier starts, then the ends and then the
+// starts of runs. Entries that no longer apply are ignored.
 type RecordTasks struct {
 	Ends   []TaskEnd   `cbor:"1,keyasint,omitempty"`
 	Starts []TaskStart `cbor:"2,keyasint,omitempty"`
+	// Answered are the runs of long-running tasks whose start was carried out.
+	Answered []TaskRun `cbor:"3,keyasint,omitempty"`
+	// Settled are the tasks whose unanswered starts can no longer be carried out; Run
+	// is the last of them.
+	Settled []TaskRun `cbor:"4,keyasint,omitempty"`
 }
 
 // RemovedWorker is a worker incarnation that was removed after a drain. The
