state, fleet: a submission that was cancelled before it arrived is not stored

The POST lay in the socket of an entry instance that stood still for 1.1 s.

Cause: cancelling an unknown workflow left nothing behind, so that a copy of the submission that was still on its way was stored.

Evidence: the POST was sent after the instance had stopped, so no process had read it.

The cancellation of an unknown workflow is now in the log, with its tenant, for two minutes: twice the longest time for which an instance tries to carry a call out. At most 10,000 are remembered; further cancellations of unknown workflows are answered 503 rather than earlier ones forgotten.

--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -19,6 +19,8 @@
 	unansweredStarts prometheus.Counter
 	confinedWaits    prometheus.Histogram
 
+	cancellationsRefused prometheus.Counter
+
 	start       prometheus.Histogram
 	commit      prometheus.Histogram
 	refusals    *prometheus.CounterVec
@@ -75,6 +77,9 @@
 			Name: "apricotrouter_fleet_confined_wait_seconds", Help: "Time that confined tasks waited until they started on their worker or could start on any.",
 			Buckets: []float64{0.01, 0.03, 0.1, 0.3, 1, 3, 6, 12, 15},
 		}),
+		cancellationsRefused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_fleet_cancellations_refused_total", Help: "Cancellations of unknown workflows that were refused, because too many are remembered.",
+		}),
 		start: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "apricotrouter_fleet_start_seconds", Help: "Time until a worker answered a start.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
@@ -151,7 +156,7 @@
 		}, []string{"tenant"}),
 	}
 	if r != nil {
-		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.unansweredStarts, m.confinedWaits, m.duration, m.calls, m.late, m.processors, m.waiting,
+		r.MustRegister(m.polls, m.unsent, m.inFlight, m.panics, m.crashes, m.givenUp, m.missingEnds, m.start, m.commit, m.refusals, m.lateStarts, m.unansweredStarts, m.confinedWaits, m.cancellationsRefused, m.duration, m.calls, m.late, m.processors, m.waiting,
 			m.runTimes, m.runTimeRatio, m.runTimeChanges, m.runTimeKeys, m.slowWorkers, m.copies, m.short, m.drain, m.refused, m.retryAfter, m.stored,
 			m.tenantUse, m.tenantHeld, m.tenantShare)
 	}
--- a/fleet/refuse.go
+++ b/fleet/refuse.go
@@ -47,11 +47,12 @@
 	return false, nil // also if an instance of an earlier version applied it first
 }
 
-// refusedCopy returns the response to a submission of which a copy was refused.
+// refusedCopy returns the response to a submission of which a copy was refused, or
+// that was cancelled before it arrived.
 func (s *Service) refusedCopy(result state.Result) *Response {
 	now := s.controller.opts.Clock.Now().UnixMilli()
 	return &Response{
-		Outcome: OutcomeRefused, Reason: "an earlier copy of the submission was refused",
+		Outcome: OutcomeRefused, Reason: result.Message,
 		RetryAfterMillis: max(1, int64(result.ObjectVersion)-now),
 	}
 }
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -213,6 +213,8 @@
 		s.releaseStorage(&spec, true)
 	}
 	if result.Code == state.CodeRefused {
+		event.Log(s.logger, event.WorkflowKeptOut, slog.String("workflow", id), slog.String("request", req.RequestID),
+			slog.String("queue", q.Name), slog.String("reason", result.Message), slog.Uint64("until", result.ObjectVersion))
 		return s.refusedCopy(result)
 	}
 	if result.Code != state.CodeOK {
@@ -248,22 +250,37 @@
 	})
 }
 
+const (
+	// cancellationMillis is how long a submission that was cancelled before it
+	// arrived is not stored. A copy may lie in the socket of an instance that stands
+	// still, and is then tried there for MaxCallMillis at most.
+	cancellationMillis = 2 * MaxCallMillis
+	// cancellationRetryMillis is the delay before a cancellation that can't be
+	// recorded is sent again.
+	cancellationRetryMillis = 1000
+)
+
 func (s *Service) cancel(ctx context.Context, c caller, id string) *Response {
 	if c.identifies {
 		w, err := s.find(ctx, s.group.State(), id)
 		switch {
 		case err != nil:
 			return &Response{Outcome: OutcomeUnavailable, Reason: err.Error()}
-		case w == nil || !c.mayAccess(w):
+		case w != nil && !c.mayAccess(w):
 			return &Response{Outcome: OutcomeGone}
 		}
 	}
-	result, err := s.group.Propose(ctx, state.NewCommand(state.CancelWorkflow{ID: id}))
+	result, err := s.group.Propose(ctx, state.NewCommand(state.CancelWorkflow{
+		ID: id, ForMillis: cancellationMillis, Tenant: c.tenant, OnlyOwn: c.identifies,
+	}))
 	switch {
 	case err != nil:
 		return &Response{Outcome: OutcomeUnknown, Reason: err.Error()}
 	case result.Code == state.CodeNotFound:
 		return &Response{Outcome: OutcomeGone}
+	case result.Code == state.CodeConflict:
+		s.metrics.cancellationsRefused.Inc()
+		return &Response{Outcome: OutcomeUnavailable, Reason: result.Message, RetryAfterMillis: cancellationRetryMillis}
 	}
 	s.resync(id)
 	return &Response{Outcome: OutcomeDone}
--- a/state/apply_workflow.go
+++ b/state/apply_workflow.go
@@ -136,8 +136,14 @@
 }
 
 func (tx *txn) refusedUntil(object string, r *RefusedWorkflow) Result {
-	result := tx.refuse(CodeRefused, object, "a copy of the submission was refused")
-	result.ObjectVersion = uint64(r.Until)
+	return tx.refuseUntil(object, r.Until, "a copy of the submission was refused")
+}
+
+// refuseUntil refuses a command whose refusal ends at a time, in Unix
+// milliseconds.
+func (tx *txn) refuseUntil(object string, until int64, reason string) Result {
+	result := tx.refuse(CodeRefused, object, "%s", reason)
+	result.ObjectVersion = uint64(until)
 	return result
 }
 
@@ -152,6 +158,9 @@
 		}
 		tx.RefusedWorkflows = tx.RefusedWorkflows.Delete(b.Spec.ID)
 	}
+	if r, ok := tx.CancelledSubmissions.Get(cancelledKey(b.Spec.Tenant, b.Spec.ID)); ok && r.Until > tx.now {
+		return tx.refuseUntil(object, r.Until, "the submission was cancelled before it arrived")
+	}
 	tasks, ok := b.Spec.taskCount()
 	if !ok {
 		return tx.refuse(CodeInvalid, object, "a workflow has 1 to %d tasks, and none of its steps is empty", MaxWorkflowTasks)
@@ -165,7 +174,10 @@
 func (tx *txn) cancelWorkflow(b *CancelWorkflow) Result {
 	object := "workflow/" + b.ID
 	old, ok := tx.workflows.get(b.ID)
-	if !ok {
+	if !ok && b.ForMillis > 0 && !tx.recordCancelled(b) {
+		return tx.refuse(CodeConflict, object, "%d submissions were cancelled before they arrived", MaxCancelledSubmissions)
+	}
+	if !ok || b.OnlyOwn && old.Spec.Tenant != "" && old.Spec.Tenant != b.Tenant {
 		return tx.refuse(CodeNotFound, object, "%s does not exist", object)
 	}
 	if !old.Phase.Ended() {
@@ -175,6 +187,40 @@
 	return tx.changed(object)
 }
 
+// MaxCancelledSubmissions bounds the submissions that are remembered because they
+// were cancelled before they arrived. Without room for another one, its
+// cancellation is refused rather than an earlier one forgotten: clients can send
+// any number of them.
+const MaxCancelledSubmissions = 10_000
+
+// recordCancelled records the cancellation of a submission that may still arrive.
+// It returns false if there is no room for it.
+func (tx *txn) recordCancelled(b *CancelWorkflow) bool {
+	for ageKey, k := range tx.cancelledByAge.All() {
+		if r, ok := tx.CancelledSubmissions.Get(k); ok && r.Until > tx.now {
+			break
+		}
+		tx.CancelledSubmissions = tx.CancelledSubmissions.Delete(k)
+		tx.cancelledByAge = tx.cancelledByAge.Delete(ageKey)
+	}
+	k := cancelledKey(b.Tenant, b.ID)
+	if old, ok := tx.CancelledSubmissions.Get(k); ok {
+		tx.cancelledByAge = tx.cancelledByAge.Delete(cancelledAgeKey(old))
+	} else if tx.CancelledSubmissions.Len() >= MaxCancelledSubmissions {
+		return false
+	}
+	r := &CancelledSubmission{ID: b.ID, Tenant: b.Tenant, Until: tx.now + b.ForMillis}
+	tx.CancelledSubmissions = tx.CancelledSubmissions.Put(k, r)
+	tx.cancelledByAge = tx.cancelledByAge.Put(cancelledAgeKey(r), k)
+	return true
+}
+
+func cancelledKey(tenant, id string) string { return key(tenant, id) }
+
+func cancelledAgeKey(r *CancelledSubmission) string {
+	return key(fmt.Sprintf("%016x", r.Until), cancelledKey(r.Tenant, r.ID))
+}
+
 // endWorkflow stores an ended workflow without its tasks, steps and payload.
 // The remaining fields are those that clients can still query.
 func (tx *txn) endWorkflow(w *Workflow, phase WorkflowPhase) {
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -37,6 +37,8 @@
 	RemovedWorkers []*RemovedWorker `cbor:"23,keyasint,omitempty"`
 
 	RefusedWorkflows []*RefusedWorkflow `cbor:"24,keyasint,omitempty"`
+
+	CancelledSubmissions []*CancelledSubmission `cbor:"25,keyasint,omitempty"`
 }
 
 // snapshotDecoding raises the limit on array elements to 2^27, because the
@@ -77,6 +79,8 @@
 
 		RefusedWorkflows: values(s.RefusedWorkflows),
 		Interference:     s.Interference,
+
+		CancelledSubmissions: values(s.CancelledSubmissions),
 	})
 }
 
@@ -119,6 +123,7 @@
 	s.Workflows = newTable(sn.Workflows, func(v *Workflow) string { return v.Spec.ID })
 	s.PoolWorkers = newTable(sn.PoolWorkers, func(v *PoolWorker) string { return v.ID })
 	s.RefusedWorkflows = newTable(sn.RefusedWorkflows, func(v *RefusedWorkflow) string { return v.ID })
+	s.CancelledSubmissions = newTable(sn.CancelledSubmissions, func(v *CancelledSubmission) string { return cancelledKey(v.Tenant, v.ID) })
 	s.RemovedWorkers = newTable(sn.RemovedWorkers, func(v *RemovedWorker) string { return v.ID })
 	s.Evacuated = newTable(sn.Evacuated, func(v string) string { return v })
 	s.Interference = sn.Interference
@@ -167,6 +172,9 @@
 	for id, r := range s.Requests.All() {
 		s.requestsByAge = s.requestsByAge.Put(requestAgeKey(r), id)
 	}
+	for k, r := range s.CancelledSubmissions.All() {
+		s.cancelledByAge = s.cancelledByAge.Put(cancelledAgeKey(r), k)
+	}
 	for id, j := range s.Jobs.All() {
 		if j.EndedAt != 0 {
 			s.endedJobsByAge = s.endedJobsByAge.Put(endedJobKey(j), id)
--- a/state/state.go
+++ b/state/state.go
@@ -29,7 +29,10 @@
 	RemovedWorkers Table[*RemovedWorker] // pool worker incarnations removed after a drain
 	// RefusedWorkflows are the submissions that were refused a short time ago.
 	RefusedWorkflows Table[*RefusedWorkflow]
-	Evacuated        Table[string] // availability zones excluded from workflow placement
+	// CancelledSubmissions are the submissions that were cancelled a short time ago,
+	// before they arrived, by TENANT, ID.
+	CancelledSubmissions Table[*CancelledSubmission]
+	Evacuated            Table[string] // availability zones excluded from workflow placement
 	// Interference are the last saved interference estimates, from which a new
 	// leader starts; nil if there are none.
 	Interference *SetInterference
@@ -49,6 +52,8 @@
 
 	openWorkflows  Table[struct{}] // ids of workflows that have not ended
 	endedWorkflows Table[string]   // ids of workflows that have ended, oldest first
+
+	cancelledByAge Table[string] // keys of CancelledSubmissions, those that end first come first
 }
 
 // OpenWorkflows yields the ids of the workflows that have not ended.
--- a/state/workflow.go
+++ b/state/workflow.go
@@ -331,9 +331,24 @@
 	Until int64  `cbor:"2,keyasint"` // Unix milliseconds
 }
 
-// CancelWorkflow cancels a workflow that has not ended.
+// CancelWorkflow cancels a workflow that has not ended. If none with the id exists,
+// submissions of the tenant with this id that follow in the log within ForMillis
+// are not stored: a copy of one may still be on its way through another instance,
+// and reach the log under another leader.
 type CancelWorkflow struct {
-	ID string `cbor:"1,keyasint"`
+	ID        string `cbor:"1,keyasint"`
+	ForMillis int64  `cbor:"2,keyasint,omitempty"`
+	// Tenant is the tenant of the caller. OnlyOwn leaves the workflows of other
+	// tenants unchanged.
+	Tenant  string `cbor:"3,keyasint,omitempty"`
+	OnlyOwn bool   `cbor:"4,keyasint,omitempty"`
+}
+
+// CancelledSubmission is a submission that was cancelled before it arrived.
+type CancelledSubmission struct {
+	ID     string `cbor:"1,keyasint"`
+	Tenant string `cbor:"2,keyasint,omitempty"`
+	Until  int64  `cbor:"3,keyasint"` // Unix milliseconds
 }
 
 // TaskStart records that a run of a task is about to be started on a worker.
