transport, replica, platform: a call ends with the wait of its caller

The DELETE of an earlier evacuation lay in the socket of a control instance that stood still for 1.1 s; the operator gave it up, got it acknowledged through another instance, and evacuated the zone again. Then the first instance ran on and carried the copy out.

Cause: a process acted on a call whose caller had given up on it. Orders for evacuations have no version, so that only their age tells a copy from a new order, and nobody looked at it. The deadline began when an order was read; the first attempt at the leader was made without a look at the deadline; a call between instances did not say how long its caller waits; a proposal was appended whenever the loop of the log came to it.

Calls between instances carry how long their caller waits; the receiver estimates their delay from the sender's clock and the shortest transit of the connection. The leader and the log carry nothing out after that. Instances of an earlier version send no times and are served as before.

--- a/event/daemon.go
+++ b/event/daemon.go
@@ -28,6 +28,8 @@
 		"SIGHUP ignored", "This process reads its settings only when it starts. Restart it to apply a change.")
 	ClientRefused = define(712, "client-refused", slog.LevelWarn,
 		"clients were refused or disconnected", "Clients exceeded a limit, or the memory or the connections for clients of this use were used up. The line is written every 10 s at most: reason and remote are those of the last client, refused is the number since the last line. Counters by reason are in the metrics. If ordinary clients are among them, raise the limit in the settings.")
+	ProcessStoodStill = define(714, "process-stood-still", slog.LevelWarn,
+		"process did not run for some time", "The machine was suspended, or the process got no processor time. For a moment, calls of clients and operators count as that much older, and those that their callers may have given up are not carried out. If it repeats, check the machine.")
 	HandlerFailed = define(713, "request-handler-failed", slog.LevelError,
 		"request could not be handled", "A defect of this program, triggered by this one request, whose connection was closed; other requests are still handled. Report it with the stack.")
 )
--- a/event/fleet.go
+++ b/event/fleet.go
@@ -29,7 +29,7 @@
 	WorkflowNotStored = define(816, "workflow-not-stored", slog.LevelWarn,
 		"workflow refused for lack of memory", "The workflow was not stored and never runs: with it, the stored workflows would take more than `limits.workflows_mib`, of which workflows of more than a 64th may take half. The fields give its tasks, what it would take, and the time after which to retry. Look for clients that submit very large workflows or some that never end, and cancel these.")
 	WorkflowKeptOut = define(818, "workflow-kept-out", slog.LevelInfo,
-		"copy of a submission was not stored", "A copy arrived after the submission had been refused, or cancelled while it was unknown. It never runs. `until` is when the id may be submitted again, in Unix milliseconds. If it repeats, look for instances that stand still (event 707).")
+		"copy of a submission was not stored", "A copy arrived after the submission had been refused, or cancelled while it was unknown. It never runs. `until` is when the id may be submitted again, in Unix milliseconds. If it repeats, look for instances that stand still (event 714).")
 	BestEffortTaskWaiting = define(817, "best-effort-task-waits", slog.LevelInfo,
 		"best-effort task waits for a worker", "Once a second for each pool, the best-effort task that has waited longest, if for a second or more: by how many workers each bound rejects it (memory, idle processors, interference with serving tasks, label, an earlier failure there), and what best-effort tasks use. `admitted` workers have a place that other tasks take first. If interference rejects most workers, spread fewer serving tasks over more images, or add workers.")
 	TaskPlaced = define(821, "task-placed", slog.LevelInfo,
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -88,7 +88,7 @@
 }
 
 func notSent(err error) bool {
-	return errors.Is(err, transport.ErrNotConnected) || errors.Is(err, transport.ErrQueueFull)
+	return errors.Is(err, transport.ErrNotConnected) || errors.Is(err, transport.ErrQueueFull) || errors.Is(err, transport.ErrExpired)
 }
 
 // attempt calls one instance and updates the known leader and members from the
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -57,6 +57,8 @@
 		}
 		return resp
 	}
+	ctx, leave := transport.UntilCallerLeaves(ctx)
+	defer leave()
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	resp := s.execute(ctx, req)
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -283,6 +283,28 @@
 	s.g.Expect(s.State().Index).To(Equal(last.LastIndex))
 }
 
+// Guards against a change that is made after its caller has stopped waiting, and
+// may undo a later one: its proposal waited for the loop, which the disk held up.
+func TestProposalThatWaitedTooLongIsNotAppended(t *testing.T) {
+	s := newDrivenReplica(t)
+	s.elect()
+	s.ackAppends()
+	last := s.core.Status().LastIndex
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+	defer cancel()
+	s.g.Expect(s.proposeLocal(ctx, state.NewCommand(state.SetEvacuation{Zone: "z"}), nil).err).To(MatchError(context.DeadlineExceeded))
+	s.runBatch(s.inbox.run)
+	s.g.Expect(s.core.Status().LastIndex).To(Equal(last))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.proposeLocal(t.Context(), state.NewCommand(state.SetEvacuation{Zone: "z"}), nil)
+	}()
+	s.g.Eventually(func() uint64 { s.runBatch(s.inbox.run); return s.core.Status().LastIndex }, "10s", "1ms").Should(Equal(last + 1))
+	s.ackAppends()
+	s.g.Eventually(ended, "10s", "1ms").Should(BeClosed())
+}
+
 // Guards against a leader that does nothing because an earlier core of its
 // replica, which a failed write ended, had started more heartbeat rounds.
 func TestLeaderIsConfirmedAtOnceAfterAFailedWrite(t *testing.T) {
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -106,7 +106,7 @@
 	var resp proposeResponse
 	err := r.opts.Peers.Call(ctx, leader, transport.KindPropose, proposeRequest{Command: c, EndedLeases: leasePreconditions(ctx)}, &resp)
 	switch {
-	case errors.Is(err, transport.ErrNotConnected) || errors.Is(err, transport.ErrQueueFull):
+	case errors.Is(err, transport.ErrNotConnected) || errors.Is(err, transport.ErrQueueFull) || errors.Is(err, transport.ErrExpired):
 		return proposalResult{err: err}, true
 	case err != nil:
 		return proposalResult{err: steperr.Wrap(err, "propose", leader)}, false
@@ -138,6 +138,8 @@
 
 // onPropose handles a proposal from another instance.
 func (r *Replica) onPropose(ctx context.Context, _ string, req *proposeRequest) (*proposeResponse, error) {
+	ctx, cancel := transport.UntilCallerLeaves(ctx)
+	defer cancel()
 	p := r.proposeLocal(ctx, req.Command, req.EndedLeases)
 	resp := &proposeResponse{Result: p.result, Index: p.index}
 	switch {
@@ -160,7 +162,13 @@
 	}
 	w := &pendingProposal{done: make(chan proposalResult, 1)}
 	begin := r.opts.Clock.Now()
-	r.inbox.post(func() { r.appendCommand(c, ended, w) })
+	r.inbox.post(func() {
+		if transport.Expired(ctx) { // the loop waits for the disk, which may take seconds
+			w.done <- proposalResult{err: context.DeadlineExceeded}
+			return
+		}
+		r.appendCommand(c, ended, w)
+	})
 	select {
 	case p := <-w.done:
 		if p.err == nil {
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"apricotrouter/conns"
+	"apricotrouter/event"
 	"apricotrouter/steperr"
 )
 
@@ -35,6 +37,14 @@
 	ID   uint64          `cbor:"3,keyasint,omitempty"`
 	Body cbor.RawMessage `cbor:"4,keyasint,omitempty"`
 	Text string          `cbor:"5,keyasint,omitempty"`
+	// SentMicros is the reading of the sender's clock when it queued a call or
+	// wrote another frame, in microseconds; 0 if it is not given.
+	SentMicros int64 `cbor:"6,keyasint,omitempty"`
+	// WaitMicros is how long the caller waits for the response to a call from then
+	// on; 0 means that it is not known.
+	WaitMicros int64 `cbor:"7,keyasint,omitempty"`
+
+	delay time.Duration // of a received frame on its way; 0 if it is not known
 }
 
 // decodeMode limits the memory that the decoder allocates for a peer's frame.
@@ -51,6 +61,7 @@
 	peer     string
 	ws       *websocket.Conn
 	mux      *Mux
+	logger   *slog.Logger
 	metrics  *metrics
 	outgoing chan frame
 	memory   *conns.Memory         // for large frames that are being read; nil means that there is no limit
@@ -62,6 +73,9 @@
 	// that of the start of the current write, both in nanoseconds of the
 	// monotonic clock. writeStartedAt is 0 if no write is in progress.
 	lastReceivedAt atomic.Int64
+	transit        transitClock // of received frames; used by the read loop
+	nextExpiredLog time.Time    // earliest time of the next log entry about expired calls
+	expiredCalls   int          // since the last log entry
 	writeStartedAt atomic.Int64
 	mu             sync.Mutex
 	pendingCalls   map[uint64]chan frame // calls that await a response; nil once the connection has ended
@@ -72,12 +86,13 @@
 // connection. Heartbeats and most messages of the log are smaller.
 const smallFrameBytes = 4 << 10
 
-func newConn(peer string, ws *websocket.Conn, mux *Mux, m *metrics, memory *conns.Memory) *peerConn {
+func newConn(peer string, ws *websocket.Conn, mux *Mux, m *metrics, memory *conns.Memory, logger *slog.Logger) *peerConn {
 	ws.SetReadLimit(MaxFrameBytes)
 	c := &peerConn{
 		peer:         peer,
 		ws:           ws,
 		mux:          mux,
+		logger:       logger,
 		metrics:      m,
 		memory:       memory,
 		outgoing:     make(chan frame, sendQueueCapacity),
@@ -90,6 +105,10 @@
 
 var processStart = time.Now()
 
+// monotonicMicros returns the microseconds since the start of the process, at
+// least 1.
+func monotonicMicros() int64 { return max(1, monotonicNanos()/1000) }
+
 // monotonicNanos returns the nanoseconds since the start of the process, at
 // least 1, because 0 means that no write is in progress.
 func monotonicNanos() int64 { return max(1, int64(time.Since(processStart))) }
@@ -142,11 +161,15 @@
 	if err != nil {
 		return f, steperr.Wrap(err, "read frame", c.peer)
 	}
-	c.lastReceivedAt.Store(monotonicNanos())
+	readAt := monotonicNanos()
+	c.lastReceivedAt.Store(readAt)
 	if err := decodeMode.Unmarshal(data, &f); err != nil {
 		return f, steperr.Wrap(&FrameError{Err: err}, "decode frame", c.peer)
 	}
 	count(c.metrics.received, f.Kind, len(data))
+	if f.SentMicros > 0 {
+		f.delay = c.transit.delay(time.Duration(f.SentMicros)*time.Microsecond, time.Duration(readAt))
+	}
 	return f, nil
 }
 
@@ -182,12 +205,42 @@
 	case frameOneWay:
 		_, _ = c.mux.dispatch(ctx, c.peer, f.Kind, f.Body)
 	case frameCall:
+		if f.WaitMicros > 0 {
+			left := time.Duration(f.WaitMicros)*time.Microsecond - f.delay
+			if left <= 0 {
+				c.refuseExpired(f)
+				return
+			}
+			ctx = context.WithValue(ctx, callerDeadlineKey{}, time.Now().Add(left))
+		}
 		c.wg.Go(func() { c.handleCall(ctx, f) })
 	case frameResponse, frameError:
 		c.deliverResponse(f)
 	}
 }
 
+// refuseExpired refuses a call whose caller no longer waits. A handler that carried
+// it out now could undo a later change.
+func (c *peerConn) refuseExpired(f frame) {
+	c.metrics.expired.Inc()
+	_ = c.send(frame{Type: frameError, Kind: f.Kind, ID: f.ID, Text: "the call arrived after its caller had stopped waiting"})
+	c.expiredCalls++
+	if now := time.Now(); f.delay >= minLoggedDelay && !now.Before(c.nextExpiredLog) {
+		event.Log(c.logger, event.PeerCallsExpired, slog.String("peer", c.peer), slog.Int("calls", c.expiredCalls),
+			slog.Int("kind", int(f.Kind)), slog.Int64("delay_ms", f.delay.Milliseconds()), slog.Int64("waits_ms", f.WaitMicros/1000))
+		c.expiredCalls, c.nextExpiredLog = 0, now.Add(expiredLogInterval)
+	}
+}
+
+const (
+	// expiredLogInterval is the minimum interval between log entries of a connection
+	// about expired calls.
+	expiredLogInterval = time.Second
+	// minLoggedDelay is the shortest delay that is logged. A call that is sent right
+	// before its deadline expires without a fault.
+	minLoggedDelay = 100 * time.Millisecond
+)
+
 // handleCall runs the handler of a call and queues the response.
 func (c *peerConn) handleCall(ctx context.Context, f frame) {
 	out, err := c.mux.dispatch(ctx, c.peer, f.Kind, f.Body)
@@ -247,12 +300,19 @@
 	tick := time.NewTicker(HeartbeatInterval)
 	defer tick.Stop()
 	idle := true // since the last tick
+	// The peer estimates delays from frames with the time; the first one of the
+	// connection and one after each tick suffice.
+	stamp := true
+	if c.write(frame{Type: frameHeartbeat, SentMicros: monotonicMicros()}) != nil {
+		return
+	}
 	for {
 		var f frame
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			stamp = true
 			if !idle {
 				idle = true
 				continue
@@ -261,6 +321,9 @@
 		case f = <-c.outgoing:
 			idle = false
 		}
+		if stamp && f.SentMicros == 0 {
+			f.SentMicros, stamp = monotonicMicros(), false
+		}
 		if c.write(f) != nil {
 			return
 		}
@@ -284,7 +347,14 @@
 // call sends a call and waits for its response, the end of the connection or the
 // end of ctx.
 func (c *peerConn) call(ctx context.Context, kind Kind, body []byte, resp any) error {
+	if Expired(ctx) {
+		return ErrExpired
+	}
 	id := c.nextID.Add(1)
+	f := frame{Type: frameCall, Kind: kind, ID: id, Body: body, SentMicros: monotonicMicros()}
+	if deadline, ok := ctx.Deadline(); ok {
+		f.WaitMicros = max(1, time.Until(deadline).Microseconds())
+	}
 	ch := make(chan frame, 1)
 	c.mu.Lock()
 	if c.pendingCalls == nil {
@@ -293,7 +363,7 @@
 	}
 	c.pendingCalls[id] = ch
 	c.mu.Unlock()
-	if err := c.send(frame{Type: frameCall, Kind: kind, ID: id, Body: body}); err != nil {
+	if err := c.send(f); err != nil {
 		c.removePendingCall(id)
 		return err
 	}
--- a/transport/mesh.go
+++ b/transport/mesh.go
@@ -244,7 +244,7 @@
 	if err != nil {
 		return nil, steperr.Wrap(err, "dial peer", peer)
 	}
-	return newConn(peer, ws, m.opts.Mux, m.metrics, m.opts.Memory), nil
+	return newConn(peer, ws, m.opts.Mux, m.metrics, m.opts.Memory, m.opts.Logger), nil
 }
 
 func (m *Mesh) setConn(peer string, c *peerConn) {
@@ -283,7 +283,7 @@
 	if err != nil {
 		return // Accept has sent the error response.
 	}
-	c := newConn(from, ws, m.opts.Mux, m.metrics, m.opts.Memory)
+	c := newConn(from, ws, m.opts.Mux, m.metrics, m.opts.Memory, m.opts.Logger)
 	select {
 	case m.accepted <- c:
 		// Run serves the connection, so the HTTP handler returns.
--- a/transport/metrics.go
+++ b/transport/metrics.go
@@ -25,6 +25,7 @@
 // metrics counts the bytes sent and received, by kind, and lost connections.
 type metrics struct {
 	disconnects *prometheus.CounterVec
+	expired     prometheus.Counter
 	sent        map[Kind]prometheus.Counter
 	received    map[Kind]prometheus.Counter
 }
@@ -39,6 +40,10 @@
 			Name: "apricotrouter_transport_disconnects_total",
 			Help: "Connections to peers that broke or went silent.",
 		}, []string{"peer"}),
+		expired: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "apricotrouter_transport_expired_calls_total",
+			Help: "Calls of peers that arrived after their callers had stopped waiting, and were not carried out.",
+		}),
 		sent:     make(map[Kind]prometheus.Counter),
 		received: make(map[Kind]prometheus.Counter),
 	}
@@ -47,7 +52,7 @@
 		m.received[kind] = bytes.WithLabelValues("received", name)
 	}
 	if r != nil {
-		r.MustRegister(m.disconnects, bytes)
+		r.MustRegister(m.disconnects, m.expired, bytes)
 	}
 	return m
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -47,11 +47,12 @@
 	sendQueueCapacity = 4096
 )
 
-// Errors of sending. ErrNotConnected and ErrQueueFull mean that the message was
-// not sent; with any other error it may or may not have arrived.
+// Errors of sending. ErrNotConnected, ErrQueueFull and ErrExpired mean that the
+// message was not sent; with any other error it may or may not have arrived.
 var (
 	ErrNotConnected = errors.New("no connection to peer")
 	ErrQueueFull    = errors.New("send queue of peer is full")
+	ErrExpired      = fmt.Errorf("deadline of the call has passed: %w", context.DeadlineExceeded)
 	ErrClosed       = errors.New("transport is closed")
 	ErrConnLost     = errors.New("connection to peer was lost before the answer")
 )
@@ -94,8 +95,8 @@
 	// Notify queues a one-way message. It does not block.
 	SendOneWay(to string, kind Kind, msg any) error
 	// Call sends req and decodes the response into resp, a pointer. After an error
-	// other than ErrNotConnected, ErrQueueFull or a RemoteError, the peer may or
-	// may not have handled the call.
+	// other than ErrNotConnected, ErrQueueFull, ErrExpired or a RemoteError, the peer
+	// may or may not have handled the call.
 	Call(ctx context.Context, to string, kind Kind, req, resp any) error
 	// Connected reports whether a connection to the peer is open now.
 	Connected(to string) bool
