fleet: an end is acknowledged once no start of its task can arrive

Cause: an acknowledged end stands for good, but a start that may still arrive was not considered when it was acknowledged. Confining the task to the worker doesn't help once its run has ended.

TestEndIsAcknowledgedOnceNoStartCanArrive fails without this change.

At most 250 ends wait behind a held one.

Measured: the worker answers polls at once meanwhile, and is polled every 100 ms instead of when a run ends.

--- a/event/fleet.go
+++ b/event/fleet.go
@@ -94,6 +94,8 @@
 		"start without an answer confines a task to its worker", "The start may still arrive, and any incarnation of the worker that has not answered a later call would carry it out. Until then (`for_ms`) the next run of the task starts on the same worker. `adopted` means that an earlier leader recorded the start. Nothing to do; if it repeats, check the worker and the network to it.")
 	TaskReleased = define(853, "task-released", slog.LevelWarn,
 		"task waited until its start could no longer arrive", "The worker to which an unanswered start had confined the task did not take it: it was lost, draining, full or in an evacuated availability zone. The task starts on any worker now. Check the worker.")
+	EndHeld = define(854, "task-end-held", slog.LevelInfo,
+		"acknowledgement of an end is delayed", "An earlier start of the task had no answer and may still arrive at a later incarnation of the worker. The end counts at once; the worker keeps it for `for_ms` longer. Nothing to do.")
 	PoolShort = define(861, "pool-short", slog.LevelInfo,
 		"shortage of a pool began or ended", "While `short` is true, more work waits than fits: useless work comes last, workflows in progress and those with the highest value per work left come first. The fields give what waits and what is free. If it persists, the pool is too small for the demand.")
 	HeartbeatRefused = define(851, "heartbeat-refused", slog.LevelWarn,
--- a/fleet/gang.go
+++ b/fleet/gang.go
@@ -9,9 +9,7 @@
 
 // placeGang places all tasks of a gang, or none. They share the run number.
 func (c *Controller) placeGang(t *task, p *pool, usesReserved bool) {
-	f := t.workflow
-	first := f.spec.FirstTask(t.pos.Occurrence, t.pos.Step)
-	members := f.tasks[first : first+t.step.Count]
+	members := t.gang()
 	var number uint64
 	for _, m := range members {
 		if m.phase != taskReady || !m.mayStart() {
--- a/fleet/incarnation_test.go
+++ b/fleet/incarnation_test.go
@@ -529,3 +529,64 @@
 	total := func() int { return running(later[0]) + running(later[1]) + running(b) }
 	h.Eventually(total, waitTimeout, "5ms").Should(Equal(1))
 }
+
+// Guards against a start that the next incarnation of its worker carries out after
+// the end of its task has been acknowledged: nothing may start after that.
+func TestEndIsAcknowledgedOnceNoStartCanArrive(t *testing.T) {
+	const delay = 1500 * time.Millisecond
+	sameLeader := func(*harness) {}
+	for name, tc := range map[string]struct {
+		members int // of a gang on as many workers
+		between func(h *harness)
+	}{
+		"same leader":                   {1, sameLeader},
+		"next leader":                   {1, changeLeader},
+		"start of another member":       {2, sameLeader},
+		"of another member, new leader": {2, changeLeader},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, func(o *fleet.Options) { o.Limits.CallDelay = delay })
+			began := time.Now()
+			workers := []*pool.Worker{h.addWorker("a", pool.Options{RunTime: runFor60ms}, func(w *pool.Worker) { w.DelayStarts(1) })}
+			if tc.members > 1 {
+				// The member on b ends after the start of the other one was given up.
+				runTime := func(fleet.TaskPosition, uint64) time.Duration { return delay / 2 }
+				workers = append(workers, h.addWorker("b", pool.Options{RunTime: runTime}))
+			}
+			unacknowledged := func() (n int) {
+				for _, w := range workers {
+					n += w.Unacknowledged()
+				}
+				return n
+			}
+			gang := step(tc.members, func(s *state.WorkflowStep) { s.Gang, s.MaxPerWorker = tc.members > 1, 1 })
+			// The second step keeps the workflow open.
+			never := step(1, func(s *state.WorkflowStep) { s.Label, s.DependsOn = "none", []int{0} })
+			h.Expect(h.submit(gang, never)).To(Equal(fleet.OutcomeDone))
+			h.Eventually(func() state.WorkflowTaskPhase { return h.taskOf(jobID).Phase }, waitTimeout, "1ms").Should(Equal(state.TaskDone))
+			h.Expect(time.Since(began)).To(BeNumerically("<", delay), "the end counts at once")
+			tc.between(h)
+			for time.Since(began) < delay {
+				h.Expect(unacknowledged()).To(Equal(1))
+				time.Sleep(time.Millisecond)
+			}
+			h.Eventually(unacknowledged, waitTimeout, "1ms").Should(BeZero())
+			h.Expect(time.Since(began)).To(BeNumerically("<", 3*delay))
+		})
+	}
+}
+
+// Guards against two starts of a task without an answer that the next incarnation
+// of their worker carries out beside each other.
+func TestTwoUnansweredStartsReachTheNextIncarnation(t *testing.T) {
+	h := newHarness(t)
+	r := &restartedWorker{harness: h}
+	first := r.restart(func(w *pool.Worker) { w.DelayStarts(2) })
+	h.Expect(h.submit(step(1, untilStopped))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(first.DelayedStarts, waitTimeout, "1ms").Should(Equal(2))
+	first.Crash()
+	next := r.restart(unreachable)
+	first.DeliverDelayedStartsTo(next)
+	h.Expect(running(next)).To(BeNumerically("<=", 1))
+}
--- a/fleet/poll.go
+++ b/fleet/poll.go
@@ -26,6 +26,9 @@
 	// minPollGap is the minimum delay between polls of one worker, so that runs
 	// that end at nearly the same time are reported together.
 	minPollGap = 20 * time.Millisecond
+	// heldPollGap replaces minPollGap while ends are held: a worker answers a poll
+	// at once if it has ends that are not acknowledged.
+	heldPollGap = 100 * time.Millisecond
 	// maxReportedEnds is the maximum number of ended runs in one response to a
 	// poll.
 	maxReportedEnds = 500
@@ -34,7 +37,7 @@
 // poll sends a poll if one is needed and due.
 func (c *Controller) poll(s *session) {
 	now := c.now()
-	needed := !s.polled || s.unresponsive || len(s.attempts) > 0 || len(s.unknownRuns) > 0 || s.ackUnsent
+	needed := !s.polled || s.unresponsive || len(s.attempts) > 0 || len(s.unknownRuns) > 0 || s.ackUnsent || len(s.heldEnds) > 0
 	if s.closed || s.polling || s.endsPending || !needed || now < s.nextPoll {
 		return
 	}
@@ -126,6 +129,9 @@
 		s.ackUnsent = false
 	}
 	c.applyReport(s, begin, r)
+	if len(s.heldEnds) > 0 {
+		s.nextPoll = now + heldPollGap
+	}
 	c.observeWorker(s)
 	c.moveStragglers(s)
 	s.resourcesValid = false
@@ -150,9 +156,8 @@
 	for i := range r.Running {
 		c.applyRunning(s, &r.Running[i])
 	}
-	if s.lastEnd > s.ackedEnd {
+	if lastEnd := s.acknowledgeable(c.now()); lastEnd > s.ackedEnd {
 		s.endsPending = true
-		lastEnd := s.lastEnd
 		c.journal.onCommit = append(c.journal.onCommit, func() {
 			s.ackedEnd, s.endsPending, s.ackUnsent = max(s.ackedEnd, lastEnd), false, true
 			c.pollDue[s] = true
@@ -236,12 +241,18 @@
 		}
 		c.listed(a)
 		c.endAttempt(a, outcome, e.Checkpoint, e.Kind.String())
+		if outcome != state.OutcomeLost {
+			c.holdEnd(s, a.task, e.Sequence)
+		}
 		return
 	}
 	f := c.workflows[e.Position.Workflow]
 	if f == nil || !f.hasTask(e.Position) {
 		return
 	}
+	if outcome != state.OutcomeLost {
+		c.holdEnd(s, f.tasks[f.index(e.Position)], e.Sequence)
+	}
 	c.journal.ends = append(c.journal.ends, state.TaskEnd{
 		Workflow: e.Position.Workflow, Task: f.index(e.Position), Run: e.Number,
 		Outcome: outcome, Checkpoint: e.Checkpoint,
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -65,6 +65,7 @@
 	unread            bool   // no end of the incarnation has been acknowledged to it
 	ackedEnd          uint64 // last end that the worker may discard
 	lastEnd           uint64 // last end that is committed or being committed
+	heldEnds          []heldEnd
 	ackUnsent         bool   // the worker does not have the current ackedEnd yet
 	heartbeatSequence uint64 // of the last heartbeat
 	lastHeartbeat     time.Duration
--- a/fleet/unanswered.go
+++ b/fleet/unanswered.go
@@ -108,6 +108,49 @@
 	}
 }
 
+// heldEnd is an end that is not acknowledged to the worker before a time.
+type heldEnd struct {
+	sequence uint64
+	until    time.Duration
+}
+
+// maxUnacknowledged bounds the ends that wait behind a held one. A report lists at
+// most maxReportedEnds, which must include those of the running tasks.
+const maxUnacknowledged = maxReportedEnds / 2
+
+// holdEnd delays the acknowledgement of the end of a task while a start of it may
+// arrive, or one of another member of its gang, which ends with it. If an
+// incarnation ends before it was acknowledged, the task may run again; a start that
+// arrives after the acknowledgement would repeat work that is done for good.
+func (c *Controller) holdEnd(s *session, t *task, sequence uint64) {
+	until := time.Duration(0)
+	for _, m := range t.gang() {
+		for _, u := range m.unanswered.until {
+			until = max(until, u)
+		}
+	}
+	if until == 0 {
+		return
+	}
+	s.heldEnds = append(s.heldEnds, heldEnd{sequence, until})
+	event.Log(c.opts.Logger, event.EndHeld, slog.String("workflow", t.workflow.spec.ID), slog.Int("task", t.number),
+		slog.String("worker", s.worker.ID), slog.Uint64("sequence", sequence), slog.Int64("for_ms", (until-c.now()).Milliseconds()))
+}
+
+// acknowledgeable returns the last end that may be acknowledged to the worker.
+func (s *session) acknowledgeable(now time.Duration) uint64 {
+	s.heldEnds = slices.DeleteFunc(s.heldEnds, func(h heldEnd) bool { return now >= h.until })
+	if len(s.heldEnds) == 0 {
+		return s.lastEnd
+	}
+	first := s.heldEnds[0].sequence // ends are held in their order
+	if s.lastEnd-first >= maxUnacknowledged {
+		s.heldEnds = nil
+		return s.lastEnd
+	}
+	return first - 1
+}
+
 // startResolved ends the confinement by the start of a run that has ended, whose
 // call turns out to have had no effect.
 func (c *Controller) startResolved(a *attempt) {
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -92,6 +92,16 @@
 	lostWith   *workerLoss // last loss that counts in evidence; nil if an earlier leader recorded it
 }
 
+// gang returns all tasks of the task's gang, or only the task itself if its step is
+// not a gang.
+func (t *task) gang() []*task {
+	if !t.step.Gang {
+		return []*task{t}
+	}
+	first := t.workflow.spec.FirstTask(t.pos.Occurrence, t.pos.Step)
+	return t.workflow.tasks[first : first+t.step.Count]
+}
+
 // ranBefore reports whether a run of the task was recorded. Its worker may have
 // refused it.
 func (t *task) ranBefore() bool { return t.run > 0 }
--- a/standin/pool/worker.go
+++ b/standin/pool/worker.go
@@ -223,6 +223,13 @@
 	return all
 }
 
+// Unacknowledged returns the number of ended runs that were not acknowledged.
+func (w *Worker) Unacknowledged() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.unacknowledged)
+}
+
 // Fence returns the highest fence that the worker has received.
 func (w *Worker) Fence() uint64 {
 	w.mu.Lock()
