soak: late starts on the next incarnation, paused entries, cancellations

The soak pauses entry instances, lets the next incarnation of a worker carry out starts that got no answer, and cancels submissions that were not acknowledged; none of their tasks may start later.

A step may begin after the first end of each task before it.

--- a/soak/run.go
+++ b/soak/run.go
@@ -191,7 +191,9 @@
 		{"pause control", r.pauseControl},
 		{"kill entry", r.stopEntry(syscall.SIGKILL)},
 		{"terminate entry", r.stopEntry(syscall.SIGTERM)},
+		{"pause entry", r.pauseEntry},
 		{"worker starts again", r.restartWorker},
+		{"start reaches the next incarnation", r.delayStartBeyondRestart},
 		{"worker silent", r.toxic("timeout", `{"timeout":0}`)},
 		{"worker slow to answer", r.toxic("latency", `{"latency":700,"jitter":500}`)},
 		{"worker resets connections", r.toxic("reset_peer", `{"timeout":50}`)},
@@ -239,6 +241,34 @@
 	}
 }
 
+// pauseEntry lets an entry instance stand still. Calls that reach it meanwhile are
+// carried out later, if at all.
+func (r *run) pauseEntry(rng *rand.Rand, d time.Duration) error {
+	p := r.processes[r.opts.Controls+rng.IntN(r.opts.Entries)]
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.signal(syscall.SIGCONT)
+	return nil
+}
+
+// delayStartBeyondRestart lets a worker leave starts without an answer and restart.
+// The next incarnation carries them out before its first heartbeat.
+func (r *run) delayStartBeyondRestart(rng *rand.Rand, d time.Duration) error {
+	w := r.workers[rng.IntN(len(r.workers))]
+	l := w.current()
+	l.worker.DelayStarts(1 + rng.IntN(2))
+	time.Sleep(d / 2)
+	if !w.kill() {
+		return nil
+	}
+	time.Sleep(d / 4)
+	if err := r.startWorker(w); err != nil {
+		return err
+	}
+	l.worker.DeliverDelayedStartsTo(w.current().worker)
+	return nil
+}
+
 func (r *run) restartWorker(rng *rand.Rand, d time.Duration) error {
 	w := r.workers[rng.IntN(len(r.workers))]
 	if !w.kill() {
@@ -427,6 +457,8 @@
 
 func (r *run) checkJob(j *job, runs map[fleet.TaskPosition][]record) {
 	switch {
+	case !j.accepted && j.cancelled:
+		r.checkNotStarted(j, runs)
 	case !j.accepted:
 	case j.phase == "":
 		r.report("job %s has not ended %s after the faults", j.id, settleTimeout)
@@ -441,6 +473,18 @@
 	}
 }
 
+// checkNotStarted checks that no task of a job starts after the acknowledgement of
+// its cancellation, which it got instead of one of its submission.
+func (r *run) checkNotStarted(j *job, runs map[fleet.TaskPosition][]record) {
+	for p, all := range runs {
+		for _, rec := range all {
+			if p.Workflow == j.id && rec.Started.Sub(j.cancelledAt) > cancelTime {
+				r.report("task %v started %s after its job had been cancelled", p, rec.Started.Sub(j.cancelledAt))
+			}
+		}
+	}
+}
+
 // checkCrashingJob checks the bound on the workers that the first task of a job
 // crashes.
 func (r *run) checkCrashingJob(j *job, runs []record) {
@@ -466,18 +510,19 @@
 		var last time.Time
 		for index := range width {
 			p := fleet.TaskPosition{Workflow: j.id, Step: step, Index: index}
-			done := false
+			done, end := false, time.Time{} // the first end counts; a start that arrives late may repeat it
 			for _, rec := range runs[p] {
 				if rec.Started.Before(previousStepEnd) {
 					r.report("task %v started before the step before it was done", p)
 				}
-				if rec.Kind == fleet.EndDone {
-					done, last = true, laterOf(last, rec.Ended)
+				if rec.Kind == fleet.EndDone && (!done || rec.Ended.Before(end)) {
+					done, end = true, rec.Ended
 				}
 			}
 			if !done {
 				r.report("job %s is completed, but task %v was not done: %+v", j.id, p, runs[p])
 			}
+			last = laterOf(last, end)
 		}
 		previousStepEnd = last
 	}
