fleet, event: what keeps waiting work from free capacity

Event 855 says when and why capacity that was set aside is released; event 829 for whom capacity is set aside, where, and why workers with enough of it are left out; event 817 how much is reserved, and how many workflows have nothing running.

The runs of a worker that was registered again were added to its session without leaving the former one, so that a run that has to run alone did not count there.

--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -321,6 +321,7 @@
 	sent := a.phase != attemptRecording
 	a.phase = attemptEnded
 	a.session.remove(a)
+	a.task.workflow.lastEndAt = c.now()
 	c.usage.Remove(a.task.workflow.spec.Tenant, a.task.counted())
 	c.recordExit(a)
 	c.dirty = true
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -79,6 +79,7 @@
 	s.unread = c.opts.Clock.Now().UnixMilli()-w.StartedAt < (removeAfterHeartbeats * c.opts.Limits.Heartbeat).Milliseconds()
 	if placeholder != nil {
 		for _, a := range placeholder.attempts {
+			placeholder.remove(a)
 			s.add(a)
 		}
 	}
--- a/fleet/occupancy.go
+++ b/fleet/occupancy.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -15,6 +17,10 @@
 // what a late workflow waited for.
 const occupancyLogInterval = time.Second
 
+// idleWorkflowLimit is the time after which users count a workflow as lost if
+// nothing of it runs while there is capacity, from the service terms.
+const idleWorkflowLimit = 3 * time.Second
+
 // taskKind classifies tasks by the CPU that they need.
 type taskKind uint8
 
@@ -115,13 +121,48 @@
 		batchFree, batchReserved, batchUnit = share.Available()
 	}
 	rejections := placement.CountRejections(p.workers, request, share)
+	reservedOn, reservedFree := "", int64(0)
+	if t.reservedOn != nil {
+		reservedOn, reservedFree = t.reservedOn.worker.ID, t.reservedOn.free().MilliCPU
+	}
 	event.Log(c.opts.Logger, event.ServingTaskWaiting,
 		slog.String("workflow", t.workflow.spec.ID), slog.Int("task", t.number), slog.Uint64("run", t.run), slog.String("pool", name),
 		slog.Int64("waited_ms", waited.Milliseconds()), slog.Int64("milli_cpu", t.step.Size.MilliCPU), slog.Int64("memory_mib", t.step.Size.MemoryMiB),
 		slog.Int("admitted", rejections.Admitted), slog.Int("processors", rejections.Processors), slog.Int("memory", rejections.Memory), slog.Int("accelerators", rejections.Accelerators),
 		slog.Int("label", rejections.Label), slog.Int("excluded", rejections.Excluded), slog.Int("held", rejections.ReservedForOthers), slog.Int("share", rejections.BatchReservation),
 		slog.Int64("largest_admitted_milli_cpu", rejections.LargestAdmitted), slog.Int("unusable", c.unusableWorkers(name, p)),
-		slog.Int("failed_on", len(t.avoid)), slog.Int64("share_room_milli_cpu", batchFree), slog.Int64("share_kept_milli_cpu", batchReserved), slog.Int64("share_unit_milli_cpu", batchUnit), slog.Int("idle", p.idleCapacity))
+		slog.Int("failed_on", len(t.avoid)), slog.Int64("share_room_milli_cpu", batchFree), slog.Int64("share_kept_milli_cpu", batchReserved), slog.Int64("share_unit_milli_cpu", batchUnit), slog.Int("idle", p.idleCapacity),
+		slog.Int("set_aside", p.setAsideWorkers(t.step)), slog.String("reserved_on", reservedOn), slog.Int64("reserved_free_milli_cpu", reservedFree),
+		slog.Int("reservations", len(c.reserved)), slog.Int("max_reservations", placement.MaxReserved(len(p.sessions))),
+		c.unusableByReason(name, p, t.step))
+}
+
+// setAsideWorkers counts the workers of the pool on which a task of the step fits
+// but for the capacity that is set aside for other tasks.
+func (p *pool) setAsideWorkers(step *state.WorkflowStep) int {
+	n := 0
+	for i, s := range p.sessions {
+		if size := step.Reservation(); size.FitsIn(s.free()) && !size.FitsIn(p.allWorkers[i].Free) {
+			n++
+		}
+	}
+	return n
+}
+
+// unusableByReason counts the workers of a pool that are excluded from the
+// placement pass although a task of the step fits there, by reason.
+func (c *Controller) unusableByReason(name string, p *pool, step *state.WorkflowStep) slog.Attr {
+	counts := make(map[string]int)
+	for _, s := range c.sessions {
+		if _, usable := p.indexOf(s); s.worker.Pool == name && !usable && step.Reservation().FitsIn(s.free()) {
+			counts[s.unusableReason(c, c.now())]++
+		}
+	}
+	attrs := make([]any, 0, len(counts))
+	for _, reason := range slices.Sorted(maps.Keys(counts)) {
+		attrs = append(attrs, slog.Int(reason, counts[reason]))
+	}
+	return slog.Group("unusable_by", attrs...)
 }
 
 // logBestEffortWait logs what keeps the longest-waiting best-effort task from the
@@ -132,9 +173,9 @@
 	}
 	r := placement.CountRejections(p.workers, c.placementRequest(t, p, c.excludedWorkers(t, p)), nil)
 	var runs, withServing int
-	var used, idle int64
+	var used, idle, reserved int64
 	for _, w := range p.allWorkers {
-		runs, used, idle = runs+w.BestEffort, used+w.BestEffortCPU, idle+max(0, w.IdleCPU)
+		runs, used, idle, reserved = runs+w.BestEffort, used+w.BestEffortCPU, idle+max(0, w.IdleCPU), reserved+w.Capacity.MilliCPU-w.Free.MilliCPU
 		if len(w.ServingGroups) > 0 {
 			withServing++
 		}
@@ -144,7 +185,22 @@
 		slog.Int64("waited_ms", (c.now()-t.waitingSince).Milliseconds()), slog.Int64("milli_cpu", t.step.Size.MilliCPU), slog.Int64("memory_mib", t.step.Size.MemoryMiB),
 		slog.Int("admitted", r.Admitted), slog.Int("memory", r.Memory), slog.Int("idle_processors", r.IdleProcessors), slog.Int("interference", r.Interference),
 		slog.Int("accelerators", r.Accelerators), slog.Int("label", r.Label), slog.Int("excluded", r.Excluded), slog.Int("held", r.ReservedForOthers),
-		slog.Int("workers_with_serving_tasks", withServing), slog.Int("running", runs), slog.Int64("running_milli_cpu", used), slog.Int64("idle_milli_cpu", idle))
+		slog.Int("workers_with_serving_tasks", withServing), slog.Int("running", runs), slog.Int64("running_milli_cpu", used), slog.Int64("idle_milli_cpu", idle),
+		slog.Int64("reserved_milli_cpu", reserved), slog.Int("idle_workflows", c.idleWorkflows(name, p)))
+}
+
+// idleWorkflows counts the workflows of a pool of which nothing has run for
+// idleWorkflowLimit, although a best-effort task of them waits for a worker.
+func (c *Controller) idleWorkflows(name string, p *pool) int {
+	n := 0
+	for _, f := range c.workflows {
+		if f.spec.Pool == name && f.readyTasks > 0 && slices.ContainsFunc(f.tasks, func(t *task) bool {
+			return t.step.BestEffort && t.idleFor(p.now) >= idleWorkflowLimit.Milliseconds()
+		}) {
+			n++
+		}
+	}
+	return n
 }
 
 // unusableWorkers counts the workers of a pool that are excluded from the
--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -41,11 +41,19 @@
 	event.Log(c.opts.Logger, event.CapacityReserved, slog.String("workflow", t.workflow.spec.ID), slog.Int("task", t.number),
 		slog.String("worker", s.worker.ID), slog.Int64("waited_ms", waitedMillis), slog.Int64("milli_cpu", t.step.Size.MilliCPU),
 		slog.Int64("free_milli_cpu", s.free().MilliCPU), slog.Int("runs", len(s.attempts)), slog.Int("reserved", len(c.reserved)+1))
-	t.reservedOn = s
+	t.reservedOn, t.reservedAt = s, c.now()
 	c.reserved[t] = true
 }
 
-func (c *Controller) dropReservation(t *task) {
+// dropReservation releases the capacity that is set aside for a task, if there is
+// any.
+func (c *Controller) dropReservation(t *task, reason string) {
+	if t.reservedOn == nil {
+		return
+	}
+	event.Log(c.opts.Logger, event.CapacityReleased, slog.String("workflow", t.workflow.spec.ID), slog.Int("task", t.number),
+		slog.String("worker", t.reservedOn.worker.ID), slog.String("reason", reason), slog.Int64("for_ms", (c.now()-t.reservedAt).Milliseconds()),
+		slog.Int64("free_milli_cpu", t.reservedOn.free().MilliCPU), slog.Int("reserved", len(c.reserved)-1))
 	t.reservedOn = nil
 	delete(c.reserved, t)
 }
@@ -77,7 +85,11 @@
 			p.releases++
 		}
 	}
-	c.dropReservation(t)
+	reason := "started"
+	if t.reservedOn != p.sessions[worker] {
+		reason = "started-elsewhere"
+	}
+	c.dropReservation(t, reason)
 	rate := p.book(worker, request)
 	c.place(t, p.sessions[worker], number).runStats.startAt(rate)
 	if p.images != nil {
@@ -97,9 +109,9 @@
 	})
 	for _, t := range tasks {
 		p := pools[t.workflow.spec.Pool]
-		i := c.reservedWorker(t, p)
+		i, reason := c.reservedWorker(t, p)
 		if i < 0 {
-			c.dropReservation(t)
+			c.dropReservation(t, reason)
 			continue
 		}
 		if c.exceedsShare(t, p, i) {
@@ -122,9 +134,9 @@
 		return false
 	}
 	p.release(t)
-	i := c.reservedWorker(t, p)
+	i, reason := c.reservedWorker(t, p)
 	if i < 0 {
-		c.dropReservation(t)
+		c.dropReservation(t, reason)
 		p.releases++
 		return false
 	}
@@ -151,20 +163,33 @@
 }
 
 // reservedWorker returns the index of the worker on which capacity is set aside
-// for the task, or -1 if the task no longer waits or can't start there.
-func (c *Controller) reservedWorker(t *task, p *pool) int {
-	if p == nil || !t.awaitsRun() || c.workflows[t.workflow.spec.ID] != t.workflow || t.waitsAlone() || !t.mayStart() || t.confinedTo() != "" || !c.capAllows(t) {
-		return -1
+// for the task, or -1 and the reason if the task no longer waits or can't start
+// there.
+func (c *Controller) reservedWorker(t *task, p *pool) (worker int, reason string) {
+	switch {
+	case !t.awaitsRun() || c.workflows[t.workflow.spec.ID] != t.workflow:
+		return -1, "not-waiting"
+	case p == nil:
+		return -1, "worker-unusable"
+	case t.waitsAlone() || !t.mayStart():
+		return -1, "suspect"
+	case t.confinedTo() != "":
+		return -1, "confined"
+	case !c.capAllows(t):
+		return -1, "cap"
 	}
 	i, found := p.indexOf(t.reservedOn)
-	if !found || !placement.AdmitsWithoutBatch(p.workers[i], t.step) {
-		return -1
+	if !found {
+		return -1, "worker-unusable"
+	}
+	if !placement.AdmitsWithoutBatch(p.workers[i], t.step) {
+		return -1, "processors"
 	}
 	t.expireRefusals(p.now)
 	if request := c.placementRequest(t, p, nil); request.Excluded != nil && request.Excluded(i) {
-		return -1
+		return -1, "excluded"
 	}
-	return i
+	return i, ""
 }
 
 // exceedsShare reports whether the task is not overdue and would exceed the
--- a/fleet/session.go
+++ b/fleet/session.go
@@ -118,6 +118,7 @@
 func (s *session) add(a *attempt) {
 	a.session = s
 	s.attempts[s.key(a)] = a
+	a.task.workflow.runs++
 	s.stepRuns.add(a.task, 1)
 	s.reserved = s.reserved.Add(a.reservation())
 	s.resourcesValid = false
@@ -131,6 +132,7 @@
 func (s *session) remove(a *attempt) {
 	if s.attempts[s.key(a)] == a {
 		delete(s.attempts, s.key(a))
+		a.task.workflow.runs--
 		s.stepRuns.add(a.task, -1)
 		s.reserved = s.reserved.Sub(a.reservation())
 		s.resourcesValid = false
@@ -160,9 +162,47 @@
 
 // accepts reports whether the worker is in a condition to run further tasks.
 func (s *session) accepts(c *Controller, now time.Duration) bool {
-	late := now-s.lastHeartbeat > maxMissedHeartbeats*c.opts.Limits.Heartbeat
-	return s.polled && !s.closed && !s.unresponsive && !s.worker.Draining && s.removeAt == 0 && !late &&
-		now >= s.pausedUntil && now >= s.fullUntil && len(s.unknownRuns) == 0
+	return s.unacceptableReason(c, now) == ""
+}
+
+// unacceptableReason returns why the worker is in no condition to run further
+// tasks, or an empty string.
+func (s *session) unacceptableReason(c *Controller, now time.Duration) string {
+	switch {
+	case s.closed:
+		return "closed"
+	case s.worker.Draining || s.removeAt != 0:
+		return "draining"
+	case s.unresponsive:
+		return "silent"
+	case now-s.lastHeartbeat > maxMissedHeartbeats*c.opts.Limits.Heartbeat:
+		return "heartbeats"
+	case !s.polled:
+		return "unpolled"
+	case len(s.unknownRuns) > 0:
+		return "unknown-runs"
+	case now < s.pausedUntil:
+		return "paused"
+	case now < s.fullUntil:
+		return "full"
+	}
+	return ""
+}
+
+// unusableReason returns why no task may be placed on the worker, or an empty
+// string.
+func (s *session) unusableReason(c *Controller, now time.Duration) string {
+	reason := s.unacceptableReason(c, now)
+	switch {
+	case reason != "":
+	case s.suspects > 0:
+		return "suspect"
+	case s.held:
+		return "held-for-suspect"
+	case c.opts.Log.State().IsZoneEvacuated(s.worker.Zone):
+		return "evacuated"
+	}
+	return reason
 }
 
 // closeSession removes an incarnation of a worker and ends all its runs.
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -27,6 +27,9 @@
 	checkBlocked bool    // blocked tasks may have become ready
 	begun        bool    // a run of a task is known to have started
 	late         bool    // was logged as late
+	runs         int     // runs on workers
+	// lastEndAt is when the last run of a task ended.
+	lastEndAt time.Duration
 	// inProgress is set while the workflow counts as started in the statistics
 	// of its queue, with size.
 	inProgress bool
@@ -86,12 +89,22 @@
 	// unresolved is the number of runs on workers that stopped responding and
 	// may have crashed.
 	unresolved int
-	reservedOn *session // worker on which capacity is set aside for the task
+	reservedOn *session      // worker on which capacity is set aside for the task
+	reservedAt time.Duration // since when
 	unanswered unansweredStarts
 	releasing  bool        // the end of its confinement is being committed
 	lostWith   *workerLoss // last loss that counts in evidence; nil if an earlier leader recorded it
 }
 
+// idleFor returns for how long the workflow has had nothing running although the
+// task waited for a worker, in milliseconds.
+func (t *task) idleFor(now time.Duration) int64 {
+	if f := t.workflow; t.phase == taskReady && f.runs == 0 {
+		return (now - max(t.waitingSince, f.lastEndAt)).Milliseconds()
+	}
+	return 0
+}
+
 // gang returns all tasks of the task's gang, or only the task itself if its step is
 // not a gang.
 func (t *task) gang() []*task {
