fleet, placement: something of each late workflow runs beside unreserved capacity

The start at the lowest rate, which ends such a wait, was for one task of an image and not of a workflow: while any task of the image ran, every other workflow had to wait for room at the full rate. It also required idle CPU, which best-effort tasks do not reserve. Useless work comes last, so that the same workflows waited for as long as others arrived. Class: a bound on waiting that holds for a group, and that one member of the group uses up for the others.

TestEachWorkflowStartsAlthoughItsImageRuns, TestEachWorkflowStartsAlthoughNoCPUIsIdle and TestEachWorkflowStartsUnderOverload fail on the code before.

While at most 55 percent of a pool's CPU is reserved, one task of each workflow of which nothing has run for 1.5 s starts at the lowest rate, and the next one follows at once. A workflow that can still meet its objective waits for 8 s, because a slow run would make it late. The run counts with its rate when others are placed and stays at the lowest rate while others use the CPU, so that it keeps no one out.

--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -47,9 +47,9 @@
 	largestBestEffort map[string]cpuBound
 	// reducedRates is set while best-effort tasks may start below the full rate.
 	reducedRates bool
-	// halfIdleState caches halfIdle: 0 if it is not known, 1 if false, 2 if
-	// true.
-	halfIdleState int8
+	// halfIdleState and unreservedState cache halfIdle and mostlyUnreserved: 0 if it
+	// is not known, 1 if false, 2 if true.
+	halfIdleState, unreservedState int8
 	// images caches runsImage; nil if it is not known.
 	images map[string]bool
 	// aside has the worker, by index, of each waiting task whose capacity has
@@ -170,6 +170,21 @@
 	return p.halfIdleState == 2
 }
 
+// mostlyUnreserved reports whether most of the pool's CPU is not reserved.
+func (p *pool) mostlyUnreserved() bool {
+	if p.unreservedState == 0 {
+		capacity, reserved := int64(0), int64(0)
+		for i, r := range p.allWorkers {
+			capacity, reserved = capacity+r.Capacity.MilliCPU, reserved+p.sessions[i].reserved.MilliCPU
+		}
+		p.unreservedState = 1
+		if placement.MostlyUnreserved(reserved, capacity) {
+			p.unreservedState = 2
+		}
+	}
+	return p.unreservedState == 2
+}
+
 // reserve reserves a worker for a serving task that has waited too long. It
 // selects the worker with the most free CPU among those on which the task fits
 // once batch tasks end. Other overdue tasks may still use the worker if they
@@ -272,8 +287,9 @@
 			}
 		}
 		if step.BestEffort {
+			use = placement.CPUAtRate(use, a.runStats.startRate, a.runStats.rate)
 			r.BestEffort, r.BestEffortCPU = r.BestEffort+1, r.BestEffortCPU+use
-			c.imageUse[step.Image] += s.cpuShare(step.Size.MilliCPU)
+			c.imageUse[step.Image] += s.cpuShare(use)
 		}
 		r.IdleCPU -= use
 		if !step.LongRunning {
--- a/fleet/rate.go
+++ b/fleet/rate.go
@@ -240,6 +240,7 @@
 		colocated[i] = placement.CoLocatedTask{
 			Image: a.task.step.Image, Use: s.cpuShare(a.task.step.Size.MilliCPU), Percent: a.runStats.rate,
 			Settling: now-max(a.startedAt, a.runStats.rateSetAt) < c.settleTime(),
+			Lowest:   c.keepsLowestRate(a),
 		}
 		if a.runStats.rate == 0 {
 			colocated[i].PausedMillis = (now - a.runStats.rateSetAt).Milliseconds()
@@ -259,6 +260,20 @@
 	}
 }
 
+// keepsLowestRate reports whether a run that started at the lowest rate must not
+// run faster, because others use the CPU of its worker.
+func (c *Controller) keepsLowestRate(a *attempt) bool {
+	s, step := a.session, a.task.step
+	if !placement.StartedAtLowestRate(a.runStats.startRate) {
+		return false
+	}
+	if !s.resourcesValid {
+		c.updateResources(s)
+	}
+	own := placement.CPUAtRate(step.Size.MilliCPU, a.runStats.startRate, a.runStats.rate)
+	return s.resources.BestEffort > 1 && !placement.AdmitsIdle(s.resources.IdleCPU+own, step.Size.MilliCPU)
+}
+
 const (
 	// moveBelowRate is the execution rate in percent below which a run with a
 	// checkpoint is moved to another worker instead, unless it was placed at a
@@ -310,6 +325,7 @@
 func (c *Controller) requestRate(a *attempt, old, rate int, class callClass) {
 	unknown := a.runStats.rateUnknown
 	a.runStats.rate, a.runStats.rateSetAt, a.runStats.rateCallPending, a.runStats.rateUnknown = rate, c.now(), true, false
+	a.session.resourcesValid = false
 	event.Log(c.opts.Logger, event.TaskRateChanged, slog.String("workflow", a.run.Workflow), slog.Int("task", a.run.Task),
 		slog.Uint64("run", a.run.Number), slog.String("worker", a.session.worker.ID), slog.Int("percent", rate),
 		slog.Int("before", old), slog.String("image", a.task.step.Image))
@@ -324,7 +340,7 @@
 			timeout: startTimeout,
 			send:    func(ctx context.Context) { err = s.api.SetRate(ctx, call) },
 			done: func() {
-				a.runStats.rateCallPending = false
+				a.runStats.rateCallPending, s.resourcesValid = false, false
 				neverSent, _ := unsent(err)
 				switch {
 				case err == nil:
--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -92,6 +92,7 @@
 	c.dropReservation(t, reason)
 	rate := p.book(worker, request)
 	c.place(t, p.sessions[worker], number).runStats.startAt(rate)
+	t.workflow.sustained = placement.StartedAtLowestRate(rate)
 	if p.images != nil {
 		p.images[t.step.Image] = true
 	}
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"apricotrouter/placement"
 )
@@ -29,6 +28,10 @@
 	}
 	c.placeConfined(pools)
 	c.placeReserved(pools)
+	wall := c.opts.Clock.Now().UnixMilli()
+	for i := range waiting {
+		c.workflows[waiting[i].ID].missesObjective = waiting[i].MissesObjective(wall)
+	}
 	jobs := c.rankJobs(now, waiting, pools)
 	placement.OrderJobs(c.opts.Clock.Now().UnixMilli(), waiting)
 	if c.sharesApply = c.applyShares(waiting, pools); c.sharesApply {
@@ -44,7 +47,7 @@
 		c.backlogs.Store(nil) // capacity may be free for the rest
 		return
 	}
-	if !c.placeReduced(now, pools, waiting) {
+	if !c.placeReduced(pools, waiting) {
 		c.backlogs.Store(nil)
 		return
 	}
@@ -53,11 +56,13 @@
 
 // placeReduced offers lower execution rates to best-effort tasks that found no
 // worker for the full rate, where they may start below it.
-func (c *Controller) placeReduced(now time.Duration, pools map[string]*pool, waiting []placement.WaitingJob) bool {
+func (c *Controller) placeReduced(pools map[string]*pool, waiting []placement.WaitingJob) bool {
 	candidates := slices.DeleteFunc(waiting, func(j placement.WaitingJob) bool {
 		f := c.workflows[j.ID]
 		p := pools[f.spec.Pool]
-		return j.Restart || j.ExceedsShare || p == nil || !f.bestEffortWaits(now, placement.ReducedRateWait(p.halfIdle()))
+		return j.Restart || j.ExceedsShare || p == nil || !slices.ContainsFunc(f.tasks, func(t *task) bool {
+			return t.phase == taskReady && t.step.BestEffort && placement.MayStartReduced(p.startWait(t))
+		})
 	})
 	if len(candidates) == 0 {
 		return true
--- a/fleet/start_rate_test.go
+++ b/fleet/start_rate_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -83,3 +84,40 @@
 	h.Eventually(func() int { return serving(w) + serving(free) }, callerLimit, "5ms").Should(Equal(1))
 	h.Expect(serving(w)).To(Equal(1))
 }
+
+// startedWorkflows counts the workflows with a run on one of the workers.
+func startedWorkflows(workers ...*pool.Worker) int {
+	started := make(map[string]bool)
+	for _, w := range workers {
+		for _, r := range w.Records() {
+			started[r.Position.Workflow] = true
+		}
+	}
+	return len(started)
+}
+
+// Guards against workflows of which nothing runs for as long as another one with
+// the same image does, because interference with serving tasks is expected
+// (review/14).
+func TestEachWorkflowStartsAlthoughItsImageRuns(t *testing.T) {
+	h, w := newInterferenceHarness(t, 60)
+	const workflows = 3
+	for i := range workflows {
+		h.submitAs(fmt.Sprintf("a%015x", i), step(2, bestEffort, withCPU(900), withEstimate(100*time.Millisecond)))
+	}
+	h.Eventually(func() int { return startedWorkflows(w) }, callerLimit, "5ms").Should(Equal(1 + workflows))
+	h.Consistently(func() int { return running(w) }, time.Second, "5ms").Should(Equal(1+workflows), "one task of each workflow")
+}
+
+// Guards against workflows of which nothing runs for as long as others use all idle
+// CPU, although hardly anything is reserved (review/14).
+func TestEachWorkflowStartsAlthoughNoCPUIsIdle(t *testing.T) {
+	h := newHarness(t)
+	w := h.addWorker("w", pool.Options{RunTime: runForever})
+	const workflows = 4
+	for i := range workflows {
+		h.submitAs(fmt.Sprintf("a%015x", i), step(1, bestEffort, withCPU(3800), withEstimate(100*time.Millisecond), func(s *state.WorkflowStep) { s.Size.MemoryMiB = 500 }))
+	}
+	h.Eventually(func() int { return startedWorkflows(w) }, callerLimit, "5ms").Should(Equal(workflows))
+	h.Eventually(w.LowestRate, 100*time.Millisecond, "5ms").Should(BeNumerically("<=", 10))
+}
--- a/fleet/task_group.go
+++ b/fleet/task_group.go
@@ -174,11 +174,18 @@
 	if !t.step.BestEffort || !p.reducedRates {
 		return fullRate
 	}
-	f := t.workflow
-	return placement.MinStartRate(placement.StartWait{
-		WaitedMillis: p.waited(t), EstimateMillis: c.estimate(f, t.pos.Step).Mean(), HalfIdle: p.halfIdle(),
-		ImageRuns: p.runsImage(t.step.Image),
-	})
+	wait := p.startWait(t)
+	wait.EstimateMillis, wait.ImageRuns = c.estimate(t.workflow, t.pos.Step).Mean(), p.runsImage(t.step.Image)
+	return placement.MinStartRate(wait)
+}
+
+// startWait describes the wait of a best-effort task, without its estimate and its
+// image.
+func (p *pool) startWait(t *task) placement.StartWait {
+	return placement.StartWait{
+		WaitedMillis: p.waited(t), HalfIdle: p.halfIdle(), IdleMillis: t.idleFor(p.now),
+		Late: t.workflow.missesObjective, Unreserved: p.mostlyUnreserved(),
+	}
 }
 
 // stepKey identifies a step of one occurrence of a workflow.
--- a/fleet/waiting.go
+++ b/fleet/waiting.go
@@ -74,14 +74,6 @@
 	return slices.ContainsFunc(f.tasks, func(t *task) bool { return t.phase == taskReady && t.restarts() })
 }
 
-// bestEffortWaits reports whether a best-effort task of the workflow has waited
-// for at least waitMillis.
-func (f *workflow) bestEffortWaits(now time.Duration, waitMillis int64) bool {
-	return f.readyTasks > 0 && slices.ContainsFunc(f.tasks, func(t *task) bool {
-		return t.phase == taskReady && t.step.BestEffort && (now-t.waitingSince).Milliseconds() >= waitMillis
-	})
-}
-
 // restarts reports whether the next run of the task replaces one that a serving
 // task has lost.
 func (t *task) restarts() bool { return t.step.LongRunning && t.ranBefore() }
--- a/fleet/workflow.go
+++ b/fleet/workflow.go
@@ -30,6 +30,12 @@
 	runs         int     // runs on workers
 	// lastEndAt is when the last run of a task ended.
 	lastEndAt time.Duration
+	// missesObjective is set if the workflow can no longer meet its objective, as of
+	// the last placement pass in which tasks waited.
+	missesObjective bool
+	// sustained is set while the workflow goes on one task at a time at the lowest
+	// rate, because nothing of it had run for too long.
+	sustained bool
 	// inProgress is set while the workflow counts as started in the statistics
 	// of its queue, with size.
 	inProgress bool
@@ -97,12 +103,17 @@
 }
 
 // idleFor returns for how long the workflow has had nothing running although the
-// task waited for a worker, in milliseconds.
+// task waited for a worker, in milliseconds. It doesn't begin anew after each run of
+// a workflow that goes on one task at a time.
 func (t *task) idleFor(now time.Duration) int64 {
-	if f := t.workflow; t.phase == taskReady && f.runs == 0 {
-		return (now - max(t.waitingSince, f.lastEndAt)).Milliseconds()
+	f := t.workflow
+	switch {
+	case t.phase != taskReady || f.runs > 0:
+		return 0
+	case f.sustained:
+		return (now - t.waitingSince).Milliseconds()
 	}
-	return 0
+	return (now - max(t.waitingSince, f.lastEndAt)).Milliseconds()
 }
 
 // gang returns all tasks of the task's gang, or only the task itself if its step is
--- a/placement/batch_reservation.go
+++ b/placement/batch_reservation.go
@@ -265,7 +265,7 @@
 func CountFitting(workers []*WorkerCapacity, t PoolTask) int {
 	n := 0
 	for i, r := range workers {
-		if r != nil && canPlace(r, t.Step) && (t.Excluded == nil || !t.Excluded(i)) {
+		if r != nil && t.fitsOn(r) && (t.Excluded == nil || !t.Excluded(i)) {
 			n += fittingTasks(r.Free, t.Step.Reservation())
 		}
 	}
--- a/placement/best_effort_bound.go
+++ b/placement/best_effort_bound.go
@@ -31,8 +31,8 @@
 	return largest
 }
 
-// idleBound returns the largest CPU that the idle CPU of the worker permits, see
-// canPlace.
+// idleBound returns the largest CPU that the idle CPU of the worker permits at the
+// full rate, see fitsOn.
 func (r *WorkerCapacity) idleBound() int64 {
 	switch {
 	case r.BestEffort == 0:
--- a/placement/job_order.go
+++ b/placement/job_order.go
@@ -114,11 +114,20 @@
 // in Unix milliseconds.
 func (j *WaitingJob) Expired(now int64) bool { return j.orderClass(now) == orderExpired }
 
-func (j *WaitingJob) orderClass(now int64) orderClass {
-	end := now + j.RemainingMillis
-	if !j.Observed {
-		end = now + int64(float64(j.RemainingMillis)*RemainingTimeFactor)
+// MissesObjective reports whether the job can no longer end before Deadline. now is
+// in Unix milliseconds.
+func (j *WaitingJob) MissesObjective(now int64) bool { return !j.Serving && j.end(now) > j.Deadline }
+
+// end returns when the job ends if it continues now, in Unix milliseconds.
+func (j *WaitingJob) end(now int64) int64 {
+	if j.Observed {
+		return now + j.RemainingMillis
 	}
+	return now + int64(float64(j.RemainingMillis)*RemainingTimeFactor)
+}
+
+func (j *WaitingJob) orderClass(now int64) orderClass {
+	end := j.end(now)
 	switch {
 	case j.Restart && j.Starved():
 		return orderRestart
--- a/placement/rate.go
+++ b/placement/rate.go
@@ -27,6 +27,17 @@
 	Settling bool
 	// PausedMillis is how long the task has been paused.
 	PausedMillis int64
+	// Lowest is set if the task must not run above the lowest rate: it started there
+	// and the CPU of the worker is in use.
+	Lowest bool
+}
+
+// limit returns the highest rate of the task, in percent.
+func (t *CoLocatedTask) limit() int {
+	if t.Lowest {
+		return minRate
+	}
+	return fullRate
 }
 
 const (
@@ -142,7 +153,7 @@
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(maxCoefficient(a), maxCoefficient(b)) })
 	added := make([]float64, len(servingTasks))
 	for _, i := range order {
-		step := min(maxRateIncrease, fullRate-rates[i])
+		step := min(maxRateIncrease, tasks[i].limit()-rates[i])
 		if step <= 0 || tasks[i].Settling {
 			continue
 		}
--- a/placement/rejection.go
+++ b/placement/rejection.go
@@ -44,7 +44,7 @@
 			n.Accelerators++
 		case t.Excluded != nil && t.Excluded(i):
 			n.Excluded++
-		case !canPlace(r, t.Step):
+		case !t.fitsOn(r):
 			n.IdleProcessors++
 		case !t.fitsBeside(r, coefficients):
 			n.Interference++
--- a/placement/start_rate.go
+++ b/placement/start_rate.go
@@ -8,6 +8,11 @@
 // the full rate: these use the headroom of the serving tasks best. An estimate of the interference
 // may be wrong and is only corrected by a run, so a task that has waited for
 // long starts at the lowest rate, whatever the estimate says.
+//
+// Load pattern: more best-effort workflows wait than fit, beside much capacity that
+// nothing reserves, and others that are of more use keep arriving. The same
+// workflows would wait for as long as they do. One task of each therefore starts
+// at the lowest rate, whether or not CPU is idle; as many as memory permits.
 
 const (
 	// probeWait is how long a best-effort task waits, in milliseconds, until it
@@ -16,10 +21,19 @@
 	// for 3 s while there is capacity. A placement pass, the commit of the start
 	// and its call take the rest of that time.
 	probeWait = 1500
+	// maxReservedPercent is the percentage of a pool's CPU that may be reserved for
+	// a workflow to start at the lowest rate. Users count a workflow as lost beside
+	// half of the capacity, by what runs; reservations include starts and ends that
+	// are still being recorded.
+	maxReservedPercent = 55
 	// busyProbeWait replaces probeWait while more than half of the CPU of the
 	// pool is in use. Tasks then wait for capacity, mostly, and one that
 	// starts at the lowest rate may miss a better worker.
 	busyProbeWait = 60_000
+	// onTimeProbeWait replaces probeWait for a workflow of which nothing runs and
+	// that can still meet its objective. Users look for waiting work 14 s after the
+	// last submission.
+	onTimeProbeWait = 8000
 	// maxStartRate is the highest result of MinStartRate. A task that finds no
 	// worker for the full rate starts at once at half of it: waiting would cost
 	// as much unless the next worker becomes free within its run time.
@@ -43,6 +57,30 @@
 	ImageRuns bool
 	// HalfIdle is set if at most half of the CPU of the pool is in use.
 	HalfIdle bool
+	// IdleMillis is how long nothing of the workflow has run while the task waited.
+	IdleMillis int64
+	// Late is set if the workflow can no longer meet its objective.
+	Late bool
+	// Unreserved is the result of MostlyUnreserved for the pool.
+	Unreserved bool
+}
+
+// MostlyUnreserved reports whether so little of a pool's CPU is reserved that
+// something of each workflow has to run.
+func MostlyUnreserved(reserved, capacity int64) bool {
+	return capacity > 0 && 100*reserved <= maxReservedPercent*capacity
+}
+
+// workflowOverdue reports whether the task starts at the lowest rate because
+// nothing else of its workflow runs. While the workflow can meet its objective, it
+// precedes late ones wherever there is room for the full rate, and a slow run would
+// make it late, so that it waits longer.
+func (w StartWait) workflowOverdue() bool {
+	wait := int64(onTimeProbeWait)
+	if w.Late {
+		wait = probeWait
+	}
+	return w.Unreserved && w.IdleMillis >= wait
 }
 
 // MinStartRate returns the lowest execution rate, in percent, at which a
@@ -52,16 +90,17 @@
 // then ends earlier. While more than half of the pool is in use, tasks wait for
 // capacity, mostly, and slow runs keep it from those that could use it better. The
 // result is minRate if the task may start on a worker
-// where the model expects a serving task to exceed its limit: one task of an
-// image, after a bounded wait. Were it one of each workflow, the thousands that
-// may wait would push serving tasks over their targets.
+// where the model expects a serving task to exceed its limit, after a bounded wait:
+// one task of an image, and one of each workflow while most of the pool is not
+// reserved. Serving tasks stay below their targets, because ExecutionRates pauses
+// the runs that exceed the limits.
 func MinStartRate(w StartWait) int {
 	probe := int64(busyProbeWait)
 	if w.HalfIdle {
 		probe = probeWait
 	}
 	switch {
-	case !w.ImageRuns && w.WaitedMillis >= probe:
+	case !w.ImageRuns && w.WaitedMillis >= probe, w.workflowOverdue():
 		return minRate
 	case !w.HalfIdle:
 		return fullRate
@@ -71,13 +110,10 @@
 	return maxStartRate
 }
 
-// ReducedRateWait returns how long a best-effort task waits, in milliseconds, until
-// it may start below the full rate.
-func ReducedRateWait(halfIdle bool) int64 {
-	if halfIdle {
-		return 0
-	}
-	return busyProbeWait
+// MayStartReduced reports whether a best-effort task that fits nowhere at the full
+// rate may start below it, whatever its image.
+func MayStartReduced(w StartWait) bool {
+	return w.HalfIdle || w.WaitedMillis >= busyProbeWait || w.workflowOverdue()
 }
 
 // StartRate returns the execution rate, in percent, at which a task starts on a
@@ -94,7 +130,11 @@
 // startRate returns the execution rate, in percent, at which a best-effort task
 // starts on a worker where the fraction fit of its full speed fits, or 0.
 func (t *PoolTask) startRate(r *WorkerCapacity, fit float64) int {
-	switch rate := int(fit * fullRate); {
+	rate := int(fit * fullRate)
+	if !t.fitsIdleCPU(r) {
+		rate = min(rate, minRate) // only at the lowest rate, see fitsOn
+	}
+	switch {
 	case rate >= fullRate:
 		return fullRate
 	case t.MinStartRate == 0:
--- a/placement/start_rate_test.go
+++ b/placement/start_rate_test.go
@@ -38,6 +38,12 @@
 		{placement.StartWait{EstimateMillis: 1000, WaitedMillis: 2000}, 100},
 		{placement.StartWait{EstimateMillis: 60_000, WaitedMillis: 60_000}, 10},
 		{placement.StartWait{EstimateMillis: 1000, WaitedMillis: math.MaxInt32, ImageRuns: true}, 100},
+		// Most of it is not reserved, and nothing of the workflow runs.
+		{placement.StartWait{EstimateMillis: 60_000, WaitedMillis: 2000, IdleMillis: 2000, ImageRuns: true, Unreserved: true, Late: true}, 10},
+		{placement.StartWait{EstimateMillis: 60_000, WaitedMillis: 2000, IdleMillis: 1400, ImageRuns: true, Unreserved: true, Late: true}, 100},
+		{placement.StartWait{EstimateMillis: 60_000, WaitedMillis: 2000, IdleMillis: 2000, ImageRuns: true, Late: true}, 100},
+		{placement.StartWait{EstimateMillis: 60_000, WaitedMillis: 7000, IdleMillis: 7000, ImageRuns: true, Unreserved: true}, 100},
+		{placement.StartWait{EstimateMillis: 60_000, WaitedMillis: 8000, IdleMillis: 8000, ImageRuns: true, Unreserved: true}, 10},
 	} {
 		NewWithT(t).Expect(placement.MinStartRate(c.wait)).To(Equal(c.want), "%+v", c.wait)
 	}
@@ -55,6 +61,10 @@
 		r.OverTarget = true
 		return r
 	}
+	busy := func(r *placement.WorkerCapacity) *placement.WorkerCapacity {
+		r.IdleCPU, r.BestEffort = 0, 5
+		return r
+	}
 	// At full speed the task requires 1.25 * 4 * 8/64 = 0.625.
 	for name, c := range map[string]struct {
 		workers []*placement.WorkerCapacity
@@ -70,6 +80,8 @@
 		"the lowest rate after a long wait":  {[]*placement.WorkerCapacity{server(-0.2), server(-0.1)}, 10, 1, 10},
 		"not beside a task over its target":  {[]*placement.WorkerCapacity{overTarget(server(-0.1)), overTarget(server(0.05))}, 10, -1, 0},
 		"over its target, but the task fits": {[]*placement.WorkerCapacity{overTarget(server(0.7))}, 0, 0, 100},
+		"no idle CPU":                        {[]*placement.WorkerCapacity{busy(server(0.7))}, 50, -1, 0},
+		"no idle CPU, after a long wait":     {[]*placement.WorkerCapacity{busy(server(-0.1))}, 10, 0, 10},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -93,6 +105,8 @@
 	ownLoad   float64 // of the serving tasks
 	estimate  int64
 	fullRate  bool    // the previous decision: tasks start at the full rate or wait
+	busy      bool    // the pool is in use, and less than half of it is reserved
+	byImage   bool    // the previous decision in a busy pool: one task of the image
 	arrivals  []int64 // of workflows with one task
 	workers   int
 	duration  int64
@@ -109,6 +123,7 @@
 
 type replayedRun struct {
 	worker        int
+	startRate     int
 	rate          int // in force
 	requested     int
 	rateInForceAt int64
@@ -239,9 +254,10 @@
 			w := &placement.WorkerCapacity{Capacity: state.Resources{MilliCPU: p.workerCPU}, IdleCPU: p.workerCPU, OverTarget: s.overSince > 0}
 			for _, r := range runs {
 				if r.worker == i {
+					cpu := placement.CPUAtRate(p.taskCPU, r.startRate, r.requested)
 					w.BestEffort++
-					w.IdleCPU -= p.taskCPU
-					headroom -= p.model.Coefficient("s", "l") * use
+					w.IdleCPU -= cpu
+					headroom -= p.model.Coefficient("s", "l") * float64(cpu) / float64(p.workerCPU)
 				}
 			}
 			w.AddServingTask("s", headroom)
@@ -252,7 +268,10 @@
 			result.longestWait = max(result.longestWait, now-arrived)
 			task := placement.PoolTask{Step: step, InterferenceModel: p.model}
 			if !p.fullRate {
-				task.MinStartRate = placement.MinStartRate(placement.StartWait{WaitedMillis: now - arrived, EstimateMillis: p.estimate, HalfIdle: true})
+				task.MinStartRate = placement.MinStartRate(placement.StartWait{
+					WaitedMillis: now - arrived, EstimateMillis: p.estimate, HalfIdle: !p.busy, ImageRuns: p.busy && len(runs) > 0,
+					IdleMillis: now - arrived, Late: true, Unreserved: p.busy && !p.byImage,
+				})
 			}
 			i := placement.ChooseWorker(workers, task)
 			if i < 0 {
@@ -261,7 +280,7 @@
 			}
 			rate := placement.StartRate(workers[i], task)
 			workers[i].Reserve(task)
-			runs = append(runs, &replayedRun{worker: i, rate: 100, requested: rate, rateInForceAt: now + delay, rateSetAt: now})
+			runs = append(runs, &replayedRun{worker: i, startRate: rate, rate: 100, requested: rate, rateInForceAt: now + delay, rateSetAt: now})
 		}
 		waiting = left
 	}
@@ -294,6 +313,30 @@
 	g.Expect(now.overTarget).To(BeNumerically("<", 4000))
 }
 
+// Guards against workflows that wait for as long as others arrive, and against
+// serving tasks over their target because all of them start. Load pattern: a burst
+// of three times as many best-effort workflows as fit beside the serving tasks
+// (review/14), of one task each.
+func TestEachWorkflowStartsUnderOverload(t *testing.T) {
+	play := func(byImage bool) replayResult {
+		p := startReplay{
+			model: knownPair(4), actual: 4, ownLoad: 0.4, estimate: 2700, busy: true, byImage: byImage, workers: 16, duration: 40_000,
+			taskCPU: 8000, workerCPU: 64_000,
+		}
+		for i := range int64(48) {
+			p.arrivals = append(p.arrivals, 4000+100*i)
+		}
+		return p.run()
+	}
+	g := NewWithT(t)
+	previous, now := play(true), play(false)
+	t.Logf("previous: %+v, now: %+v", previous, now)
+	g.Expect(previous.longestWait).To(BeNumerically(">", 10_000), "the replay shows the fault")
+	g.Expect(now.longestWait).To(BeNumerically("<=", 2000))
+	g.Expect(now.done).To(BeNumerically(">=", previous.done))
+	g.Expect(now.overTarget).To(BeNumerically("<", 4000))
+}
+
 // Guards against an estimate that keeps a pair apart after the interference has
 // ended, because only a run corrects it and rare runs at a low rate carry little
 // weight. Load pattern: an idle pool; the interference of an image with all
--- a/placement/worker_choice.go
+++ b/placement/worker_choice.go
@@ -105,7 +105,7 @@
 // whether the task may be placed there.
 func (t *PoolTask) scoreOn(workers []*WorkerCapacity, i int, coefficients InterferenceCoefficients) (score float64, ok bool) {
 	r := workers[i]
-	if r == nil || !canPlace(r, t.Step) || t.Excluded != nil && t.Excluded(i) {
+	if r == nil || !t.fitsOn(r) || t.Excluded != nil && t.Excluded(i) {
 		return 0, false
 	}
 	score = workerScore(r, t.Step)
@@ -242,13 +242,26 @@
 	return s.Label == "" || slices.Contains(r.Labels, s.Label)
 }
 
-func canPlace(r *WorkerCapacity, s *state.WorkflowStep) bool {
+// fitsOn reports whether the worker has the free resources and the idle CPU for
+// the task. A task that starts at the lowest rate needs hardly any CPU.
+func (t *PoolTask) fitsOn(r *WorkerCapacity) bool {
+	s := t.Step
 	if !s.Reservation().FitsIn(r.Free) || !hasLabel(r, s) {
 		return false
 	}
-	return !s.BestEffort || r.IdleCPU >= s.Size.MilliCPU/maxCPUOvercommit || r.BestEffort == 0
+	return t.MinStartRate == minRate || t.fitsIdleCPU(r)
+}
+
+// fitsIdleCPU reports whether enough CPU of the worker is idle for the task to run
+// there at more than the lowest rate.
+func (t *PoolTask) fitsIdleCPU(r *WorkerCapacity) bool {
+	return !t.Step.BestEffort || r.BestEffort == 0 || AdmitsIdle(r.IdleCPU, t.Step.Size.MilliCPU)
 }
 
+// AdmitsIdle reports whether a best-effort task may run at more than the lowest
+// rate beside others with so much idle CPU, in thousandths of a processor.
+func AdmitsIdle(idleCPU, milliCPU int64) bool { return idleCPU >= milliCPU/maxCPUOvercommit }
+
 const (
 	// maxCPUOvercommit is the maximum ratio of the CPU of a new best-effort
 	// task to the idle CPU of a worker that already runs best-effort tasks.
@@ -336,15 +349,35 @@
 	return float64(part) / float64(whole)
 }
 
+// CPUAtRate returns the CPU with which a best-effort run counts when other tasks
+// are placed on its worker, in thousandths of a processor. A run that started at
+// the lowest rate counts with its current rate: its worker was chosen although
+// there was no room for it at the full rate, so that it must not keep others out.
+func CPUAtRate(milliCPU int64, startRate, rate int) int64 {
+	if StartedAtLowestRate(startRate) {
+		return milliCPU * int64(rate) / fullRate
+	}
+	return milliCPU
+}
+
+// StartedAtLowestRate reports whether a run that started at the rate, in percent,
+// started at the lowest one.
+func StartedAtLowestRate(startRate int) bool { return startRate == minRate }
+
 // Reserve reserves the resources of a task on the worker.
 func (r *WorkerCapacity) Reserve(t PoolTask) {
 	s := t.Step
 	r.Free = r.Free.Sub(s.Reservation())
-	r.IdleCPU -= s.Size.MilliCPU
+	cpu := s.Size.MilliCPU
+	if t.MinStartRate == minRate {
+		rate := StartRate(r, t)
+		cpu = CPUAtRate(cpu, rate, rate)
+	}
+	r.IdleCPU -= cpu
 	if s.BestEffort {
-		r.BestEffort, r.BestEffortCPU = r.BestEffort+1, r.BestEffortCPU+s.Size.MilliCPU
+		r.BestEffort, r.BestEffortCPU = r.BestEffort+1, r.BestEffortCPU+cpu
 		if t.InterferenceModel != nil {
-			use, coefficients := fractionOf(s.Size.MilliCPU, r.Capacity.MilliCPU), t.InterferenceModel.CoefficientsOf(s.Image)
+			use, coefficients := fractionOf(cpu, r.Capacity.MilliCPU), t.InterferenceModel.CoefficientsOf(s.Image)
 			for i := range r.ServingGroups {
 				increase := coefficients.Coefficient(r.ServingGroups[i].Image) * use
 				r.ServingGroups[i].Headroom -= increase
