fleet: capacity set aside for a task does not keep out one that has waited longer

A serving task that fails returns to its worker only if no other has room, and its capacity is set aside there. Where several fail on one worker, the capacity of all was set aside before any of them was tried, so that each kept the others out until all of them fitted at once, also after they were overdue. Class: capacity that is withheld from a task for others that have no better claim to it.

TestTasksThatFailedOnOneWorkerDoNotKeepEachOtherOut fails on the code before and passes now.

A task now starts on the worker where its capacity is set aside if it fits beside what is set aside there for those that have waited longer. Tasks are tried in the order of their wait, so that each of them starts as soon as there is room for it.

--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -8,6 +8,7 @@
 
 	"apricotrouter/event"
 	"apricotrouter/placement"
+	"apricotrouter/state"
 )
 
 // reserveCapacity sets capacity aside for a serving task that has lost its run,
@@ -105,9 +106,7 @@
 // batch tasks may then use its capacity, but no serving task that exceeds the
 // share.
 func (c *Controller) placeReserved(pools map[string]*pool) {
-	tasks := slices.SortedFunc(maps.Keys(c.reserved), func(a, b *task) int {
-		return cmp.Or(cmp.Compare(a.waitingSince, b.waitingSince), cmp.Compare(a.workflow.spec.ID, b.workflow.spec.ID), a.number-b.number)
-	})
+	tasks := slices.SortedFunc(maps.Keys(c.reserved), comparePlaces)
 	for _, t := range tasks {
 		p := pools[t.workflow.spec.Pool]
 		i, reason := c.reservedWorker(t, p)
@@ -149,14 +148,34 @@
 }
 
 // startOnReserved starts a task on its reservedWorker if enough is free there.
+// What is set aside on the worker for tasks that have waited less does not keep it
+// out: otherwise, several tasks that failed there would wait until all of them fit.
 func (c *Controller) startOnReserved(t *task, p *pool, worker int) bool {
-	if c.journal.full() || !t.step.Reservation().FitsIn(p.workers[worker].Free) {
+	if c.journal.full() || !t.step.Reservation().FitsIn(p.workers[worker].Free.Add(c.setAsideAfter(t, p, worker))) {
 		return false
 	}
 	c.startOn(t, p, worker, c.placementRequest(t, p, nil), t.run+1)
 	return true
 }
 
+// setAsideAfter returns what is set aside on a worker for tasks that have waited
+// less than the task.
+func (c *Controller) setAsideAfter(t *task, p *pool, worker int) state.Resources {
+	var total state.Resources
+	for other, on := range p.aside {
+		if on == worker && other != t && c.reserved[other] && comparePlaces(t, other) < 0 {
+			total = total.Add(other.step.Reservation())
+		}
+	}
+	return total
+}
+
+// comparePlaces orders tasks for which capacity is set aside: those that have waited
+// longest come first.
+func comparePlaces(a, b *task) int {
+	return cmp.Or(cmp.Compare(a.waitingSince, b.waitingSince), cmp.Compare(a.workflow.spec.ID, b.workflow.spec.ID), a.number-b.number)
+}
+
 // indexOf returns the index of a session among the usable workers of the pool.
 func (p *pool) indexOf(s *session) (int, bool) {
 	i, found := slices.BinarySearchFunc(p.sessions, s, func(a, b *session) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
--- a/fleet/serving_wait_test.go
+++ b/fleet/serving_wait_test.go
@@ -140,6 +140,49 @@
 	h.Eventually(restart, waitTimeout).Should(BeNumerically("<", maxIdle))
 }
 
+// Guards against serving tasks that failed on the same worker and keep each other
+// out: capacity is set aside there for all of them, and none started before there
+// was enough for all.
+func TestTasksThatFailedOnOneWorkerDoNotKeepEachOtherOut(t *testing.T) {
+	const batch, batchRun = "a000000000000001", 7 * time.Second // longer than servingWait
+	h := newHarness(t)
+	w := h.addWorker("w", pool.Options{
+		RunTime: func(p fleet.TaskPosition, number uint64) time.Duration {
+			switch {
+			case p.Workflow == jobID && number == 1:
+				return time.Second
+			case p.Workflow == batch && p.Index == 0:
+				return batchRun
+			}
+			return 0
+		},
+		Fails: func(p fleet.TaskPosition, number uint64) bool { return p.Workflow == jobID && number == 1 },
+	})
+	h.Expect(h.submit(step(2, untilStopped, withCPU(1500)))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() int { return running(w) }, waitTimeout, "5ms").Should(Equal(2))
+	// Capacity is set aside for one task in eight workers. These fit no task.
+	for i := range 15 {
+		id, startedAt := fmt.Sprintf("x%02d", i), time.Now().UnixMilli()
+		x := h.addWorker(id, pool.Options{StartedAt: startedAt})
+		h.Expect(h.heartbeatWith(id, startedAt, x, false, state.Resources{MilliCPU: 10, MemoryMiB: 10})).To(Equal(fleet.OutcomeDone))
+	}
+	h.submitAs(batch, step(2, withCPU(2000), withEstimate(time.Minute)))
+	batchRuns := func() (all []pool.Record) {
+		for _, r := range w.Records() {
+			if r.Position.Workflow == batch {
+				all = append(all, r)
+			}
+		}
+		return all
+	}
+	h.Eventually(batchRuns, waitTimeout, "5ms").Should(HaveLen(2), "batch tasks use the capacity of the failed runs")
+	h.Eventually(func() bool { return !batchRuns()[0].Ended.IsZero() || !batchRuns()[1].Ended.IsZero() }, 2*batchRun, "5ms").Should(BeTrue())
+	restarted := func() bool {
+		return slices.ContainsFunc(w.Records(), func(r pool.Record) bool { return r.Position.Workflow == jobID && r.Number > 1 })
+	}
+	h.Eventually(restarted, 3*time.Second, "5ms").Should(BeTrue(), "there is room for one of them")
+}
+
 // fillWorker starts a worker and a serving task that reserves all its CPU.
 func (h *harness) fillWorker(id string) *pool.Worker {
 	h.t.Helper()
--- a/fleet/unanswered.go
+++ b/fleet/unanswered.go
@@ -211,9 +211,7 @@
 // capacity of those that can't start yet, and of members of gangs, aside, those that
 // have waited longest first.
 func (c *Controller) placeConfined(pools map[string]*pool) {
-	tasks := slices.SortedFunc(maps.Keys(c.confined), func(a, b *task) int {
-		return cmp.Or(cmp.Compare(a.waitingSince, b.waitingSince), cmp.Compare(a.workflow.spec.ID, b.workflow.spec.ID), a.number-b.number)
-	})
+	tasks := slices.SortedFunc(maps.Keys(c.confined), comparePlaces)
 	for _, t := range tasks {
 		p, s := pools[t.workflow.spec.Pool], c.sessions[t.confinedTo()]
 		if p == nil || s == nil || c.workflows[t.workflow.spec.ID] != t.workflow || !t.awaitsRun() || t.waitsAlone() || !t.mayStart() || !c.capAllows(t) {
