fleet, placement: runs that started at the lowest rate are raised one by one

Each such run was compared with the same idle CPU, so that all of a worker were raised in one decision when one of them could be. A run that had been raised was never lowered, and counted in full against the idle CPU from then on.

What a raised run uses is no longer idle for the others, and runs are lowered again when others need the CPU; raised ones keep it first, so that they don't alternate.

--- a/fleet/rate.go
+++ b/fleet/rate.go
@@ -235,12 +235,13 @@
 		}
 		servers[i] = placement.ServingTask{Image: step.Image, Utilisation: load, Limit: limit, OverTarget: a.runStats.overTarget}
 	}
+	lowest := c.keepLowestRate(s, bestEffort)
 	colocated := make([]placement.CoLocatedTask, len(bestEffort))
 	for i, a := range bestEffort {
 		colocated[i] = placement.CoLocatedTask{
 			Image: a.task.step.Image, Use: s.cpuShare(a.task.step.Size.MilliCPU), Percent: a.runStats.rate,
 			Settling: now-max(a.startedAt, a.runStats.rateSetAt) < c.settleTime(),
-			Lowest:   c.keepsLowestRate(a),
+			Lowest:   lowest[a],
 		}
 		if a.runStats.rate == 0 {
 			colocated[i].PausedMillis = (now - a.runStats.rateSetAt).Milliseconds()
@@ -260,18 +261,32 @@
 	}
 }
 
-// keepsLowestRate reports whether a run that started at the lowest rate must not
-// run faster, because others use the CPU of its worker.
-func (c *Controller) keepsLowestRate(a *attempt) bool {
-	s, step := a.session, a.task.step
-	if !placement.StartedAtLowestRate(a.runStats.startRate) {
-		return false
+// keepLowestRate reports which best-effort runs of a worker must not run faster than
+// at the lowest rate, at which they started.
+func (c *Controller) keepLowestRate(s *session, bestEffort []*attempt) map[*attempt]bool {
+	var attempts []*attempt
+	var runs []placement.RunAtLowestRate
+	for _, a := range bestEffort {
+		if placement.StartedAtLowestRate(a.runStats.startRate) {
+			attempts = append(attempts, a)
+			runs = append(runs, placement.RunAtLowestRate{MilliCPU: a.task.step.Size.MilliCPU, Percent: a.runStats.rate})
+		}
+	}
+	if len(runs) == 0 || len(bestEffort) == 1 {
+		return nil
 	}
 	if !s.resourcesValid {
 		c.updateResources(s)
 	}
-	own := placement.CPUAtRate(step.Size.MilliCPU, a.runStats.startRate, a.runStats.rate)
-	return s.resources.BestEffort > 1 && !placement.AdmitsIdle(s.resources.IdleCPU+own, step.Size.MilliCPU)
+	idle := s.resources.IdleCPU
+	for _, r := range runs {
+		idle += r.MilliCPU * int64(r.Percent) / fullRate
+	}
+	keep := make(map[*attempt]bool)
+	for i, lowest := range placement.KeepLowestRate(idle, runs) {
+		keep[attempts[i]] = lowest
+	}
+	return keep
 }
 
 const (
--- a/placement/rate.go
+++ b/placement/rate.go
@@ -58,6 +58,32 @@
 	probePause = 3000
 )
 
+// RunAtLowestRate is a run that started at the lowest rate.
+type RunAtLowestRate struct {
+	MilliCPU int64 // at the full rate
+	Percent  int   // current execution rate
+}
+
+// KeepLowestRate reports which runs that started at the lowest rate must not run
+// faster, because the CPU of their worker is in use. idleCPU is the idle CPU without
+// them, in thousandths of a processor. Those that run faster already come first, and
+// what they use is not idle for the others.
+func KeepLowestRate(idleCPU int64, runs []RunAtLowestRate) []bool {
+	keep, order := make([]bool, len(runs)), make([]int, len(runs))
+	for i, r := range runs {
+		order[i] = i
+		idleCPU -= CPUAtRate(r.MilliCPU, minRate, minRate)
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(runs[b].Percent, runs[a].Percent) })
+	for _, i := range order {
+		lowest := CPUAtRate(runs[i].MilliCPU, minRate, minRate)
+		if keep[i] = !AdmitsIdle(idleCPU+lowest, runs[i].MilliCPU); !keep[i] {
+			idleCPU -= runs[i].MilliCPU - lowest
+		}
+	}
+	return keep
+}
+
 // ExecutionRates returns the execution rate of each co-located task, in
 // percent. If a serving task is expected to exceed its limit, the co-located
 // tasks with the largest interference coefficient on that serving task are
@@ -68,8 +94,8 @@
 // whatever the model expects.
 func ExecutionRates(p *InterferenceModel, servingTasks []ServingTask, tasks []CoLocatedTask) []int {
 	rates := make([]int, len(tasks))
-	for i, n := range tasks {
-		rates[i] = n.Percent
+	for i := range tasks {
+		rates[i] = min(tasks[i].Percent, tasks[i].limit())
 	}
 	overLimit := false
 	for _, s := range servingTasks {
