fleet: a task starts at the lowest rate on a worker reserved for a serving task

Each serving task that has waited too long and fits nowhere reserves a whole worker for a placement pass, and enough of them reserve all. Nothing else starts there, also no task that starts at the lowest rate and reserves no CPU.

TestWorkflowStartsOnWorkerReservedForServingTask fails on the code before. Tasks that start at the lowest rate now consider all workers; memory is checked as before.

--- a/fleet/start_rate_test.go
+++ b/fleet/start_rate_test.go
@@ -121,3 +121,28 @@
 	h.Eventually(func() int { return startedWorkflows(w) }, callerLimit, "5ms").Should(Equal(workflows))
 	h.Eventually(w.LowestRate, 100*time.Millisecond, "5ms").Should(BeNumerically("<=", 10))
 }
+
+// Guards against a late workflow of which nothing runs while the worker is reserved
+// for a serving task that waits for a batch task.
+func TestWorkflowStartsOnWorkerReservedForServingTask(t *testing.T) {
+	const n = 4
+	h := newHarness(t)
+	var workers []*pool.Worker
+	for i := range n {
+		workers = append(workers, h.addWorker(fmt.Sprintf("w%d", i), pool.Options{RunTime: runForever}))
+	}
+	total := func() (k int) {
+		for _, w := range workers {
+			k += running(w)
+		}
+		return k
+	}
+	h.submitAs("a000000000000001", step(n, withCPU(600), withEstimate(time.Second), func(s *state.WorkflowStep) { s.MaxPerWorker = 1 }))
+	h.Eventually(total, waitTimeout, "5ms").Should(Equal(n))
+	for i := range n {
+		h.submitAs(fmt.Sprintf("0%015x", i), step(1, untilStopped, withCPU(3500)))
+	}
+	time.Sleep(time.Second)
+	h.submitAs("a000000000000002", step(1, bestEffort, withCPU(900), withEstimate(100*time.Millisecond)))
+	h.Eventually(func() int { return startedWorkflows(workers...) }, callerLimit, "5ms").Should(Equal(2))
+}
--- a/fleet/task_group.go
+++ b/fleet/task_group.go
@@ -43,7 +43,9 @@
 
 func (c *Controller) taskGroup(t *task, p *pool, j placement.WaitingJob, usesReserved bool, avoid map[string]bool) *taskGroup {
 	e := &taskGroup{first: t, pool: p, usesReserved: usesReserved, workers: p.workers}
-	if usesReserved {
+	// A task that starts at the lowest rate reserves no CPU, which is what workers are
+	// reserved for.
+	if usesReserved || placement.StartedAtLowestRate(c.minStartRate(t, p)) {
 		e.workers = p.allWorkers
 	}
 	e.request = c.placementRequest(t, p, avoid)
