fleet: the bound on reservations holds for each pool

The bound is one task in eight workers of the pool, and all reservations of the controller counted. Class: a bound that holds for a group, and that members of another use up.

TestReservationsOfOnePoolDoNotCountInAnother fails on the code before.

--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -16,7 +16,7 @@
 // bound it, because the task had this capacity before. It stays on one worker
 // until the task starts or can no longer start there.
 func (c *Controller) reserveCapacity(t *task, p *pool, waitedMillis int64) {
-	if t.step.Gang || t.reservedOn != nil || !placement.RestartOverdue(waitedMillis, true) || len(c.reserved) >= placement.MaxReserved(len(p.sessions)) {
+	if t.step.Gang || t.reservedOn != nil || !placement.RestartOverdue(waitedMillis, true) || !c.mayReserve(t) {
 		return
 	}
 	i := placement.ChooseReserved(p.workers, c.placementRequest(t, p, nil))
@@ -32,12 +32,29 @@
 // that never ran would take it, and keep it, where serving tasks fill the pool.
 func (c *Controller) reserveAfterFailure(a *attempt) {
 	t := a.task
-	if t.step.LongRunning && !t.step.Gang && t.attempt == a && t.reservedOn == nil && !a.session.closed && c.capAllows(t) &&
-		len(c.reserved) < placement.MaxReserved(len(c.sessions)) {
+	if t.step.LongRunning && !t.step.Gang && t.attempt == a && t.reservedOn == nil && !a.session.closed && c.capAllows(t) && c.mayReserve(t) {
 		c.reserveOn(t, a.session, 0)
 	}
 }
 
+// mayReserve reports whether capacity may be set aside for one more task of the pool
+// of a task.
+func (c *Controller) mayReserve(t *task) bool {
+	name := t.workflow.spec.Pool
+	workers, reserved := 0, 0
+	for _, s := range c.sessions {
+		if s.worker.Pool == name {
+			workers++
+		}
+	}
+	for other := range c.reserved {
+		if other.workflow.spec.Pool == name {
+			reserved++
+		}
+	}
+	return reserved < placement.MaxReserved(workers)
+}
+
 func (c *Controller) reserveOn(t *task, s *session, waitedMillis int64) {
 	event.Log(c.opts.Logger, event.CapacityReserved, slog.String("workflow", t.workflow.spec.ID), slog.Int("task", t.number),
 		slog.String("worker", s.worker.ID), slog.Int64("waited_ms", waitedMillis), slog.Int64("milli_cpu", t.step.Size.MilliCPU),
