fleet: overdue tasks start beside capacity that is set aside for others

Same class as: capacity that is withheld from a task for others that have no better claim to it.

TestRoomSetAsideElsewhereDoesNotKeepOutATaskThatWaitedLonger (no restart within 18 s) and TestSmallerTaskIsNotKeptOutByLargerOne (none within 13 s) fail on the code before.

A task that has waited for 6 s for its next run and fits on no worker starts where it fits but for what is set aside for those that have waited less. If there is room for two of its size, it may use what is set aside for any; the users' rule counts a waiting task as lost beside such room. The others get capacity again in the next pass.

--- a/fleet/reservation.go
+++ b/fleet/reservation.go
@@ -193,6 +193,44 @@
 	return cmp.Or(cmp.Compare(a.waitingSince, b.waitingSince), cmp.Compare(a.workflow.spec.ID, b.workflow.spec.ID), a.number-b.number)
 }
 
+// startBesideSetAside starts an overdue task that fits on no worker where it fits
+// but for capacity that is set aside for tasks which can't start yet: for those that
+// have waited less, and, if there is room for two tasks of its size, for any. Users
+// count it as lost beside such room. Their capacity is set aside again in the next
+// pass, there or on another worker.
+func (c *Controller) startBesideSetAside(t *task, p *pool) bool {
+	if t.step.Gang || c.journal.full() || len(p.aside) == 0 {
+		return false
+	}
+	besideOlder, besideNone := make([]*placement.WorkerCapacity, len(p.workers)), make([]*placement.WorkerCapacity, len(p.workers))
+	add := func(workers []*placement.WorkerCapacity, i int, size state.Resources) {
+		if workers[i] == nil {
+			w := *p.workers[i]
+			workers[i] = &w
+		}
+		workers[i].Free = workers[i].Free.Add(size)
+	}
+	for other, i := range p.aside {
+		if p.workers[i] == nil || other != t && !c.reserved[other] {
+			continue
+		}
+		add(besideNone, i, other.step.Reservation())
+		if other == t || comparePlaces(t, other) < 0 {
+			add(besideOlder, i, other.step.Reservation())
+		}
+	}
+	request := c.placementRequest(t, p, nil)
+	i := placement.ChooseWorker(besideOlder, request)
+	if i < 0 && placement.CountFitting(besideNone, request) > 1 {
+		i = placement.ChooseWorker(besideNone, request)
+	}
+	if i < 0 {
+		return false
+	}
+	c.startOn(t, p, i, request, t.run+1)
+	return true
+}
+
 // indexOf returns the index of a session among the usable workers of the pool.
 func (p *pool) indexOf(s *session) (int, bool) {
 	i, found := slices.BinarySearchFunc(p.sessions, s, func(a, b *session) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
--- a/fleet/schedule.go
+++ b/fleet/schedule.go
@@ -123,8 +123,8 @@
 			j.Starved() && t.step.LongRunning && placement.Overdue(waited)
 		minRate := c.minStartRate(t, p)
 		if unplaceable.includes(t, p, usesReserved, minRate, excludedWorkers) {
-			if j.Restart {
-				c.returnToReserved(t, p)
+			if j.Restart && !c.returnToReserved(t, p) && placement.RestartOverdue(waited, true) {
+				c.startBesideSetAside(t, p)
 			}
 			continue
 		}
@@ -149,7 +149,7 @@
 				i = group.bestWorker(j, waited, t.ranBefore())
 			}
 		}
-		if i < 0 && j.Restart && c.returnToReserved(t, p) {
+		if i < 0 && j.Restart && (c.returnToReserved(t, p) || placement.RestartOverdue(waited, true) && c.startBesideSetAside(t, p)) {
 			continue
 		}
 		if i < 0 {
--- a/fleet/serving_wait_test.go
+++ b/fleet/serving_wait_test.go
@@ -160,12 +160,7 @@
 	})
 	h.Expect(h.submit(step(2, untilStopped, withCPU(1500)))).To(Equal(fleet.OutcomeDone))
 	h.Eventually(func() int { return running(w) }, waitTimeout, "5ms").Should(Equal(2))
-	// Capacity is set aside for one task in eight workers. These fit no task.
-	for i := range 15 {
-		id, startedAt := fmt.Sprintf("x%02d", i), time.Now().UnixMilli()
-		x := h.addWorker(id, pool.Options{StartedAt: startedAt})
-		h.Expect(h.heartbeatWith(id, startedAt, x, false, state.Resources{MilliCPU: 10, MemoryMiB: 10})).To(Equal(fleet.OutcomeDone))
-	}
+	h.addWorkersWithoutRoom(15)
 	h.submitAs(batch, step(2, withCPU(2000), withEstimate(time.Minute)))
 	batchRuns := func() (all []pool.Record) {
 		for _, r := range w.Records() {
@@ -183,6 +178,80 @@
 	h.Eventually(restarted, 3*time.Second, "5ms").Should(BeTrue(), "there is room for one of them")
 }
 
+// Guards against a serving task that waits beside room for it, because more capacity
+// than is free is set aside on its worker for another one.
+func TestSmallerTaskIsNotKeptOutByLargerOne(t *testing.T) {
+	const batch = "a000000000000001"
+	h := newHarness(t)
+	w := h.addWorker("w", pool.Options{
+		RunTime: func(p fleet.TaskPosition, number uint64) time.Duration {
+			switch {
+			case p.Workflow == jobID && number == 1:
+				return time.Second
+			case p.Workflow == batch && p.Index == 0:
+				return 7 * time.Second
+			}
+			return 0
+		},
+		Fails: func(p fleet.TaskPosition, number uint64) bool { return p.Workflow == jobID && number == 1 },
+	})
+	h.Expect(h.submit(step(1, untilStopped, withCPU(2500)), step(1, untilStopped, withCPU(1000)))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() int { return running(w) }, waitTimeout, "5ms").Should(Equal(2))
+	h.addWorkersWithoutRoom(15)
+	h.submitAs(batch, step(2, withCPU(2000), withEstimate(time.Minute)))
+	restarted := func() bool {
+		return slices.ContainsFunc(w.Records(), func(r pool.Record) bool { return r.Position.Workflow == jobID && r.Number > 1 })
+	}
+	h.Eventually(restarted, 13*time.Second, "5ms").Should(BeTrue(), "there is room for the smaller one")
+}
+
+// Guards against a serving task that waits beside room for it, because the room is
+// set aside on another worker than its own for a task that has waited less.
+func TestRoomSetAsideElsewhereDoesNotKeepOutATaskThatWaitedLonger(t *testing.T) {
+	const younger = "00000000000000bb"
+	h := newHarness(t)
+	options := pool.Options{
+		RunTime: func(p fleet.TaskPosition, number uint64) time.Duration {
+			switch {
+			case p.Workflow == jobID && number == 1:
+				return 2 * time.Second
+			case p.Workflow == younger && number == 1:
+				return 3 * time.Second
+			case p.Workflow == "a000000000000004":
+				return 7500 * time.Millisecond
+			}
+			return 0
+		},
+		Fails: func(p fleet.TaskPosition, number uint64) bool { return p.Workflow[0] == '0' && number == 1 },
+	}
+	a := h.addWorker("a", options)
+	h.Expect(h.submit(step(1, untilStopped, withCPU(1000)))).To(Equal(fleet.OutcomeDone))
+	h.Eventually(func() int { return running(a) }, waitTimeout, "5ms").Should(Equal(1))
+	b := h.addWorker("b", options)
+	h.submitAs(younger, step(1, untilStopped, withCPU(3500)))
+	h.Eventually(func() int { return running(b) }, waitTimeout, "5ms").Should(Equal(1))
+	h.submitAs("a000000000000001", step(1, withCPU(3000), withEstimate(time.Minute)))
+	h.Eventually(func() int { return running(a) }, waitTimeout, "5ms").Should(Equal(2))
+	h.addWorkersWithoutRoom(14)
+	h.submitAs("a000000000000002", step(1, withCPU(1000), withEstimate(time.Minute)))
+	h.submitAs("a000000000000003", step(1, withCPU(1900), withEstimate(time.Minute)))
+	h.submitAs("a000000000000004", step(1, withCPU(2100), withEstimate(time.Minute)))
+	h.Eventually(func() bool {
+		return slices.ContainsFunc(append(a.Records(), b.Records()...), func(r pool.Record) bool { return r.Position.Workflow == jobID && r.Number > 1 })
+	}, 18*time.Second, "5ms").Should(BeTrue())
+}
+
+// addWorkersWithoutRoom starts workers on which no task fits. Capacity is set aside
+// for one task in eight workers.
+func (h *harness) addWorkersWithoutRoom(n int) {
+	h.t.Helper()
+	for i := range n {
+		id, startedAt := fmt.Sprintf("x%02d", i), time.Now().UnixMilli()
+		w := h.addWorker(id, pool.Options{StartedAt: startedAt})
+		h.Expect(h.heartbeatWith(id, startedAt, w, false, state.Resources{MilliCPU: 10, MemoryMiB: 10})).To(Equal(fleet.OutcomeDone))
+	}
+}
+
 // fillWorker starts a worker and a serving task that reserves all its CPU.
 func (h *harness) fillWorker(id string) *pool.Worker {
 	h.t.Helper()
