soak: find work that waits beside free capacity

The soak had neither serving nor best-effort jobs, and no client submitted work after the last fault, so that it could not see such waits.

The workload gets four serving jobs, three of four runs of which fail within 5.1 s, and best-effort jobs. After the faults and the last crash, one batch client and the best-effort client go on for 15 s; then the serving jobs are cancelled.

The check takes the records of the workers: a serving task that has had no run for 6 s is lost after 3 s more in which two of its size fit, and an accepted job after 3 s (9 s for the first run of a serving job) in which nothing of it runs, two tasks fit, also into the cap of its tenant, and less than half of the CPU and memory is reserved. Neither counts within 7 s of a fault on a control instance or a worker, which includes every worker that is down.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -41,6 +41,10 @@
 	// settleTimeout is how long all jobs may take to end after the last fault: two
 	// elections, one lease and the waiting runs.
 	settleTimeout = 40 * time.Second
+	// undisturbedLoad is how long clients go on after the last fault and the last
+	// crash. Waits beside free capacity count after undisturbedTime only, which
+	// leaves 8 s of load in which they do.
+	undisturbedLoad = 15 * time.Second
 )
 
 // process is one daemon, which faults kill, pause and restart.
@@ -204,5 +208,6 @@
 // fault is one kind of fault that a run injects.
 type fault struct {
 	name  string
+	entry bool // affects entry instances only
 	apply func(r *rand.Rand, d time.Duration) error
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -41,8 +41,12 @@
 	// always available.
 	outageMu sync.Mutex
 	faults   map[string]int
-	restarts sync.WaitGroup // of crashed workers
-	closed   bool           // no further restarts; protected by environment.mu
+	// disturbances are the faults on control instances and workers; protected by
+	// environment.mu.
+	disturbances  []span
+	droppingSince time.Time      // first fault of dropStartResponses; protected by environment.mu
+	restarts      sync.WaitGroup // of crashed workers
+	closed        bool           // no further restarts; protected by environment.mu
 	// mostRunning is as in Result.
 	mostRunning map[string]int
 }
@@ -126,8 +130,8 @@
 // actions of an actor don't depend on the timing of the others.
 func (r *run) randomSource(actor uint64) *rand.Rand { return rand.New(rand.NewPCG(r.opts.Seed, actor)) }
 
-// runWorkload runs clients, workers and faults for the duration of the run, and
-// then waits until all jobs have ended.
+// runWorkload runs clients, workers and faults for the duration of the run, some
+// clients for undisturbedLoad after it, and then waits until all jobs have ended.
 func (r *run) runWorkload() {
 	backgroundCtx, stopBackground := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
@@ -140,18 +144,32 @@
 	if r.ackedVersion == 0 {
 		r.report("the first configuration was not acknowledged in %s", settleTimeout)
 	}
-	workloadCtx, cancel := context.WithTimeout(backgroundCtx, r.opts.Duration)
+	faultsCtx, cancel := context.WithTimeout(backgroundCtx, r.opts.Duration)
 	defer cancel()
-	var actors sync.WaitGroup
+	workloadCtx, stopWorkload := context.WithCancel(backgroundCtx)
+	defer stopWorkload()
+	var actors, injectors sync.WaitGroup
 	for i := range 3 {
-		actors.Go(func() { r.submitJobs(workloadCtx, r.randomSource(uint64(10+i))) })
+		ctx := faultsCtx
+		if i == 0 {
+			ctx = workloadCtx // one batch client leaves capacity free
+		}
+		actors.Go(func() { r.submitJobs(ctx, faultsCtx, r.randomSource(uint64(10+i)), batchSteps) })
 	}
+	actors.Go(func() { r.submitServingJobs(workloadCtx, r.randomSource(13)) })
+	actors.Go(func() { r.submitJobs(workloadCtx, faultsCtx, r.randomSource(14), bestEffortSteps) })
 	actors.Go(func() { r.changeConfig(workloadCtx, r.randomSource(20)) })
 	for i := range 2 {
-		actors.Go(func() { r.injectFaults(workloadCtx, r.randomSource(uint64(30+i))) })
+		injectors.Go(func() { r.injectFaults(faultsCtx, r.randomSource(uint64(30+i))) })
 	}
+	injectors.Wait()
+	r.stopDroppingResponses()
+	r.awaitJobs(func(j *job) bool { return crashes(fleet.TaskPosition{Workflow: j.id}) })
+	time.Sleep(undisturbedLoad)
+	stopWorkload()
 	actors.Wait()
-	r.awaitJobs()
+	r.cancelServingJobs(r.randomSource(41))
+	r.awaitJobs(func(*job) bool { return true })
 	stopBackground()
 	wg.Wait()
 }
@@ -175,30 +193,41 @@
 		r.mu.Lock()
 		r.faults[f.name]++
 		r.mu.Unlock()
-		_, _ = fmt.Fprintf(r.opts.Output, "%s %s for %s\n", time.Now().Format("15:04:05.000"), f.name, d)
+		_, _ = fmt.Fprintf(r.opts.Output, "%s %s for %s\n", time.Now().Format(clockFormat), f.name, d)
+		begin := time.Now()
 		if err := f.apply(rng, d); err != nil {
 			r.report("fault %s can't be injected: %v", f.name, err)
 		}
+		if !f.entry {
+			r.disturbed(begin)
+		}
 		time.Sleep(time.Duration(rng.Int64N(int64(maxFaultPause))))
 	}
 }
 
 func (r *run) faultKinds() []fault {
 	return []fault{
-		{"kill control", r.stopControl(syscall.SIGKILL, false)},
-		{"terminate control", r.stopControl(syscall.SIGTERM, false)},
-		{"empty disk", r.stopControl(syscall.SIGKILL, true)},
-		{"pause control", r.pauseControl},
-		{"kill entry", r.stopEntry(syscall.SIGKILL)},
-		{"terminate entry", r.stopEntry(syscall.SIGTERM)},
-		{"pause entry", r.pauseEntry},
-		{"worker starts again", r.restartWorker},
-		{"start reaches the next incarnation", r.delayStartBeyondRestart},
-		{"worker silent", r.toxic("timeout", `{"timeout":0}`)},
-		{"worker slow to answer", r.toxic("latency", `{"latency":700,"jitter":500}`)},
-		{"worker resets connections", r.toxic("reset_peer", `{"timeout":50}`)},
-		{"starts without answers", r.dropStartResponses},
-	}
+		{"kill control", false, r.stopControl(syscall.SIGKILL, false)},
+		{"terminate control", false, r.stopControl(syscall.SIGTERM, false)},
+		{"empty disk", false, r.stopControl(syscall.SIGKILL, true)},
+		{"pause control", false, r.pauseControl},
+		{"kill entry", true, r.stopEntry(syscall.SIGKILL)},
+		{"terminate entry", true, r.stopEntry(syscall.SIGTERM)},
+		{"pause entry", true, r.pauseEntry},
+		{"worker starts again", false, r.restartWorker},
+		{"start reaches the next incarnation", false, r.delayStartBeyondRestart},
+		{"worker silent", false, r.toxic("timeout", `{"timeout":0}`)},
+		{"worker slow to answer", false, r.toxic("latency", `{"latency":700,"jitter":500}`)},
+		{"worker resets connections", false, r.toxic("reset_peer", `{"timeout":50}`)},
+		{"starts without answers", false, r.dropStartResponses},
+	}
+}
+
+// disturbed records a fault on a control instance or a worker from begin to now.
+func (r *run) disturbed(begin time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.disturbances = append(r.disturbances, span{begin, time.Now()})
 }
 
 func (r *run) stopControl(s syscall.Signal, wipe bool) func(*rand.Rand, time.Duration) error {
@@ -293,18 +322,35 @@
 }
 
 func (r *run) dropStartResponses(rng *rand.Rand, _ time.Duration) error {
+	r.mu.Lock()
+	if r.droppingSince.IsZero() {
+		r.droppingSince = time.Now()
+	}
+	r.mu.Unlock()
 	l := r.workers[rng.IntN(len(r.workers))].current()
 	l.worker.DropStartResponses(1 + rng.IntN(3))
 	return nil
 }
 
-// awaitJobs waits until every accepted job has ended and the configuration can
-// be read, at most settleTimeout.
-func (r *run) awaitJobs() {
+// stopDroppingResponses ends the faults of dropStartResponses. Each would last until
+// enough starts arrive, so that all count as one fault until now.
+func (r *run) stopDroppingResponses() {
+	for _, w := range r.workers {
+		w.current().worker.DropStartResponses(0)
+	}
+	if !r.droppingSince.IsZero() {
+		r.disturbed(r.droppingSince)
+	}
+}
+
+// awaitJobs waits until every selected job that was accepted has ended, all workers
+// are up and the configuration can be read, at most settleTimeout.
+func (r *run) awaitJobs(selected func(*job) bool) {
 	rng := r.randomSource(40)
 	deadline := time.Now().Add(settleTimeout)
 	for time.Now().Before(deadline) {
-		if r.refreshJobs(rng) == 0 && r.readConfig(rng) {
+		up := !slices.ContainsFunc(r.workers, func(w *worker) bool { return !w.up() })
+		if r.refreshJobs(rng, selected) == 0 && up && r.readConfig(rng) {
 			return
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -314,14 +360,19 @@
 	}
 }
 
-// refreshJobs reads the state of all accepted jobs and returns how many have not
-// ended.
-func (r *run) refreshJobs(rng *rand.Rand) int {
-	unfinished := 0
+// refreshJobs reads the state of the selected jobs that were accepted and returns how
+// many have not ended.
+func (r *run) refreshJobs(rng *rand.Rand, selected func(*job) bool) int {
+	var open []*job
+	r.mu.Lock()
 	for _, j := range r.jobs {
-		if !j.accepted || j.phase != "" {
-			continue
+		if j.accepted && j.phase == "" && selected(j) {
+			open = append(open, j)
 		}
+	}
+	r.mu.Unlock()
+	unfinished := 0
+	for _, j := range open {
 		status, body := r.call(r.randomEntry(rng), platformtest.Read(j.path()).WithKey(j.key))
 		switch {
 		case status == http.StatusGone:
@@ -340,6 +391,9 @@
 	return unfinished
 }
 
+// clockFormat is the format of times in the output and in findings.
+const clockFormat = "15:04:05.000"
+
 // unreportedWindow is how long the end of a run may stay unreported while its
 // worker is unreachable. If the worker restarts within this time, the task runs
 // again, which is allowed.
@@ -374,6 +428,7 @@
 		r.checkJob(j, runs)
 	}
 	r.checkTenants(runs)
+	r.checkWaits(runs)
 	for _, p := range r.processes {
 		if !p.alive() {
 			r.report("%s ended by itself", p.name)
@@ -506,9 +561,9 @@
 // task started before all tasks of the previous step were done.
 func (r *run) checkOrder(j *job, runs map[fleet.TaskPosition][]record) {
 	var previousStepEnd time.Time
-	for step, width := range j.stepWidths {
+	for step := range j.steps {
 		var last time.Time
-		for index := range width {
+		for index := range j.steps[step].Count {
 			p := fleet.TaskPosition{Workflow: j.id, Step: step, Index: index}
 			done, end := false, time.Time{} // the first end counts; a start that arrives late may repeat it
 			for _, rec := range runs[p] {
@@ -535,6 +590,13 @@
 	return a
 }
 
+func earlierOf(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func (r *run) result() Result {
 	res := Result{Jobs: len(r.jobs), Faults: r.faults, Findings: r.findings, MostRunning: r.mostRunning}
 	for _, j := range r.jobs {
--- a/soak/world.go
+++ b/soak/world.go
@@ -31,6 +31,12 @@
 	poolName       = "pool"
 	maxRunMillis   = 400 // milliseconds
 	failedPercent  = 3
+	// maxServingRunMillis bounds the runs of serving tasks that fail, so that some
+	// fail after the last fault.
+	maxServingRunMillis = 5000
+	// servingJobs is the number of serving jobs of a run. Their tasks reserve less
+	// than half of the pool.
+	servingJobs = 4
 	// crashingShare is the reciprocal of the share of jobs whose first task
 	// crashes each worker that starts it.
 	crashingShare = 40
@@ -47,6 +53,16 @@
 	return p.Step == 0 && p.Index == 0 && hashRun(0, fleet.TaskPosition{Workflow: p.Workflow}, 0)%crashingShare == 0
 }
 
+// servingRunTime returns the run time of a run of a serving task. Three of four runs
+// fail after up to maxServingRunMillis, the others run until they are stopped.
+func servingRunTime(seed uint64, p fleet.TaskPosition, n uint64) time.Duration {
+	h := hashRun(seed, p, n)
+	if h%4 == 0 {
+		return 0
+	}
+	return time.Duration(100+h/4%maxServingRunMillis) * time.Millisecond
+}
+
 // incarnation is one incarnation of a worker: a simulated worker behind a proxy.
 type incarnation struct {
 	worker    *pool.Worker
@@ -56,6 +72,8 @@
 	endedAt   time.Time // zero while it is running
 }
 
+var workerCapacity = state.Resources{MilliCPU: 4000, MemoryMiB: 4000}
+
 // worker is a worker of the pool with all its incarnations.
 type worker struct {
 	id           string
@@ -70,6 +88,13 @@
 	return w.incarnations[len(w.incarnations)-1]
 }
 
+// up reports whether the current incarnation is running.
+func (w *worker) up() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.incarnations[len(w.incarnations)-1].endedAt.IsZero()
+}
+
 // startWorker starts a new incarnation at a new address.
 func (r *run) startWorker(w *worker) error {
 	seed := r.opts.Seed
@@ -84,9 +109,14 @@
 		OnCrash: func() { r.crashed(w, startedAt) },
 		ID:      w.id, StartedAt: startedAt, MaxLease: maxLease,
 		RunTime: func(p fleet.TaskPosition, n uint64) time.Duration {
+			if r.serves(p) {
+				return servingRunTime(seed, p, n)
+			}
 			return time.Duration(20+hashRun(seed, p, n)%maxRunMillis) * time.Millisecond
 		},
-		Fails: func(p fleet.TaskPosition, n uint64) bool { return hashRun(seed+1, p, n)%100 < failedPercent },
+		Fails: func(p fleet.TaskPosition, n uint64) bool {
+			return r.serves(p) || hashRun(seed+1, p, n)%100 < failedPercent
+		},
 	})
 	srv := httptest.NewServer(platformtest.NewHandler(w.id, simulated))
 	proxy := toxiproxy.NewProxy(r.proxies, fmt.Sprintf("%s-%d", w.id, startedAt), "127.0.0.1:0", strings.TrimPrefix(srv.URL, "http://"))
@@ -164,10 +194,12 @@
 // job is a workflow in the view of its client.
 type job struct {
 	id          string
-	stepWidths  []int // number of tasks of each step
+	steps       []state.WorkflowStep
 	accepted    bool
-	cancelled   bool // the cancellation was acknowledged
-	cancelledAt time.Time
+	acceptedAt  time.Time
+	cancelled   bool      // the cancellation was acknowledged
+	cancelledAt time.Time // when it was acknowledged
+	cancelSent  time.Time // when it was sent; zero if it was not
 	phase       string
 	key         string // with which it is submitted, read and cancelled
 }
@@ -178,8 +210,11 @@
 	{Name: "free", Key: "key-free", Weight: 20},
 }
 
+var taskSize = state.Resources{MilliCPU: taskMilliCPU, MemoryMiB: taskMemoryMiB}
+
 const (
-	taskMilliCPU = 900
+	taskMilliCPU  = 900
+	taskMemoryMiB = 500
 	// unknownKey is a key that no configuration has. One submission in
 	// unknownKeyShare uses it.
 	unknownKey      = "key-unknown"
@@ -198,6 +233,16 @@
 
 func (j *job) path() string { return "/jobs/" + j.id }
 
+func (j *job) serves() bool { return j.steps[0].LongRunning }
+
+// serves reports whether a task belongs to a serving job.
+func (w *environment) serves(p fleet.TaskPosition) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j := w.jobs[p.Workflow]
+	return j != nil && j.serves()
+}
+
 // report records a violated guarantee.
 func (w *environment) report(format string, args ...any) {
 	w.mu.Lock()
@@ -279,50 +324,49 @@
 // sendHeartbeats sends the heartbeats of a worker until ctx ends.
 func (w *environment) sendHeartbeats(ctx context.Context, r *rand.Rand, target *worker) {
 	for ctx.Err() == nil {
-		l := target.current()
-		target.mu.Lock()
-		up := l.endedAt.IsZero()
-		target.mu.Unlock()
-		if up {
+		if l := target.current(); target.up() {
 			w.call(w.randomControl(r), platformtest.Heartbeat(state.PoolWorker{
 				ID: target.id, StartedAt: l.startedAt, Pool: poolName, Address: l.proxy.Listen, Zone: "zone-a", Labels: []string{"a", "r1"},
-				Capacity: state.Resources{MilliCPU: 4000, MemoryMiB: 4000},
+				Capacity: workerCapacity,
 			}, target.seq.Add(1), l.worker.Clock()))
 		}
 		time.Sleep(heartbeatInterval)
 	}
 }
 
-// submitJobs submits jobs until ctx ends. A submission that was not acknowledged
-// is retried up to 4 times, as the platform's clients do.
-func (w *environment) submitJobs(ctx context.Context, r *rand.Rand) {
+// batchSteps draws the steps of a job whose tasks end.
+func batchSteps(r *rand.Rand) []state.WorkflowStep {
+	var steps []state.WorkflowStep
+	for i := range 1 + r.IntN(3) {
+		step := state.WorkflowStep{Count: 1 + r.IntN(5), Size: taskSize, EstimateMillis: 200}
+		if i > 0 {
+			step.DependsOn = []int{i - 1}
+		}
+		steps = append(steps, step)
+	}
+	return steps
+}
+
+// bestEffortSteps draws the steps of a job whose tasks reserve no CPU.
+func bestEffortSteps(r *rand.Rand) []state.WorkflowStep {
+	steps := batchSteps(r)
+	for i := range steps {
+		steps[i].BestEffort = true
+	}
+	return steps
+}
+
+// submitJobs submits jobs until ctx ends. After the end of faultsCtx it submits none
+// that crash workers.
+func (w *environment) submitJobs(ctx, faultsCtx context.Context, r *rand.Rand, draw func(*rand.Rand) []state.WorkflowStep) {
 	for ctx.Err() == nil {
 		j := &job{id: fmt.Sprintf("%016x", r.Uint64())}
 		j.key = keyOf(j.id)
-		var steps []state.WorkflowStep
-		for i := range 1 + r.IntN(3) {
-			step := state.WorkflowStep{
-				Count: 1 + r.IntN(5), Size: state.Resources{MilliCPU: taskMilliCPU, MemoryMiB: 500}, EstimateMillis: 200,
-			}
-			if i > 0 {
-				step.DependsOn = []int{i - 1}
-			}
-			j.stepWidths = append(j.stepWidths, step.Count)
-			steps = append(steps, step)
-		}
-		w.mu.Lock()
-		w.jobs[j.id] = j
-		w.mu.Unlock()
-		call := platformtest.Submit(j.path(), steps).WithKey(j.key)
-		for range 5 {
-			status, _ := w.call(w.randomEntry(r), call)
-			if status == http.StatusOK {
-				w.mu.Lock()
-				j.accepted = true
-				w.mu.Unlock()
-				break
-			}
+		j.steps = draw(r)
+		if faultsCtx.Err() != nil && crashes(fleet.TaskPosition{Workflow: j.id}) {
+			continue
 		}
+		w.submit(r, j)
 		if !j.accepted || r.IntN(10) == 0 {
 			w.cancelJob(r, j)
 		}
@@ -330,11 +374,61 @@
 	}
 }
 
+// submitServingJobs submits the serving jobs of a run, with a key that has no cap.
+func (w *environment) submitServingJobs(ctx context.Context, r *rand.Rand) {
+	for range servingJobs {
+		j := &job{id: fmt.Sprintf("%016x", r.Uint64()), key: tenants[1].Key}
+		for crashes(fleet.TaskPosition{Workflow: j.id}) {
+			j.id = fmt.Sprintf("%016x", r.Uint64())
+		}
+		j.steps = []state.WorkflowStep{{Count: 1 + r.IntN(3), Size: taskSize, LongRunning: true}}
+		w.submit(r, j)
+		if !j.accepted {
+			w.cancelJob(r, j)
+		}
+		time.Sleep(time.Duration(500+r.IntN(1000)) * time.Millisecond)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// cancelServingJobs cancels the accepted serving jobs, which don't end by
+// themselves.
+func (w *environment) cancelServingJobs(r *rand.Rand) {
+	for _, j := range w.jobs {
+		if j.accepted && j.serves() {
+			w.cancelJob(r, j)
+		}
+	}
+}
+
+// submit submits a job. A submission that was not acknowledged is retried up to 4
+// times, as the platform's clients do.
+func (w *environment) submit(r *rand.Rand, j *job) {
+	w.mu.Lock()
+	w.jobs[j.id] = j
+	w.mu.Unlock()
+	call := platformtest.Submit(j.path(), j.steps).WithKey(j.key)
+	for range 5 {
+		status, _ := w.call(w.randomEntry(r), call)
+		if status == http.StatusOK {
+			w.mu.Lock()
+			j.accepted, j.acceptedAt = true, time.Now()
+			w.mu.Unlock()
+			return
+		}
+	}
+}
+
 // cancelTime is the time within which a cancellation takes effect, with that of a
 // start that is delayed on its way to a worker.
 const cancelTime = 3 * time.Second
 
 func (w *environment) cancelJob(r *rand.Rand, j *job) {
+	if j.cancelSent.IsZero() {
+		j.cancelSent = time.Now()
+	}
 	for range 5 {
 		status, _ := w.call(w.randomEntry(r), platformtest.Cancel(j.path()).WithKey(j.key))
 		if status == http.StatusOK || status == http.StatusGone && !j.accepted {
